--- /dev/null
+++ b/router/src/main/java/org/burdocktray/connection/platform/ObjectListing.java
@@ -0,0 +1,17 @@
+package org.burdocktray.connection.platform;
+
+import java.util.List;
+
+/**
+ * All objects of a kind. Thread safety: immutable.
+ *
+ * @param objects the objects; their keys are their names within the kind
+ * @param revision the store's revision, from which on changes can be watched
+ */
+public record ObjectListing(List<StoredObject> objects, long revision) {
+
+	public ObjectListing {
+		objects = List.copyOf(objects);
+	}
+
+}
--- /dev/null
+++ b/router/src/main/java/org/burdocktray/process/cli/GatewayCommand.java
@@ -0,0 +1,103 @@
+package org.burdocktray.process.cli;
+
+import java.io.PrintStream;
+import java.util.Optional;
+import java.util.ServiceLoader;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicReference;
+
+import io.vavr.control.Either;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.burdocktray.model.NetworkAddress;
+import org.burdocktray.process.serve.gateway.GatewayPlatform;
+import org.burdocktray.process.serve.gateway.GatewayServer;
+import org.burdocktray.process.serve.gateway.GatewaySettings;
+import org.jboss.logging.Logger;
+
+/**
+ * Runs the gateway on the platform that the program is built with, until it is asked to
+ * stop by SIGTERM or SIGINT. Thread safety: runs once in a process.
+ */
+final class GatewayCommand implements Command {
+
+	private static final String METRICS_PORT = "metrics-port";
+
+	@Override
+	public String name() {
+		return "gateway";
+	}
+
+	@Override
+	public String arguments() {
+		return "";
+	}
+
+	@Override
+	public String summary() {
+		return "Run the gateway on the platform that this program is built with.";
+	}
+
+	@Override
+	public Options options() {
+		return new Options().addOption(Option.builder()
+			.longOpt(METRICS_PORT)
+			.hasArg()
+			.argName("PORT")
+			.desc("Serve metrics on this port.")
+			.get());
+	}
+
+	@Override
+	public ExitCode run(CommandLine line, PrintStream out, PrintStream err) {
+		Optional<GatewayPlatform> platform = ServiceLoader.load(GatewayPlatform.class).findFirst();
+		if (platform.isEmpty()) {
+			err.println("burdocktray gateway: this program is built without a platform");
+			return ExitCode.USAGE;
+		}
+		LogSetup.useStandardOutput();
+		Either<String, GatewaySettings> settings = platform.get()
+			.readSettings()
+			.flatMap((read) -> withMetrics(read, Optional.ofNullable(line.getOptionValue(METRICS_PORT))));
+		if (settings.isLeft()) {
+			err.println("burdocktray gateway: " + settings.getLeft());
+			return ExitCode.USAGE;
+		}
+		return serve(new GatewayServer(settings.get(), platform.get()), platform.get(), err);
+	}
+
+	private static Either<String, GatewaySettings> withMetrics(GatewaySettings settings, Optional<String> port) {
+		if (port.isEmpty()) {
+			return Either.right(settings);
+		}
+		return NetworkAddress.parse(settings.callerAddress().ip() + ":" + port.get())
+			.<Either<String, GatewaySettings>>map((address) -> Either.right(settings.withMetricsAddress(address)))
+			.orElse(Either.left("--" + METRICS_PORT + " must be 1 to 65535, was " + port.get()));
+	}
+
+	private static ExitCode serve(GatewayServer server, GatewayPlatform platform, PrintStream err) {
+		Logger logger = Logger.getLogger(GatewayCommand.class);
+		CountDownLatch stopped = new CountDownLatch(1);
+		AtomicReference<ExitCode> exitCode = new AtomicReference<>(ExitCode.OK);
+		StopSignal.onStop(() -> server.stop().onComplete((done) -> stopped.countDown()));
+		StopSignal.onReload(() -> platform.readSettings()
+			.peek((read) -> logger.infof("Settings read again: vm=%s; they take effect at the next start",
+					read.vmName()))
+			.peekLeft((fault) -> logger.errorf("Settings cannot be read, the present ones stay: %s", fault)));
+		server.start().onFailure((cause) -> {
+			err.println("burdocktray gateway: can't listen: " + cause.getMessage());
+			exitCode.set(ExitCode.USAGE);
+			stopped.countDown();
+		});
+		try {
+			stopped.await();
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+		logger.info("Gateway stopped");
+		return exitCode.get();
+	}
+
+}
--- a/router/src/main/java/org/burdocktray/process/cli/LogSetup.java
+++ b/router/src/main/java/org/burdocktray/process/cli/LogSetup.java
@@ -7,6 +7,7 @@
 import org.jboss.logmanager.Level;
 import org.jboss.logmanager.formatters.JsonFormatter;
 import org.jboss.logmanager.formatters.StructuredFormatter;
+import org.jboss.logmanager.handlers.AsyncHandler;
 import org.jboss.logmanager.handlers.ConsoleHandler;
 
 /**
@@ -16,6 +17,8 @@
  */
 public final class LogSetup {
 
+	private static final int MAX_QUEUED_LINES = 2_048;
+
 	private static final String MANAGER_PROPERTY = "java.util.logging.manager";
 
 	private static final String PROVIDER_PROPERTY = "org.jboss.logging.provider";
@@ -40,6 +43,22 @@
 		root.setLevel(Level.INFO);
 	}
 
+	/**
+	 * Directs all logs to the standard output. Lines pass through a bounded queue, so
+	 * that a reader that stops reading never blocks the router; lines that don't fit are
+	 * dropped.
+	 */
+	public static void useStandardOutput() {
+		Logger root = rootLogger();
+		for (Handler handler : root.getHandlers()) {
+			root.removeHandler(handler);
+		}
+		AsyncHandler queue = new AsyncHandler(MAX_QUEUED_LINES);
+		queue.setOverflowAction(AsyncHandler.OverflowAction.DISCARD);
+		queue.addHandler(new ConsoleHandler(ConsoleHandler.Target.SYSTEM_OUT, createFormatter()));
+		root.addHandler(queue);
+	}
+
 	/**
 	 * Sets the lowest level that is logged. Libraries log nothing below {@code INFO}.
 	 * @param levelName one of the levels that settings may name
--- a/router/src/main/java/org/burdocktray/process/cli/StopSignal.java
+++ b/router/src/main/java/org/burdocktray/process/cli/StopSignal.java
@@ -5,17 +5,23 @@
 import sun.misc.Signal;
 
 /**
- * Turns SIGTERM and SIGINT into an orderly stop. A shutdown hook will not do: the process
- * would exit with the signal's status instead of 0, while requests are in progress.
- * Thread safety: the action runs at most once.
+ * Turns SIGTERM and SIGINT into an orderly stop, and SIGHUP into a reload. A shutdown
+ * hook will not do: the process would exit with the signal's status instead of 0, while
+ * requests are in progress. Thread safety: the action runs at most once.
  */
 final class StopSignal {
 
 	private static final String[] NAMES = { "TERM", "INT" };
 
+	private static final String RELOAD_NAME = "HUP";
+
 	private StopSignal() {
 	}
 
+	static void onReload(Runnable action) {
+		Signal.handle(new Signal(RELOAD_NAME), (signal) -> action.run());
+	}
+
 	static void onStop(Runnable action) {
 		AtomicBoolean asked = new AtomicBoolean();
 		for (String name : NAMES) {
--- /dev/null
+++ b/router/src/main/java/org/burdocktray/process/directory/ReplicaLoads.java
@@ -0,0 +1,175 @@
+package org.burdocktray.process.directory;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Predicate;
+
+/**
+ * The load and health of replicas as this VM knows them: what it has sent itself, what
+ * engines last reported, and which replicas failed lately. Thread safety: none, confined
+ * to one event loop.
+ */
+public final class ReplicaLoads {
+
+	private static final double NO_SLOWNESS = 1.0;
+
+	private final Map<String, State> states = new HashMap<>();
+
+	/**
+	 * Notes that a request was sent.
+	 * @param replica the replica
+	 * @param tokenLayers the KV cache that the request takes there
+	 */
+	public void sent(Replica replica, long tokenLayers) {
+		State state = state(replica);
+		state.inFlight++;
+		state.ownTokenLayers += tokenLayers;
+		state.sentSinceReport += tokenLayers;
+	}
+
+	/**
+	 * Notes that a request ended.
+	 * @param replica the replica
+	 * @param tokenLayers what was given to {@link #sent}
+	 */
+	public void ended(Replica replica, long tokenLayers) {
+		State state = state(replica);
+		state.inFlight = Math.max(0, state.inFlight - 1);
+		state.ownTokenLayers = Math.max(0, state.ownTokenLayers - tokenLayers);
+	}
+
+	/**
+	 * Takes in a report.
+	 * @param replica the replica
+	 * @param report the report
+	 */
+	public void reported(Replica replica, LoadReport report) {
+		State state = state(replica);
+		state.report = Optional.of(report);
+		state.sentSinceReport = 0;
+	}
+
+	/**
+	 * Avoids a replica for a while.
+	 * @param replica the replica
+	 * @param untilNanos until when
+	 */
+	public void avoid(Replica replica, long untilNanos) {
+		State state = state(replica);
+		state.avoidUntilNanos = state.avoided ? Math.max(state.avoidUntilNanos, untilNanos) : untilNanos;
+		state.avoided = true;
+	}
+
+	/**
+	 * Notes a failure by the replica's fault.
+	 * @param replica the replica
+	 * @return the failures in a row, 1 or more
+	 */
+	public int failed(Replica replica) {
+		return ++state(replica).failuresInARow;
+	}
+
+	/**
+	 * Notes that a replica did its work.
+	 * @param replica the replica
+	 */
+	public void succeeded(Replica replica) {
+		State state = state(replica);
+		state.failuresInARow = 0;
+		state.avoided = false;
+	}
+
+	/**
+	 * Tells whether a replica is avoided.
+	 * @param replica the replica
+	 * @param nowNanos the time
+	 * @return whether it failed lately
+	 */
+	public boolean isAvoided(Replica replica, long nowNanos) {
+		State state = state(replica);
+		return state.avoided && nowNanos - state.avoidUntilNanos < 0;
+	}
+
+	/**
+	 * Returns the requests of this VM at a replica.
+	 * @param replica the replica
+	 * @return the number
+	 */
+	public int inFlight(Replica replica) {
+		return state(replica).inFlight;
+	}
+
+	/**
+	 * Estimates the requests of all VMs at an engine.
+	 * @param replica the engine
+	 * @return the number
+	 */
+	public int sequences(Replica replica) {
+		State state = state(replica);
+		int reported = state.report.map((report) -> report.running() + report.queued()).orElse(0);
+		return Math.max(state.inFlight, reported);
+	}
+
+	/**
+	 * Estimates the KV cache in use at an engine.
+	 * @param replica the engine
+	 * @return tokens times layers
+	 */
+	public long kvUsed(Replica replica) {
+		State state = state(replica);
+		long reported = state.report.map(LoadReport::kvUsed).orElse(0L);
+		return Math.max(state.ownTokenLayers, reported + state.sentSinceReport);
+	}
+
+	/**
+	 * Returns how many times as long an engine's work takes as its kind's.
+	 * @param replica the engine
+	 * @return 1 unless it reports otherwise
+	 */
+	public double slowness(Replica replica) {
+		return state(replica).report.map(LoadReport::slowness).orElse(NO_SLOWNESS);
+	}
+
+	/**
+	 * Forgets replicas that are no longer listed.
+	 * @param isListed tells which are listed
+	 */
+	public void retain(Predicate<String> isListed) {
+		this.states.entrySet().removeIf((entry) -> entry.getValue().inFlight == 0 && !isListed.test(entry.getKey()));
+	}
+
+	private State state(Replica replica) {
+		State state = this.states.get(replica.id());
+		if (state == null || state.bornMillis != replica.bornMillis()) {
+			state = new State(replica.bornMillis());
+			this.states.put(replica.id(), state);
+		}
+		return state;
+	}
+
+	private static final class State {
+
+		private final long bornMillis;
+
+		private int inFlight;
+
+		private long ownTokenLayers;
+
+		private long sentSinceReport;
+
+		private Optional<LoadReport> report = Optional.empty();
+
+		private boolean avoided;
+
+		private long avoidUntilNanos;
+
+		private int failuresInARow;
+
+		State(long bornMillis) {
+			this.bornMillis = bornMillis;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/router/src/main/java/org/burdocktray/process/freshness/RulesFreshness.java
@@ -0,0 +1,82 @@
+package org.burdocktray.process.freshness;
+
+import java.util.concurrent.atomic.AtomicReference;
+
+/**
+ * Bounds the age of the rules in force. Evidence is a linearizable answer of the store;
+ * it counts from when the call was sent, since what it shows may have been true only
+ * then. The age is the larger of what the monotonic clock and the time of day say: a
+ * suspended VM's monotonic clock stands still, and a time of day that jumps forward only
+ * makes the bound stricter. Thread safety: lock-free.
+ */
+public final class RulesFreshness {
+
+	private final long maxAgeMillis;
+
+	private final AtomicReference<Moment> newest = new AtomicReference<>();
+
+	/**
+	 * Creates the bound without any evidence.
+	 * @param maxAgeMillis the highest age at which keys are still accepted
+	 */
+	public RulesFreshness(long maxAgeMillis) {
+		this.maxAgeMillis = maxAgeMillis;
+	}
+
+	/**
+	 * Takes in an answer of the store.
+	 * @param sent when its call was sent
+	 */
+	public void confirmed(Moment sent) {
+		this.newest.accumulateAndGet(sent, (held, next) -> (held == null || next.isAfter(held)) ? next : held);
+	}
+
+	/**
+	 * Tells whether the rules are fresh enough to accept keys.
+	 * @param now the time
+	 * @return whether their age is within the bound
+	 */
+	public boolean isFresh(Moment now) {
+		return ageMillis(now) <= this.maxAgeMillis;
+	}
+
+	/**
+	 * Returns the highest age that the rules can have.
+	 * @param now the time
+	 * @return milliseconds, {@link Long#MAX_VALUE} before the first evidence
+	 */
+	public long ageMillis(Moment now) {
+		Moment held = this.newest.get();
+		return (held != null) ? now.millisSince(held) : Long.MAX_VALUE;
+	}
+
+	/**
+	 * A moment by both clocks. Thread safety: immutable.
+	 *
+	 * @param monotonicNanos the monotonic clock
+	 * @param epochMillis the time of day
+	 */
+	public record Moment(long monotonicNanos, long epochMillis) {
+
+		private static final long NANOS_PER_MILLI = 1_000_000;
+
+		/**
+		 * Returns the present moment.
+		 * @return now
+		 */
+		public static Moment now() {
+			return new Moment(System.nanoTime(), System.currentTimeMillis());
+		}
+
+		long millisSince(Moment earlier) {
+			long monotonic = (this.monotonicNanos - earlier.monotonicNanos) / NANOS_PER_MILLI;
+			return Math.max(monotonic, this.epochMillis - earlier.epochMillis);
+		}
+
+		boolean isAfter(Moment other) {
+			return this.monotonicNanos - other.monotonicNanos > 0;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/router/src/main/java/org/burdocktray/process/order/LeaseLoop.java
@@ -0,0 +1,86 @@
+package org.burdocktray.process.order;
+
+import java.util.Optional;
+import java.util.OptionalLong;
+
+import io.vavr.control.Either;
+import org.burdocktray.connection.platform.PlatformStore;
+import org.burdocktray.connection.platform.StoreError;
+import org.burdocktray.connection.platform.StoredObject;
+
+/**
+ * Keeps one lease against the platform's store. Thread safety: none, confined to one
+ * thread, on which the store's answers have to arrive as well.
+ */
+public final class LeaseLoop {
+
+	private final PlatformStore store;
+
+	private final String key;
+
+	private final LeaseKeeper keeper;
+
+	/**
+	 * Creates the loop.
+	 * @param store the platform's store
+	 * @param key where the lease is kept
+	 * @param holder the unique name of this process
+	 * @param settings the times
+	 * @param nowNanos the time
+	 */
+	public LeaseLoop(PlatformStore store, String key, String holder, OrderSettings settings, long nowNanos) {
+		this.store = store;
+		this.key = key;
+		this.keeper = new LeaseKeeper(holder, settings, nowNanos);
+	}
+
+	/**
+	 * Makes the call to the store that is due, if any.
+	 * @param nowNanos the time
+	 */
+	public void tick(long nowNanos) {
+		this.keeper.next(nowNanos).ifPresent(this::carryOut);
+	}
+
+	/**
+	 * Tells whether an order may be sent now.
+	 * @param nowNanos the time
+	 * @return whether the lease outlasts an order
+	 */
+	public boolean mayOrder(long nowNanos) {
+		return this.keeper.fencingNumber(nowNanos).isPresent();
+	}
+
+	/**
+	 * Returns the fencing number for an order that is sent now.
+	 * @param nowNanos the time
+	 * @return the number, empty when this VM must not order
+	 */
+	public OptionalLong fencingNumber(long nowNanos) {
+		return this.keeper.fencingNumber(nowNanos);
+	}
+
+	private void carryOut(OrderAction action) {
+		if (action instanceof OrderAction.WriteLease write) {
+			var call = write.expectedVersion().isPresent()
+					? this.store.update(this.key, write.expectedVersion().getAsLong(), write.value())
+					: this.store.create(this.key, write.value());
+			call.subscribe(this::written);
+			return;
+		}
+		this.store.read(this.key).subscribe(this::read);
+	}
+
+	private void written(Either<StoreError, StoredObject> result) {
+		long nowNanos = System.nanoTime();
+		result.peek((object) -> this.keeper.written(object, nowNanos))
+			.peekLeft((error) -> this.keeper.writeFailed(error, nowNanos));
+	}
+
+	private void read(Either<StoreError, Optional<StoredObject>> result) {
+		long nowNanos = System.nanoTime();
+		result.peek((object) -> this.keeper.read(object, nowNanos))
+			.peekLeft((error) -> this.keeper.readFailed(nowNanos));
+	}
+
+}
--- /dev/null
+++ b/router/src/main/java/org/burdocktray/process/placement/LayerPlacement.java
@@ -0,0 +1,274 @@
+package org.burdocktray.process.placement;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.burdocktray.process.directory.LayerRange;
+import org.burdocktray.process.directory.Replica;
+import org.burdocktray.version.rules.AcceleratorKind;
+import org.burdocktray.version.rules.EngineProfile;
+
+/**
+ * Decides the layers of the engines of one data centre. Engines that hold layers keep
+ * them; those that hold none are given some. When none holds any, the engines are split
+ * into chains: sorted by speed, so that a chain has engines of like speed, and cut where
+ * the sum of tokens in the cache over the time of a token is highest. Invariants: no
+ * engine is given more layers than its memory holds; the same engines give the same
+ * placement. Thread safety: stateless.
+ */
+public final class LayerPlacement {
+
+	/** An engine that is given layers has room for this many requests beside them. */
+	private static final double MIN_REQUESTS = 4;
+
+	private LayerPlacement() {
+	}
+
+	/**
+	 * Decides the layers.
+	 * @param engines the engines of one data centre that are not leaving
+	 * @param profile how they behave
+	 * @return the layers by id of the engines that must change
+	 */
+	public static Map<String, LayerRange> changes(List<Replica> engines, EngineProfile profile) {
+		List<Replica> known = engines.stream()
+			.filter((engine) -> engine.acceleratorKind().flatMap(profile::kind).isPresent())
+			.sorted(Comparator.comparing(Replica::id))
+			.toList();
+		boolean isEmpty = known.stream().allMatch((engine) -> engine.layers().isEmpty());
+		Map<String, LayerRange> changes = new LinkedHashMap<>();
+		if (isEmpty) {
+			changes.putAll(chains(known, profile));
+		}
+		List<Replica> held = new ArrayList<>();
+		List<Replica> spare = new ArrayList<>();
+		for (Replica engine : known) {
+			Optional<LayerRange> range = engine.layers().or(() -> Optional.ofNullable(changes.get(engine.id())));
+			range.ifPresentOrElse((layers) -> held.add(engine.withLayers(Optional.of(layers))),
+					() -> spare.add(engine));
+		}
+		changes.putAll(fill(held, spare, profile));
+		if (spare.isEmpty()) {
+			changes.putAll(repair(held, profile));
+		}
+		return changes;
+	}
+
+	/** Splits empty engines into chains that hold all layers each. */
+	private static Map<String, LayerRange> chains(List<Replica> engines, EngineProfile profile) {
+		List<Replica> sorted = engines.stream()
+			.sorted(Comparator.comparingDouble((Replica engine) -> kind(engine, profile).stepFactor())
+				.thenComparing(Replica::id))
+			.toList();
+		int count = sorted.size();
+		double[] best = new double[count + 1];
+		int[] previous = new int[count + 1];
+		boolean[] isChain = new boolean[count + 1];
+		for (int end = 1; end <= count; end++) {
+			best[end] = best[end - 1];
+			previous[end] = end - 1;
+			for (int start = 0; start < end; start++) {
+				double value = best[start] + chainValue(sorted.subList(start, end), profile);
+				if (value > best[end]) {
+					best[end] = value;
+					previous[end] = start;
+					isChain[end] = true;
+				}
+			}
+		}
+		Map<String, LayerRange> result = new HashMap<>();
+		int end = count;
+		while (end > 0) {
+			if (isChain[end]) {
+				result.putAll(chain(sorted.subList(previous[end], end), profile));
+			}
+			end = previous[end];
+		}
+		return result;
+	}
+
+	/**
+	 * Values a chain by the tokens a second that it can write: those it can keep in its
+	 * cache, in requests of usual size, over the time of one token.
+	 */
+	private static double chainValue(List<Replica> engines, EngineProfile profile) {
+		double tokens = chainTokens(engines, profile);
+		double requests = Math.min(tokens / profile.usualTokens(), profile.maxSequences());
+		if (requests < MIN_REQUESTS) {
+			return 0;
+		}
+		double tokenMillis = 0;
+		double layers = 0;
+		for (Replica engine : engines) {
+			int fit = profile.layersThatFit(kind(engine, profile), tokens);
+			tokenMillis += fit * kind(engine, profile).stepFactor();
+			layers += fit;
+		}
+		double sequencesInStep = requests / engines.size();
+		double step = profile.stepMillis() + profile.sequenceMillis() * sequencesInStep
+				+ profile.contextMillis() * sequencesInStep * profile.usualTokens() / 1_000;
+		return requests / (tokenMillis / layers * step);
+	}
+
+	/** The most tokens for which the engines together hold all layers. */
+	private static double chainTokens(List<Replica> engines, EngineProfile profile) {
+		double low = 0;
+		double high = engines.stream().mapToDouble((engine) -> kind(engine, profile).memoryMegabytes()).sum()
+				/ profile.kvMegabytesPerTokenLayer();
+		if (fittingLayers(engines, profile, low) < profile.layers()) {
+			return 0;
+		}
+		while (high - low > 1) {
+			double middle = (low + high) / 2;
+			if (fittingLayers(engines, profile, middle) >= profile.layers()) {
+				low = middle;
+			}
+			else {
+				high = middle;
+			}
+		}
+		return low;
+	}
+
+	private static int fittingLayers(List<Replica> engines, EngineProfile profile, double tokens) {
+		return engines.stream().mapToInt((engine) -> profile.layersThatFit(kind(engine, profile), tokens)).sum();
+	}
+
+	private static Map<String, LayerRange> chain(List<Replica> engines, EngineProfile profile) {
+		double tokens = chainTokens(engines, profile);
+		Map<String, LayerRange> result = new HashMap<>();
+		int next = 0;
+		for (Replica engine : engines) {
+			int fit = profile.layersThatFit(kind(engine, profile), tokens);
+			int to = Math.min(profile.layers(), next + fit);
+			if (to > next) {
+				result.put(engine.id(), new LayerRange(next, to));
+			}
+			next = to;
+		}
+		return result;
+	}
+
+	/** Gives each engine without layers those for which there is the least room. */
+	private static Map<String, LayerRange> fill(List<Replica> held, List<Replica> spare, EngineProfile profile) {
+		Map<String, LayerRange> result = new LinkedHashMap<>();
+		double tokens = typicalTokens(held, profile);
+		for (Replica engine : spare) {
+			int fit = profile.layersThatFit(kind(engine, profile), tokens);
+			if (fit == 0) {
+				continue;
+			}
+			LayerRange range = neediest(held, fit, profile);
+			result.put(engine.id(), range);
+			held.add(engine.withLayers(Optional.of(range)));
+		}
+		return result;
+	}
+
+	private static double typicalTokens(List<Replica> held, EngineProfile profile) {
+		double[] tokens = held.stream().mapToDouble((engine) -> roomTokens(engine, profile)).sorted().toArray();
+		double least = MIN_REQUESTS * profile.usualTokens();
+		return (tokens.length > 0) ? Math.max(least, tokens[tokens.length / 2]) : least;
+	}
+
+	private static LayerRange neediest(List<Replica> held, int size, EngineProfile profile) {
+		double[] need = new double[profile.layers()];
+		for (int layer = 0; layer < need.length; layer++) {
+			need[layer] = 1 / (1 + layerRoom(held, layer, profile) / profile.usualTokens());
+		}
+		int best = 0;
+		double bestNeed = -1;
+		for (int from = 0; from + size <= need.length; from++) {
+			double sum = 0;
+			for (int layer = from; layer < from + size; layer++) {
+				sum += need[layer];
+			}
+			if (sum > bestNeed + 1e-9) {
+				best = from;
+				bestNeed = sum;
+			}
+		}
+		return new LayerRange(best, best + size);
+	}
+
+	/**
+	 * Moves one engine whose layers others hold as well to layers that nobody holds.
+	 */
+	private static Map<String, LayerRange> repair(List<Replica> held, EngineProfile profile) {
+		Optional<LayerRange> hole = firstHole(held, profile);
+		if (hole.isEmpty()) {
+			return Map.of();
+		}
+		Optional<Replica> redundant = held.stream()
+			.filter((engine) -> isRedundant(engine, held))
+			.filter((engine) -> !holes(others(held, engine), profile).isEmpty())
+			.max(Comparator.comparingDouble((Replica engine) -> kind(engine, profile).stepFactor())
+				.thenComparing(Replica::id));
+		if (redundant.isEmpty()) {
+			return Map.of();
+		}
+		List<Replica> rest = others(held, redundant.get());
+		int fit = profile.layersThatFit(kind(redundant.get(), profile), typicalTokens(rest, profile));
+		return (fit > 0) ? Map.of(redundant.get().id(), neediest(rest, fit, profile)) : Map.of();
+	}
+
+	private static boolean isRedundant(Replica engine, List<Replica> held) {
+		LayerRange range = engine.layers().orElseThrow();
+		List<Replica> rest = others(held, engine);
+		for (int layer = range.from(); layer < range.to(); layer++) {
+			if (!isHeld(layer, rest)) {
+				return false;
+			}
+		}
+		return true;
+	}
+
+	private static List<Replica> others(List<Replica> held, Replica engine) {
+		return held.stream().filter((other) -> !other.id().equals(engine.id())).toList();
+	}
+
+	private static Optional<LayerRange> firstHole(List<Replica> held, EngineProfile profile) {
+		return holes(held, profile).stream().findFirst();
+	}
+
+	private static List<LayerRange> holes(List<Replica> held, EngineProfile profile) {
+		List<LayerRange> holes = new ArrayList<>();
+		int from = 0;
+		for (int layer = 0; layer <= profile.layers(); layer++) {
+			boolean isHole = layer < profile.layers() && !isHeld(layer, held);
+			if (!isHole) {
+				if (layer > from) {
+					holes.add(new LayerRange(from, layer));
+				}
+				from = layer + 1;
+			}
+		}
+		return holes;
+	}
+
+	private static boolean isHeld(int layer, List<Replica> held) {
+		return held.stream().anyMatch((engine) -> engine.layers().orElseThrow().contains(layer));
+	}
+
+	private static double layerRoom(List<Replica> held, int layer, EngineProfile profile) {
+		return held.stream()
+			.filter((engine) -> engine.layers().orElseThrow().contains(layer))
+			.mapToDouble((engine) -> roomTokens(engine, profile))
+			.sum();
+	}
+
+	private static double roomTokens(Replica engine, EngineProfile profile) {
+		int size = engine.layers().orElseThrow().size();
+		return profile.kvTokenLayers(kind(engine, profile), size) / size;
+	}
+
+	private static AcceleratorKind kind(Replica engine, EngineProfile profile) {
+		return engine.acceleratorKind().flatMap(profile::kind).orElseThrow();
+	}
+
+}
--- /dev/null
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/Attempt.java
@@ -0,0 +1,225 @@
+package org.burdocktray.process.serve.gateway;
+
+import java.util.Optional;
+
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClientRequest;
+import io.vertx.core.http.HttpClientResponse;
+import org.burdocktray.model.NetworkAddress;
+import org.burdocktray.request.forward.AttemptOutcome;
+
+/**
+ * One sending of a request to one replica. Invariants: it ends once, with a whole answer,
+ * the end of a stream or a failure; after {@link #cancel} nothing is reported. Thread
+ * safety: confined to one event loop.
+ */
+final class Attempt {
+
+	private static final int MISDIRECTED = 421;
+
+	private final GatewayContext context;
+
+	private final ForwardedRequest request;
+
+	private final Listener listener;
+
+	private Target target;
+
+	private Optional<HttpClientRequest> upstream = Optional.empty();
+
+	private Optional<HttpClientResponse> response = Optional.empty();
+
+	private boolean sent;
+
+	private boolean streaming;
+
+	private boolean ended;
+
+	Attempt(GatewayContext context, ForwardedRequest request, Target target, Listener listener) {
+		this.context = context;
+		this.request = request;
+		this.target = target;
+		this.listener = listener;
+	}
+
+	void start() {
+		this.target.countIn(this.context.loads());
+		this.context.connections()
+			.open(this.target.replica(), this.request.method(), this.request.uri(), this.request.repeatable())
+			.onSuccess(this::connected)
+			.onFailure((cause) -> fail(AttemptOutcome.NOT_SENT, cause.toString(), Optional.empty()));
+	}
+
+	Target target() {
+		return this.target;
+	}
+
+	/**
+	 * Notes that the request passes through other engines from now on.
+	 * @param next the new target, whose first engine is the present one
+	 */
+	void moved(Target next) {
+		if (this.ended) {
+			return;
+		}
+		this.target.countOut(this.context.loads());
+		this.target = next;
+		this.target.countIn(this.context.loads());
+	}
+
+	boolean isSent() {
+		return this.sent;
+	}
+
+	/** Ends the attempt without a report and closes its connection. */
+	void cancel() {
+		if (finish()) {
+			this.upstream.ifPresent(HttpClientRequest::reset);
+		}
+	}
+
+	void pause() {
+		this.response.ifPresent(HttpClientResponse::pause);
+	}
+
+	void resume() {
+		this.response.ifPresent(HttpClientResponse::resume);
+	}
+
+	private void connected(HttpClientRequest opened) {
+		this.upstream = Optional.of(opened);
+		if (this.ended) {
+			opened.reset();
+			return;
+		}
+		long remainingMillis = this.request.remainingMillis();
+		if (remainingMillis <= 0 || !this.context.directory().isUsable(this.target.replica())) {
+			opened.reset();
+			fail(AttemptOutcome.NOT_SENT, "no time left or replica is leaving", Optional.empty());
+			return;
+		}
+		ForwardHead added = new ForwardHead(this.target.replica(), remainingMillis, this.request.organisation(),
+				this.target.path(), this.request.lastEventId());
+		this.context.headers().writeForward(this.request.headers(), added, opened.headers());
+		opened.exceptionHandler((cause) -> fail(AttemptOutcome.LOST, cause.toString(), Optional.empty()));
+		opened.response()
+			.onSuccess(this::answered)
+			.onFailure((cause) -> fail(AttemptOutcome.LOST, cause.toString(), Optional.empty()));
+		this.sent = true;
+		if (this.request.body().length() > 0) {
+			opened.end(this.request.body());
+		}
+		else {
+			opened.end();
+		}
+	}
+
+	private void answered(HttpClientResponse answer) {
+		if (this.ended) {
+			return;
+		}
+		this.response = Optional.of(answer);
+		ReplyHead head = this.context.headers().readReply(answer.statusCode(), answer.headers());
+		boolean isOther = head.requestId().isPresent() && !head.requestId().equals(this.request.requestId());
+		if (isOther) {
+			broken("answer of another request");
+			return;
+		}
+		if (head.notExecuted() || answer.statusCode() == MISDIRECTED) {
+			answer.resume();
+			fail(AttemptOutcome.REJECTED, "status " + answer.statusCode(), head.faultAddress());
+			return;
+		}
+		if (!head.signed() || head.requestId().isEmpty()) {
+			broken("answer without a signature: status " + answer.statusCode());
+			return;
+		}
+		read(answer);
+	}
+
+	private void read(HttpClientResponse answer) {
+		answer.exceptionHandler((cause) -> fail(AttemptOutcome.LOST, cause.toString(), Optional.empty()));
+		this.streaming = this.request.streaming() && answer.statusCode() / 100 == 2;
+		if (!this.streaming) {
+			answer.body()
+				.onSuccess((body) -> whole(answer, body))
+				.onFailure((cause) -> fail(AttemptOutcome.LOST, cause.toString(), Optional.empty()));
+			return;
+		}
+		this.listener.streamBegins(answer);
+		answer.handler((bytes) -> {
+			if (!this.ended) {
+				this.listener.streamGoesOn(bytes);
+			}
+		});
+		answer.endHandler((end) -> {
+			if (finish()) {
+				this.listener.streamEnds();
+			}
+		});
+	}
+
+	private void whole(HttpClientResponse answer, Buffer body) {
+		if (finish()) {
+			this.listener.answered(answer, body);
+		}
+	}
+
+	private void broken(String fault) {
+		this.upstream.ifPresent(HttpClientRequest::reset);
+		fail(AttemptOutcome.LOST, fault, Optional.empty());
+	}
+
+	private void fail(AttemptOutcome outcome, String cause, Optional<NetworkAddress> faultAddress) {
+		if (finish()) {
+			this.listener.failed(outcome, cause, faultAddress);
+		}
+	}
+
+	private boolean finish() {
+		if (this.ended) {
+			return false;
+		}
+		this.ended = true;
+		this.target.countOut(this.context.loads());
+		return true;
+	}
+
+	/**
+	 * Takes what comes of an attempt.
+	 */
+	interface Listener {
+
+		/**
+		 * Takes in a whole answer.
+		 * @param answer its head
+		 * @param body its body
+		 */
+		void answered(HttpClientResponse answer, Buffer body);
+
+		/**
+		 * Takes in the head of a stream.
+		 * @param answer the head
+		 */
+		void streamBegins(HttpClientResponse answer);
+
+		/**
+		 * Takes in bytes of a stream.
+		 * @param bytes the bytes
+		 */
+		void streamGoesOn(Buffer bytes);
+
+		/** Takes in the proper end of a stream. */
+		void streamEnds();
+
+		/**
+		 * Takes in that there is no answer to deliver.
+		 * @param outcome what became of the request
+		 * @param cause why
+		 * @param faultAddress the engine at fault, where another one reports it
+		 */
+		void failed(AttemptOutcome outcome, String cause, Optional<NetworkAddress> faultAddress);
+
+	}
+
+}
--- /dev/null
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/DirectoryListener.java
@@ -0,0 +1,74 @@
+package org.burdocktray.process.serve.gateway;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import io.vavr.control.Either;
+import org.burdocktray.connection.platform.ObjectChanges;
+import org.burdocktray.connection.platform.ObjectListing;
+import org.burdocktray.connection.platform.StoredObject;
+import org.burdocktray.process.directory.Replica;
+import org.burdocktray.process.directory.ReplicaDirectory;
+import org.burdocktray.process.freshness.RulesFreshness.Moment;
+import org.jboss.logging.Logger;
+
+/**
+ * Keeps the directory of replicas as the store lists them. Thread safety: none, confined
+ * to one event loop.
+ */
+final class DirectoryListener implements StoreFollower.Listener {
+
+	private static final Logger LOGGER = Logger.getLogger(DirectoryListener.class);
+
+	private final ObjectCodec codec;
+
+	private final ReplicaDirectory directory;
+
+	DirectoryListener(ObjectCodec codec, ReplicaDirectory directory) {
+		this.codec = codec;
+		this.directory = directory;
+	}
+
+	@Override
+	public void listed(ObjectListing listing, Moment sent) {
+		List<Replica> replicas = new ArrayList<>();
+		for (StoredObject object : listing.objects()) {
+			Either<String, Replica> read = this.codec.readReplica(object);
+			read.peek(replicas::add).peekLeft((fault) -> unreadable(object, fault));
+		}
+		this.directory.replaceAll(replicas, System.nanoTime());
+	}
+
+	@Override
+	public void changed(ObjectChanges changes, Moment sent) {
+		long nowNanos = System.nanoTime();
+		this.directory.storeAnswered(nowNanos);
+		for (ObjectChanges.ObjectChange change : changes.changes()) {
+			apply(change, nowNanos);
+		}
+	}
+
+	@Override
+	public void lost() {
+		this.directory.storeLost();
+	}
+
+	private void apply(ObjectChanges.ObjectChange change, long nowNanos) {
+		if (change.removed()) {
+			LOGGER.infof("Replica entry removed: replica=%s", change.object().key());
+			this.directory.remove(change.object().key(), nowNanos);
+			return;
+		}
+		this.codec.readReplica(change.object()).peek((replica) -> {
+			LOGGER.infof("Replica entry changed: replica=%s draining=%s layers=%s", replica.id(), replica.draining(),
+					replica.layers());
+			this.directory.put(replica, nowNanos);
+		}).peekLeft((fault) -> unreadable(change.object(), fault));
+	}
+
+	private void unreadable(StoredObject object, String fault) {
+		LOGGER.warnf("Replica entry names no replica to use: entry=%s fault=%s", object.key(), fault);
+		this.directory.invalidate(object.key());
+	}
+
+}
--- /dev/null
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/ForwardExchange.java
@@ -0,0 +1,455 @@
+package org.burdocktray.process.serve.gateway;
+
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+import io.vavr.control.Either;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClientResponse;
+import org.burdocktray.model.NetworkAddress;
+import org.burdocktray.model.Verdict;
+import org.burdocktray.process.directory.LoadReport;
+import org.burdocktray.process.directory.Replica;
+import org.burdocktray.process.freshness.RulesFreshness.Moment;
+import org.burdocktray.request.forward.AttemptOutcome;
+import org.burdocktray.request.forward.EventFramer;
+import org.burdocktray.request.forward.ForwardState;
+import org.burdocktray.version.rules.RequestKind;
+
+/**
+ * One admitted request, from its first attempt to its final answer. Invariants: it gets
+ * one final answer; a request that may have run is not refused as not run, and is sent
+ * again only if it is repeatable. Thread safety: confined to one event loop.
+ */
+final class ForwardExchange implements Attempt.Listener {
+
+	private static final int SERVICE_UNAVAILABLE = 503;
+
+	private static final int BAD_GATEWAY = 502;
+
+	private static final int GATEWAY_TIMEOUT = 504;
+
+	private static final int FIRST_SERVER_ERROR = 500;
+
+	/** Failures in a row after which a replica gets no requests for a while. */
+	private static final int FAILURES_TO_AVOID = 3;
+
+	private static final long AVOID_FAILED_NANOS = TimeUnit.SECONDS.toNanos(2);
+
+	private static final long AVOID_REJECTING_NANOS = TimeUnit.MILLISECONDS.toNanos(150);
+
+	private static final long MAX_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(2_500);
+
+	/** The silence of a stream after which its first engine is asked. */
+	private static final long SILENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(600);
+
+	/** The silence after which a stream through a dead engine takes another path. */
+	private static final long SILENCE_BEHIND_DEAD_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
+
+	private static final double ENGINE_RETRY_AFTER_SECONDS = 1;
+
+	private static final double SERVICE_RETRY_AFTER_SECONDS = 0.1;
+
+	/** The share of the time left that a repeatable call without an answer is given. */
+	private static final double CALL_TIME_SHARE = 0.45;
+
+	private final GatewayContext context;
+
+	private final Admitted admitted;
+
+	private final CallerAnswer answer;
+
+	private final RequestsUnderWay underWay;
+
+	private final ForwardState state;
+
+	private final TargetChoice choice;
+
+	private final EventFramer framer = new EventFramer();
+
+	private final long startNanos = System.nanoTime();
+
+	private Optional<Attempt> attempt = Optional.empty();
+
+	private Optional<HttpClientResponse> streamHead = Optional.empty();
+
+	private long progressNanos = System.nanoTime();
+
+	private long askedNanos = System.nanoTime();
+
+	private boolean changingPath;
+
+	private boolean waiting;
+
+	private boolean ended;
+
+	private long endTimer;
+
+	private String lastCause = "";
+
+	ForwardExchange(GatewayContext context, Admitted admitted, CallerAnswer answer, RequestsUnderWay underWay) {
+		this.context = context;
+		this.admitted = admitted;
+		this.answer = answer;
+		this.underWay = underWay;
+		this.state = new ForwardState(admitted.route());
+		this.choice = new TargetChoice(context, admitted.service(), admitted.head());
+	}
+
+	void start() {
+		this.underWay.add(this);
+		this.context.retryBudget().first(this.admitted.service().name(), System.nanoTime());
+		this.answer.onCallerGone(this::callerGone);
+		long leftMillis = Math.max(1, this.admitted.request().remainingMillis());
+		this.endTimer = this.context.vertx().setTimer(leftMillis, (timer) -> timeIsUp());
+		dispatch();
+	}
+
+	/** Tries again to find room, for a request that waits. */
+	void dispatchWaiting() {
+		if (this.waiting && !this.ended) {
+			dispatch();
+		}
+	}
+
+	boolean isWaiting() {
+		return this.waiting;
+	}
+
+	int priority() {
+		return this.admitted.priority();
+	}
+
+	long startNanos() {
+		return this.startNanos;
+	}
+
+	private void dispatch() {
+		if (this.admitted.isKeyed() && !this.context.freshness().isFresh(Moment.now())) {
+			giveUp("rules are too old to accept keys");
+			return;
+		}
+		Optional<Target> target = this.choice.next();
+		if (target.isEmpty()) {
+			waitOrGiveUp();
+			return;
+		}
+		this.waiting = false;
+		long nowNanos = System.nanoTime();
+		if (this.state.isRepeat() && !this.context.retryBudget().take(this.admitted.service().name(), nowNanos)) {
+			giveUp("retry budget is spent");
+			return;
+		}
+		send(target.get());
+	}
+
+	private void waitOrGiveUp() {
+		boolean mayWait = System.nanoTime() - this.startNanos < MAX_WAIT_NANOS && this.choice.canWait();
+		if (!mayWait) {
+			giveUp("no replica can take the request");
+			return;
+		}
+		this.waiting = true;
+	}
+
+	private void send(Target target) {
+		this.state.sending();
+		this.framer.reset();
+		this.progressNanos = System.nanoTime();
+		this.askedNanos = this.progressNanos;
+		Optional<String> from = this.framer.lastEventId().or(this.admitted.head()::lastEventId);
+		Attempt next = new Attempt(this.context, this.admitted.request().behind(from), target, this);
+		this.attempt = Optional.of(next);
+		RequestEvents.sending(this.admitted, target, this.state);
+		next.start();
+		limitCall(next);
+	}
+
+	private void limitCall(Attempt limited) {
+		if (this.admitted.route().kind() != RequestKind.IDEMPOTENT || this.ended) {
+			return;
+		}
+		long limitMillis = (long) (CALL_TIME_SHARE * this.admitted.request().remainingMillis());
+		this.context.vertx().setTimer(Math.max(1, limitMillis), (timer) -> {
+			if (isCurrent(limited) && this.state.maySendAgain()) {
+				limited.cancel();
+				failed(limited.isSent() ? AttemptOutcome.LOST : AttemptOutcome.NOT_SENT, "no answer in time",
+						Optional.empty());
+			}
+		});
+	}
+
+	@Override
+	public void answered(HttpClientResponse head, Buffer body) {
+		Replica replica = current().target().replica();
+		boolean isFailure = head.statusCode() >= FIRST_SERVER_ERROR;
+		noteHealth(replica, isFailure);
+		if (isFailure) {
+			this.state.ended(AttemptOutcome.FAILED);
+			this.choice.exclude(replica);
+			if (this.state.maySendAgain() && this.streamHead.isEmpty()
+					&& this.context.retryBudget().take(this.admitted.service().name(), System.nanoTime())) {
+				Optional<Target> other = this.choice.next();
+				if (other.isPresent()) {
+					send(other.get());
+					return;
+				}
+			}
+		}
+		if (this.streamHead.isPresent()) {
+			breakOff("replica answered a resumed stream with status " + head.statusCode());
+			return;
+		}
+		finish();
+		this.answer.deliver(head, body);
+		RequestEvents.ended(this.admitted, head.statusCode(), Verdict.RAN, "answered by " + replica.id(),
+				this.startNanos);
+	}
+
+	@Override
+	public void streamBegins(HttpClientResponse head) {
+		if (this.streamHead.isEmpty()) {
+			this.streamHead = Optional.of(head);
+			return;
+		}
+		noteProgress();
+	}
+
+	@Override
+	public void streamGoesOn(Buffer bytes) {
+		noteProgress();
+		byte[] events = this.framer.accept(bytes.getBytes());
+		if (events.length == 0) {
+			return;
+		}
+		if (!this.answer.isBegun()) {
+			this.context.metrics().firstByte(System.nanoTime() - this.startNanos);
+			this.answer.beginStream(this.streamHead.orElseThrow());
+		}
+		Attempt source = current();
+		if (!this.answer.write(Buffer.buffer(events), source::resume)) {
+			source.pause();
+		}
+	}
+
+	@Override
+	public void streamEnds() {
+		Replica replica = current().target().replica();
+		if (this.framer.isWithinEvent()) {
+			failed(AttemptOutcome.LOST, "stream ended within an event", Optional.empty());
+			return;
+		}
+		noteHealth(replica, false);
+		finish();
+		if (!this.answer.isBegun()) {
+			this.answer.beginStream(this.streamHead.orElseThrow());
+		}
+		this.answer.endStream();
+		RequestEvents.ended(this.admitted, this.streamHead.orElseThrow().statusCode(), Verdict.RAN,
+				"stream ended by " + replica.id(), this.startNanos);
+	}
+
+	@Override
+	public void failed(AttemptOutcome outcome, String cause, Optional<NetworkAddress> faultAddress) {
+		if (this.ended) {
+			return;
+		}
+		Target target = current().target();
+		this.lastCause = cause;
+		this.state.ended(outcome);
+		this.context.metrics().attemptEnded(outcome.name());
+		RequestEvents.attemptFailed(this.admitted, target, outcome, cause, faultAddress);
+		avoid(target.replica(), outcome, faultAddress);
+		this.attempt = Optional.empty();
+		this.changingPath = false;
+		if (!this.answer.isBegun()) {
+			this.streamHead = Optional.empty();
+		}
+		if (!this.state.maySendAgain()) {
+			giveUp(cause);
+			return;
+		}
+		dispatch();
+	}
+
+	private void avoid(Replica replica, AttemptOutcome outcome, Optional<NetworkAddress> faultAddress) {
+		long nowNanos = System.nanoTime();
+		Optional<Replica> atFault = faultAddress.flatMap(this.context.directory()::at);
+		if (atFault.isPresent()) {
+			this.context.loads().avoid(atFault.get(), nowNanos + AVOID_REJECTING_NANOS);
+			return;
+		}
+		if (outcome == AttemptOutcome.REJECTED) {
+			this.context.loads().avoid(replica, nowNanos + AVOID_REJECTING_NANOS);
+			return;
+		}
+		this.choice.exclude(replica);
+		if (outcome == AttemptOutcome.NOT_SENT) {
+			this.context.loads().avoid(replica, nowNanos + AVOID_FAILED_NANOS);
+			return;
+		}
+		noteHealth(replica, true);
+	}
+
+	private void noteHealth(Replica replica, boolean isFailure) {
+		if (!isFailure) {
+			this.context.loads().succeeded(replica);
+			return;
+		}
+		if (this.context.loads().failed(replica) >= FAILURES_TO_AVOID) {
+			this.context.loads().avoid(replica, System.nanoTime() + AVOID_FAILED_NANOS);
+		}
+	}
+
+	/**
+	 * Looks whether the stream is stuck, and asks its first engine why.
+	 * @param nowNanos the time
+	 */
+	void checkProgress(long nowNanos) {
+		boolean isSilent = nowNanos - this.progressNanos > SILENCE_NANOS && nowNanos - this.askedNanos > SILENCE_NANOS;
+		if (this.ended || !isSilent || this.changingPath || !isOnEngines()) {
+			return;
+		}
+		this.askedNanos = nowNanos;
+		Attempt asked = current();
+		this.context.monitor().ask(asked.target().replica()).subscribe((report) -> headAnswered(asked, report));
+	}
+
+	private void headAnswered(Attempt asked, Either<String, LoadReport> answer) {
+		if (!isCurrent(asked)) {
+			return;
+		}
+		if (answer.isLeft()) {
+			asked.cancel();
+			failed(AttemptOutcome.LOST, "first engine is silent: " + answer.getLeft(), Optional.empty());
+			return;
+		}
+		answer.get()
+			.stalled()
+			.stream()
+			.filter((stalled) -> this.admitted.head().requestId().equals(Optional.of(stalled.requestId())))
+			.findFirst()
+			.flatMap((stalled) -> this.context.directory().at(stalled.waitsFor()))
+			.ifPresent((engine) -> {
+				this.context.loads().avoid(engine, System.nanoTime() + AVOID_FAILED_NANOS);
+				this.underWay.engineIsDead(engine);
+			});
+	}
+
+	/**
+	 * Takes another path when the stream is stuck at an engine.
+	 * @param engine the engine that does not answer
+	 */
+	void engineIsDead(Replica engine) {
+		boolean isSilent = System.nanoTime() - this.progressNanos > SILENCE_BEHIND_DEAD_NANOS;
+		if (this.ended || this.changingPath || !isSilent || !isOnEngines() || !current().target().contains(engine)) {
+			return;
+		}
+		Attempt stuck = current();
+		Optional<Target> other = this.choice.behindHead(stuck.target());
+		if (other.isEmpty() || this.admitted.head().requestId().isEmpty()) {
+			resumeElsewhere(stuck, "engine " + engine.id() + " is silent");
+			return;
+		}
+		this.changingPath = true;
+		this.context.control()
+			.repath(this.admitted.head().requestId().get(), other.get().path().orElseThrow())
+			.subscribe((result) -> pathChanged(stuck, other.get(), engine, result));
+	}
+
+	private void pathChanged(Attempt stuck, Target next, Replica engine, ReplicaControl.OrderAnswer result) {
+		if (!isCurrent(stuck)) {
+			return;
+		}
+		this.changingPath = false;
+		RequestEvents.pathChanged(this.admitted, next, engine, result);
+		if (result == ReplicaControl.OrderAnswer.ACCEPTED) {
+			noteProgress();
+			stuck.moved(next);
+			return;
+		}
+		resumeElsewhere(stuck, "path could not be changed: " + result);
+	}
+
+	private void resumeElsewhere(Attempt stuck, String cause) {
+		if (!this.state.maySendAgain()) {
+			return;
+		}
+		stuck.cancel();
+		failed(AttemptOutcome.LOST, cause, Optional.empty());
+	}
+
+	private boolean isOnEngines() {
+		return this.attempt.filter(Attempt::isSent).map(Attempt::target).flatMap(Target::path).isPresent();
+	}
+
+	private void timeIsUp() {
+		if (this.ended) {
+			return;
+		}
+		this.attempt.ifPresent((running) -> {
+			if (running.isSent()) {
+				this.state.ended(AttemptOutcome.LOST);
+			}
+			running.cancel();
+		});
+		if (this.answer.isBegun()) {
+			breakOff("time is up");
+			return;
+		}
+		refuse((this.state.verdict() == Verdict.NOT_RUN) ? SERVICE_UNAVAILABLE : GATEWAY_TIMEOUT, "time is up");
+	}
+
+	private void callerGone() {
+		if (this.ended) {
+			return;
+		}
+		this.attempt.ifPresent(Attempt::cancel);
+		finish();
+		RequestEvents.ended(this.admitted, 0, Verdict.MAY_HAVE_RUN, "caller went away", this.startNanos);
+	}
+
+	private void giveUp(String cause) {
+		if (this.answer.isBegun()) {
+			breakOff(cause);
+			return;
+		}
+		refuse((this.state.verdict() == Verdict.NOT_RUN) ? SERVICE_UNAVAILABLE : BAD_GATEWAY, cause);
+	}
+
+	private void refuse(int status, String cause) {
+		finish();
+		double retryAfter = this.admitted.service().engine().isPresent() ? ENGINE_RETRY_AFTER_SECONDS
+				: SERVICE_RETRY_AFTER_SECONDS;
+		this.answer.refuse(status, this.state.verdict(), cause, retryAfter);
+		RequestEvents.ended(this.admitted, status, this.state.verdict(), cause + "; last attempt: " + this.lastCause,
+				this.startNanos);
+	}
+
+	private void breakOff(String cause) {
+		finish();
+		this.answer.breakOff();
+		RequestEvents.ended(this.admitted, 0, Verdict.MAY_HAVE_RUN, "stream broken off: " + cause, this.startNanos);
+	}
+
+	private void finish() {
+		this.ended = true;
+		this.waiting = false;
+		this.attempt = Optional.empty();
+		this.context.vertx().cancelTimer(this.endTimer);
+		this.underWay.remove(this);
+	}
+
+	private void noteProgress() {
+		this.progressNanos = System.nanoTime();
+	}
+
+	private boolean isCurrent(Attempt other) {
+		return !this.ended && this.attempt.isPresent() && this.attempt.get() == other;
+	}
+
+	private Attempt current() {
+		return this.attempt.orElseThrow();
+	}
+
+}
--- /dev/null
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/ForwardedRequest.java
@@ -0,0 +1,39 @@
+package org.burdocktray.process.serve.gateway;
+
+import java.util.Optional;
+
+import io.vertx.core.MultiMap;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpMethod;
+
+/**
+ * What an attempt sends. Thread safety: immutable, but for the headers, which nobody
+ * changes.
+ *
+ * @param requestId the id that the caller gave the request
+ * @param method the method
+ * @param uri the path and query
+ * @param headers the caller's headers
+ * @param body the caller's body
+ * @param organisation the caller's organisation, empty on public routes
+ * @param repeatable whether the request may run more than once
+ * @param streaming whether it is answered by a stream of events
+ * @param lastEventId the event behind which the stream goes on
+ * @param endNanos when the caller, or the route, waits no longer
+ */
+record ForwardedRequest(Optional<String> requestId, HttpMethod method, String uri, MultiMap headers, Buffer body,
+		Optional<String> organisation, boolean repeatable, boolean streaming, Optional<String> lastEventId,
+		long endNanos) {
+
+	private static final long NANOS_PER_MILLI = 1_000_000;
+
+	long remainingMillis() {
+		return (this.endNanos - System.nanoTime()) / NANOS_PER_MILLI;
+	}
+
+	ForwardedRequest behind(Optional<String> eventId) {
+		return new ForwardedRequest(this.requestId, this.method, this.uri, this.headers, this.body, this.organisation,
+				this.repeatable, this.streaming, eventId, this.endNanos);
+	}
+
+}
--- /dev/null
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayFront.java
@@ -0,0 +1,127 @@
+package org.burdocktray.process.serve.gateway;
+
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServerRequest;
+import org.burdocktray.model.Verdict;
+import org.burdocktray.process.freshness.RulesFreshness.Moment;
+import org.burdocktray.version.rules.OrganisationRule;
+import org.burdocktray.version.rules.RequestKind;
+import org.burdocktray.version.rules.RouteRule;
+import org.burdocktray.version.rules.RoutingRules;
+import org.burdocktray.version.rules.ServiceRule;
+
+/**
+ * Takes callers' requests: finds their route and organisation by the rules in force,
+ * reads their body, and hands them on. Thread safety: confined to one event loop.
+ */
+final class GatewayFront {
+
+	private static final int UNAUTHORIZED = 401;
+
+	private static final int NOT_FOUND = 404;
+
+	private static final int CONTENT_TOO_LARGE = 413;
+
+	private static final int SERVICE_UNAVAILABLE = 503;
+
+	private static final double RETRY_AFTER_SECONDS = 0.5;
+
+	private final GatewayContext context;
+
+	private final RequestsUnderWay underWay;
+
+	private final BooleanSupplier stopping;
+
+	private final BooleanSupplier refusing;
+
+	GatewayFront(GatewayContext context, RequestsUnderWay underWay, BooleanSupplier stopping,
+			BooleanSupplier refusing) {
+		this.context = context;
+		this.underWay = underWay;
+		this.stopping = stopping;
+		this.refusing = refusing;
+	}
+
+	void handle(HttpServerRequest request) {
+		long arrivedNanos = System.nanoTime();
+		RequestHead head = this.context.headers().readRequest(request.headers());
+		CallerAnswer answer = new CallerAnswer(request, this.context.headers(), this.context.metrics(), this.stopping);
+		Optional<RoutingRules> rules = this.context.rules().current();
+		if (rules.isEmpty() || this.refusing.getAsBoolean()) {
+			turnAway(head, answer, SERVICE_UNAVAILABLE, rules.isEmpty() ? "no rules yet" : "VM is stopping");
+			return;
+		}
+		Optional<RouteRule> route = rules.get().route(host(request), request.path());
+		boolean isFresh = this.context.freshness().isFresh(Moment.now());
+		if (route.isEmpty()) {
+			turnAway(head, answer, isFresh ? NOT_FOUND : SERVICE_UNAVAILABLE, "no route");
+			return;
+		}
+		Optional<OrganisationRule> organisation = Optional.empty();
+		if (rules.get().asksForKeys() && !route.get().isPublic()) {
+			organisation = head.key().flatMap(rules.get()::organisation);
+			if (!isFresh || organisation.isEmpty()) {
+				turnAway(head, answer, isFresh ? UNAUTHORIZED : SERVICE_UNAVAILABLE,
+						isFresh ? "key is not known" : "rules are too old to accept keys");
+				return;
+			}
+		}
+		Optional<ServiceRule> service = rules.get()
+			.service(route.get().pickService(this.context.random().nextDouble()));
+		if (service.isEmpty()) {
+			turnAway(head, answer, SERVICE_UNAVAILABLE, "service is not known");
+			return;
+		}
+		Optional<OrganisationRule> caller = organisation;
+		readBody(request, head, answer, rules.get(), (body) -> {
+			ForwardedRequest forwarded = forwarded(request, head, route.get(), caller, body, arrivedNanos);
+			Admitted admitted = new Admitted(rules.get().version(), head, route.get(), service.get(), caller,
+					forwarded);
+			new ForwardExchange(this.context, admitted, answer, this.underWay).start();
+		});
+	}
+
+	private void readBody(HttpServerRequest request, RequestHead head, CallerAnswer answer, RoutingRules rules,
+			Consumer<Buffer> whole) {
+		BodyCollector collector = new BodyCollector(rules.limits().maxBodyBytes());
+		request.handler((bytes) -> {
+			if (!collector.add(bytes)) {
+				request.handler(null);
+				turnAway(head, answer, CONTENT_TOO_LARGE, "body is larger than the limit");
+			}
+		});
+		request.endHandler((end) -> {
+			if (!collector.isTooLarge()) {
+				whole.accept(collector.body());
+			}
+		});
+	}
+
+	private ForwardedRequest forwarded(HttpServerRequest request, RequestHead head, RouteRule route,
+			Optional<OrganisationRule> caller, Buffer body, long arrivedNanos) {
+		long waitMillis = Math.min(route.timeoutMillis(), head.deadlineMillis().orElse(route.timeoutMillis()));
+		return new ForwardedRequest(head.requestId(), request.method(), request.uri(), request.headers(), body,
+				caller.map(OrganisationRule::name), route.isRepeatable(), route.kind() == RequestKind.STREAMING,
+				head.lastEventId(), arrivedNanos + TimeUnit.MILLISECONDS.toNanos(waitMillis));
+	}
+
+	private void turnAway(RequestHead head, CallerAnswer answer, int status, String cause) {
+		answer.refuse(status, Verdict.NOT_RUN, cause, (status == SERVICE_UNAVAILABLE) ? RETRY_AFTER_SECONDS : 0);
+		RequestEvents.turnedAway(head.requestId(), status, cause);
+	}
+
+	private static String host(HttpServerRequest request) {
+		String host = request.getHeader("Host");
+		if (host == null) {
+			return "";
+		}
+		int colon = host.indexOf(':');
+		return (colon >= 0) ? host.substring(0, colon) : host;
+	}
+
+}
--- /dev/null
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayMetrics.java
@@ -0,0 +1,86 @@
+package org.burdocktray.process.serve.gateway;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Gauge;
+import io.prometheus.metrics.core.metrics.Histogram;
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+
+/**
+ * The metrics of a gateway. Labels come from bounded sets. Thread safety: safe from any
+ * thread.
+ */
+final class GatewayMetrics {
+
+	private static final double NANOS_PER_SECOND = 1e9;
+
+	private static final double[] LATENCY_SECONDS = { 0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 20 };
+
+	private final PrometheusRegistry registry = new PrometheusRegistry();
+
+	private final Counter requests = Counter.builder()
+		.name("burdocktray_gateway_requests_total")
+		.help("Requests that got their final answer, by its status")
+		.labelNames("status", "ran")
+		.register(this.registry);
+
+	private final Counter attempts = Counter.builder()
+		.name("burdocktray_gateway_attempts_total")
+		.help("Attempts at replicas by how they ended")
+		.labelNames("outcome")
+		.register(this.registry);
+
+	private final Histogram firstByte = Histogram.builder()
+		.name("burdocktray_gateway_first_byte_seconds")
+		.help("Time from a request's arrival to the first byte of its answer")
+		.classicOnly()
+		.classicUpperBounds(LATENCY_SECONDS)
+		.register(this.registry);
+
+	private final Gauge inProgress = Gauge.builder()
+		.name("burdocktray_gateway_requests_in_progress")
+		.help("Requests without their final answer")
+		.register(this.registry);
+
+	private final Gauge rulesVersion = Gauge.builder()
+		.name("burdocktray_gateway_rules_version")
+		.help("The version of the rules in force")
+		.register(this.registry);
+
+	void requestEnded(int status, String ran) {
+		this.requests.labelValues(Integer.toString(status), ran).inc();
+	}
+
+	void attemptEnded(String outcome) {
+		this.attempts.labelValues(outcome).inc();
+	}
+
+	void firstByte(long elapsedNanos) {
+		this.firstByte.observe(elapsedNanos / NANOS_PER_SECOND);
+	}
+
+	void inProgress(int count) {
+		this.inProgress.set(count);
+	}
+
+	void rulesVersion(long version) {
+		this.rulesVersion.set(version);
+	}
+
+	String scrape() {
+		ByteArrayOutputStream out = new ByteArrayOutputStream();
+		try {
+			new PrometheusTextFormatWriter(false).write(out, this.registry.scrape());
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+		return out.toString(StandardCharsets.UTF_8);
+	}
+
+}
--- /dev/null
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayServer.java
@@ -0,0 +1,230 @@
+package org.burdocktray.process.serve.gateway;
+
+import java.util.Collection;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import io.vertx.core.file.FileSystemOptions;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerOptions;
+import io.vertx.core.http.HttpServerRequest;
+import org.burdocktray.connection.platform.StoredObject;
+import org.burdocktray.model.NetworkAddress;
+import org.burdocktray.process.directory.Replica;
+import org.burdocktray.process.directory.ReplicaDirectory;
+import org.burdocktray.process.directory.ReplicaLoads;
+import org.burdocktray.process.freshness.RulesFreshness;
+import org.burdocktray.process.freshness.RulesFreshness.Moment;
+import org.burdocktray.process.limits.FleetRetryBudget;
+import org.burdocktray.process.order.LeaseLoop;
+import org.burdocktray.process.order.OrderSettings;
+import org.burdocktray.request.path.PathSearch;
+import org.burdocktray.version.rules.RulesGate;
+import org.jboss.logging.Logger;
+
+/**
+ * One gateway process. All its work runs on one event loop. Thread safety: start and stop
+ * can be called from any thread.
+ */
+public final class GatewayServer {
+
+	private static final Logger LOGGER = Logger.getLogger(GatewayServer.class);
+
+	private static final int OK = 200;
+
+	private static final int SERVICE_UNAVAILABLE = 503;
+
+	private static final int MAX_HEADER_BYTES = 65_536;
+
+	private static final int BACKLOG = 1_024;
+
+	private static final long TICK_MILLIS = 50;
+
+	private static final long LAPSE_GRACE_NANOS = TimeUnit.MILLISECONDS.toNanos(1_900);
+
+	private static final double FRESH_SHARE = 0.88;
+
+	private static final long RULES_WAIT_MILLIS = 2_000;
+
+	private static final long REPLICAS_WAIT_MILLIS = 5_000;
+
+	private static final String LEASE_KEY = "burdocktray-leases/placement";
+
+	private static final OrderSettings LEASE_TIMES = new OrderSettings(6_000, 2_000, 3_000, 3_000, 1_000, 1_000,
+			600_000);
+
+	/** How long the balancer takes to send no new connections. */
+	private static final long LEAVE_ROTATION_MILLIS = 2_500;
+
+	/** What is left of the grace period when the process ends. */
+	private static final long STOP_MARGIN_MILLIS = 400;
+
+	private final GatewaySettings settings;
+
+	private final GatewayAdapter adapter;
+
+	private final Vertx vertx;
+
+	private final RulesGate rules = new RulesGate();
+
+	private final RulesFreshness freshness;
+
+	private final ReplicaDirectory directory = new ReplicaDirectory(LAPSE_GRACE_NANOS);
+
+	private final GatewayMetrics metrics = new GatewayMetrics();
+
+	private final RequestsUnderWay underWay = new RequestsUnderWay();
+
+	private volatile boolean stopping;
+
+	private volatile boolean refusing;
+
+	/**
+	 * Creates a process that does not listen yet.
+	 * @param settings its settings
+	 * @param adapters makes what speaks with the platform
+	 */
+	public GatewayServer(GatewaySettings settings, GatewayAdapter.Factory adapters) {
+		this.settings = settings;
+		this.freshness = new RulesFreshness((long) (FRESH_SHARE * settings.bounds().revocationMillis()));
+		this.vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1)
+			.setWorkerPoolSize(1)
+			.setInternalBlockingPoolSize(1)
+			.setFileSystemOptions(
+					new FileSystemOptions().setClassPathResolvingEnabled(false).setFileCachingEnabled(false)));
+		this.adapter = adapters.create(this.vertx, settings);
+	}
+
+	/**
+	 * Starts to listen and to follow the platform's store.
+	 * @return completes when the process listens
+	 */
+	public Future<Void> start() {
+		Promise<Void> started = Promise.promise();
+		this.vertx.getOrCreateContext().runOnContext((now) -> startOnLoop().onComplete(started));
+		return started.future();
+	}
+
+	private Future<Void> startOnLoop() {
+		long nowNanos = System.nanoTime();
+		ReplicaLoads loads = new ReplicaLoads();
+		SplittableRandom random = new SplittableRandom(
+				this.settings.vmName().hashCode() * 31L + System.currentTimeMillis());
+		EngineMonitor monitor = new EngineMonitor(this.settings.dataCentre(), this.adapter.control(), loads);
+		GatewaySettings.Bounds bounds = this.settings.bounds();
+		FleetRetryBudget budget = new FleetRetryBudget(bounds.retryRatio(), bounds.retryExtra(),
+				TimeUnit.MILLISECONDS.toNanos(bounds.retryWindowMillis()), nowNanos);
+		GatewayContext context = new GatewayContext(this.vertx, this.settings.dataCentre(), this.adapter.headers(),
+				this.rules, this.freshness, this.directory, loads, monitor, this.adapter.control(),
+				new ReplicaConnections(this.vertx), new PathSearch(this.settings.dataCentre(), loads, random), budget,
+				random, this.metrics);
+		GatewayFront front = new GatewayFront(context, this.underWay, () -> this.stopping, () -> this.refusing);
+		LeaseLoop lease = new LeaseLoop(this.adapter.store(), LEASE_KEY,
+				this.settings.vmName() + "/" + System.currentTimeMillis(), LEASE_TIMES, nowNanos);
+		PlacementLoop placement = new PlacementLoop(this.rules, this.directory, this.adapter.control(), lease);
+		FleetSize fleetSize = new FleetSize(this.vertx, this.adapter.store(), this.settings.vmName(),
+				budget::fleetSize);
+		follow();
+		fleetSize.start();
+		this.vertx.setPeriodic(TICK_MILLIS, (timer) -> {
+			long tickNanos = System.nanoTime();
+			this.directory.tick(tickNanos);
+			placement.tick(tickNanos);
+			monitor.tick(engines(), tickNanos);
+			this.underWay.tick(tickNanos);
+			this.metrics.inProgress(this.underWay.count());
+		});
+		return listen(front);
+	}
+
+	private void follow() {
+		new StoreFollower(this.vertx, this.adapter.feed(), this.adapter.objects().rulesKind(), RULES_WAIT_MILLIS,
+				StoreFollower.Listener.ofObjects(this::rulesRead, this.freshness::confirmed))
+			.start();
+		new StoreFollower(this.vertx, this.adapter.feed(), this.adapter.objects().replicasKind(), REPLICAS_WAIT_MILLIS,
+				new DirectoryListener(this.adapter.objects(), this.directory))
+			.start();
+	}
+
+	private void rulesRead(StoredObject object) {
+		this.adapter.objects()
+			.readRules(object)
+			.peekLeft((fault) -> LOGGER.errorf("Rules cannot be read, the present ones stay: revision=%d fault=%s",
+					object.version(), fault))
+			.peek((read) -> read.filter(this.rules::offer).ifPresent((next) -> {
+				LOGGER.infof("Rules in force: version=%d revision=%d", next.version(), object.version());
+				this.metrics.rulesVersion(next.version());
+			}));
+	}
+
+	private List<Replica> engines() {
+		return this.directory.usable()
+			.values()
+			.stream()
+			.flatMap(Collection::stream)
+			.filter((replica) -> replica.layers().isPresent())
+			.toList();
+	}
+
+	private Future<Void> listen(GatewayFront front) {
+		Future<HttpServer> callers = server(this.settings.callerAddress()).requestHandler(front::handle).listen();
+		Future<HttpServer> readiness = server(this.settings.readinessAddress())
+			.requestHandler((request) -> request.response().setStatusCode(isReady() ? OK : SERVICE_UNAVAILABLE).end())
+			.listen();
+		Future<?> scrapes = this.settings.metricsAddress()
+			.<Future<?>>map((address) -> server(address).requestHandler(this::scrape).listen())
+			.orElse(Future.succeededFuture());
+		return Future.all(callers, readiness, scrapes)
+			.onSuccess((all) -> LOGGER.infof("Gateway listens: vm=%s callers=%s", this.settings.vmName(),
+					this.settings.callerAddress()))
+			.mapEmpty();
+	}
+
+	private HttpServer server(NetworkAddress address) {
+		return this.vertx.createHttpServer(new HttpServerOptions().setHost(address.ip())
+			.setPort(address.port())
+			.setMaxHeaderSize(MAX_HEADER_BYTES)
+			.setMaxInitialLineLength(MAX_HEADER_BYTES)
+			.setAcceptBacklog(BACKLOG)
+			.setTcpNoDelay(true)
+			.setHandle100ContinueAutomatically(true));
+	}
+
+	private void scrape(HttpServerRequest request) {
+		request.response().putHeader("Content-Type", "text/plain; version=0.0.4").end(this.metrics.scrape());
+	}
+
+	private boolean isReady() {
+		return !this.stopping && this.rules.current().isPresent() && this.freshness.isFresh(Moment.now());
+	}
+
+	/**
+	 * Stops in order: leaves the balancer's rotation, ends what is in progress, and
+	 * closes all connections within the grace period.
+	 * @return completes when the process can end
+	 */
+	public Future<Void> stop() {
+		Promise<Void> stopped = Promise.promise();
+		this.vertx.runOnContext((now) -> {
+			LOGGER.infof("Gateway stops: vm=%s inProgress=%d", this.settings.vmName(), this.underWay.count());
+			this.stopping = true;
+			long startNanos = System.nanoTime();
+			this.vertx.setPeriodic(TICK_MILLIS, (timer) -> {
+				long elapsedMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
+				this.refusing = elapsedMillis > LEAVE_ROTATION_MILLIS;
+				boolean isIdle = this.refusing && this.underWay.count() == 0;
+				if (isIdle || elapsedMillis > this.settings.bounds().graceMillis() - STOP_MARGIN_MILLIS) {
+					this.vertx.cancelTimer(timer);
+					this.vertx.close().onComplete(stopped);
+				}
+			});
+		});
+		return stopped.future();
+	}
+
+}
--- /dev/null
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/ObjectListener.java
@@ -0,0 +1,40 @@
+package org.burdocktray.process.serve.gateway;
+
+import java.util.function.Consumer;
+
+import org.burdocktray.connection.platform.ObjectChanges;
+import org.burdocktray.connection.platform.ObjectListing;
+import org.burdocktray.connection.platform.StoredObject;
+import org.burdocktray.process.freshness.RulesFreshness.Moment;
+
+/**
+ * Hands single objects on, whether listed or changed. Removals are of no interest to it.
+ * Thread safety: that of its consumers.
+ *
+ * @param onObject takes an object
+ * @param onAnswer takes when an answered call was sent
+ */
+record ObjectListener(Consumer<StoredObject> onObject, Consumer<Moment> onAnswer) implements StoreFollower.Listener {
+
+	@Override
+	public void listed(ObjectListing listing, Moment sent) {
+		listing.objects().forEach(this.onObject);
+		this.onAnswer.accept(sent);
+	}
+
+	@Override
+	public void changed(ObjectChanges changes, Moment sent) {
+		changes.changes()
+			.stream()
+			.filter((change) -> !change.removed())
+			.map(ObjectChanges.ObjectChange::object)
+			.forEach(this.onObject);
+		this.onAnswer.accept(sent);
+	}
+
+	@Override
+	public void lost() {
+		// The age of the last answer says it.
+	}
+
+}
--- /dev/null
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/PlacementLoop.java
@@ -0,0 +1,125 @@
+package org.burdocktray.process.serve.gateway;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+
+import io.vavr.control.Either;
+import org.burdocktray.model.DataCentre;
+import org.burdocktray.process.directory.LayerRange;
+import org.burdocktray.process.directory.LoadReport;
+import org.burdocktray.process.directory.Replica;
+import org.burdocktray.process.directory.ReplicaDirectory;
+import org.burdocktray.process.order.LeaseLoop;
+import org.burdocktray.process.placement.LayerPlacement;
+import org.burdocktray.process.placement.OrderLedger;
+import org.burdocktray.version.rules.EngineProfile;
+import org.burdocktray.version.rules.RoutingRules;
+import org.burdocktray.version.rules.RulesGate;
+import org.burdocktray.version.rules.ServiceRule;
+import org.jboss.logging.Logger;
+
+/**
+ * Brings the engines to hold the layers that {@link LayerPlacement} decides, while this
+ * VM holds the lease. An engine is asked for its state before each order, so that orders
+ * say which state they were decided on. Thread safety: none, confined to one event loop.
+ */
+final class PlacementLoop {
+
+	private static final Logger LOGGER = Logger.getLogger(PlacementLoop.class);
+
+	/** New engines register one after the other. */
+	private static final long SETTLE_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
+
+	private final RulesGate rules;
+
+	private final ReplicaDirectory directory;
+
+	private final ReplicaControl control;
+
+	private final LeaseLoop lease;
+
+	private final OrderLedger ledger = new OrderLedger();
+
+	private final Map<String, Long> firstSeenNanos = new HashMap<>();
+
+	private long lastNewNanos;
+
+	PlacementLoop(RulesGate rules, ReplicaDirectory directory, ReplicaControl control, LeaseLoop lease) {
+		this.rules = rules;
+		this.directory = directory;
+		this.control = control;
+		this.lease = lease;
+	}
+
+	void tick(long nowNanos) {
+		this.lease.tick(nowNanos);
+		this.rules.current().ifPresent((current) -> {
+			noteNewEngines(current, nowNanos);
+			if (this.lease.mayOrder(nowNanos) && nowNanos - this.lastNewNanos > SETTLE_NANOS) {
+				current.services().values().forEach((service) -> place(service, nowNanos));
+			}
+		});
+	}
+
+	private void noteNewEngines(RoutingRules current, long nowNanos) {
+		for (ServiceRule service : current.services().values()) {
+			if (service.engine().isEmpty()) {
+				continue;
+			}
+			for (Replica engine : this.directory.usable(service.name())) {
+				if (this.firstSeenNanos.putIfAbsent(engine.id() + engine.bornMillis(), nowNanos) == null) {
+					this.lastNewNanos = nowNanos;
+				}
+			}
+		}
+	}
+
+	private void place(ServiceRule service, long nowNanos) {
+		if (service.engine().isEmpty()) {
+			return;
+		}
+		EngineProfile profile = service.engine().get();
+		Map<DataCentre, List<Replica>> byDataCentre = this.directory.usable(service.name())
+			.stream()
+			.map((engine) -> this.ledger.withExpectedLayers(engine, nowNanos))
+			.collect(Collectors.groupingBy(Replica::dataCentre));
+		byDataCentre.forEach((dataCentre, engines) -> LayerPlacement.changes(engines, profile)
+			.forEach((id, layers) -> engines.stream()
+				.filter((engine) -> engine.id().equals(id))
+				.findFirst()
+				.ifPresent((engine) -> order(engine, layers, nowNanos))));
+	}
+
+	private void order(Replica engine, LayerRange layers, long nowNanos) {
+		if (!this.ledger.begin(engine, layers, nowNanos)) {
+			return;
+		}
+		this.control.report(engine).subscribe((answer) -> asked(engine, layers, answer));
+	}
+
+	private void asked(Replica engine, LayerRange layers, Either<String, LoadReport> answer) {
+		long nowNanos = System.nanoTime();
+		if (answer.isLeft()) {
+			LOGGER.infof("Order put off, engine gave no report: replica=%s fault=%s", engine.id(), answer.getLeft());
+			this.ledger.putOff(engine, nowNanos);
+			return;
+		}
+		LoadReport report = answer.get();
+		if (!this.ledger.maySend(engine, report, nowNanos) || !this.lease.mayOrder(nowNanos)) {
+			this.ledger.putOff(engine, nowNanos);
+			return;
+		}
+		this.ledger.sending(engine, report, nowNanos);
+		this.control.place(engine, layers, report.orderSequence(), this.lease.fencingNumber(nowNanos))
+			.subscribe((result) -> {
+				LOGGER.infof("Order answered: replica=%s layers=%d-%d expectedSequence=%d answer=%s", engine.id(),
+						layers.from(), layers.to(), report.orderSequence(), result);
+				this.ledger.answered(engine, result != ReplicaControl.OrderAnswer.REFUSED,
+						result == ReplicaControl.OrderAnswer.UNRESOLVED, System.nanoTime());
+			});
+	}
+
+}
--- /dev/null
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/ReplicaConnections.java
@@ -0,0 +1,70 @@
+package org.burdocktray.process.serve.gateway;
+
+import java.util.concurrent.TimeUnit;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpClientRequest;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.RequestOptions;
+import io.vertx.core.net.SocketAddress;
+import org.burdocktray.process.directory.Replica;
+
+/**
+ * The connections to replicas. A request that must not be repeated gets a connection of
+ * its own: on a kept one, a replica that has just closed it may or may not have read the
+ * request. Thread safety: confined to one event loop.
+ */
+final class ReplicaConnections {
+
+	private static final int CONNECT_TIMEOUT_MILLIS = 300;
+
+	/** Shorter than what replicas keep an idle connection for. */
+	private static final int KEEP_ALIVE_SECONDS = 5;
+
+	private static final int MAX_PER_REPLICA = 512;
+
+	private static final int HTTP_PORT = 80;
+
+	private final HttpClient kept;
+
+	private final HttpClient single;
+
+	ReplicaConnections(Vertx vertx) {
+		this.kept = vertx.createHttpClient(options().setKeepAlive(true).setKeepAliveTimeout(KEEP_ALIVE_SECONDS));
+		this.single = vertx.createHttpClient(options().setKeepAlive(false));
+	}
+
+	/**
+	 * Gets a connection for a request. Nothing is sent before the request's body is.
+	 * @param replica the replica
+	 * @param method the method
+	 * @param uri the path and query
+	 * @param repeatable whether the request may be sent again
+	 * @return the request; it fails only when nothing was sent
+	 */
+	Future<HttpClientRequest> open(Replica replica, HttpMethod method, String uri, boolean repeatable) {
+		RequestOptions options = new RequestOptions()
+			.setServer(SocketAddress.inetSocketAddress(replica.address().port(), replica.address().ip()))
+			.setHost(replica.address().ip())
+			.setPort(replica.address().port())
+			.setMethod(method)
+			.setURI(uri);
+		return (repeatable ? this.kept : this.single).request(options);
+	}
+
+	Future<Void> close() {
+		return Future.all(this.kept.close(), this.single.close()).mapEmpty();
+	}
+
+	private static HttpClientOptions options() {
+		return new HttpClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MILLIS)
+			.setMaxPoolSize(MAX_PER_REPLICA)
+			.setTcpNoDelay(true)
+			.setPoolCleanerPeriod((int) TimeUnit.SECONDS.toMillis(1))
+			.setDefaultPort(HTTP_PORT);
+	}
+
+}
--- /dev/null
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/RequestEvents.java
@@ -0,0 +1,70 @@
+package org.burdocktray.process.serve.gateway;
+
+import java.util.Optional;
+import java.util.stream.Collectors;
+
+import org.burdocktray.model.NetworkAddress;
+import org.burdocktray.model.Verdict;
+import org.burdocktray.process.directory.Replica;
+import org.burdocktray.request.forward.AttemptOutcome;
+import org.burdocktray.request.forward.ForwardState;
+import org.burdocktray.request.path.LayerPath;
+import org.jboss.logging.Logger;
+
+/**
+ * Logs the decisions on requests, each with the request's id; never a key, a prompt or a
+ * body. Thread safety: stateless.
+ */
+final class RequestEvents {
+
+	private static final Logger LOGGER = Logger.getLogger(RequestEvents.class);
+
+	private static final long NANOS_PER_MILLI = 1_000_000;
+
+	private RequestEvents() {
+	}
+
+	static void sending(Admitted admitted, Target target, ForwardState state) {
+		if (LOGGER.isDebugEnabled() || state.verdict() != Verdict.NOT_RUN) {
+			LOGGER.infof("Request sent: request=%s route=%s replica=%s path=%s ranBefore=%s", id(admitted),
+					admitted.route().name(), target.replica().id(), path(target.path()), state.verdict().wireName());
+		}
+	}
+
+	static void attemptFailed(Admitted admitted, Target target, AttemptOutcome outcome, String cause,
+			Optional<NetworkAddress> faultAddress) {
+		LOGGER.infof("Attempt failed: request=%s replica=%s path=%s outcome=%s cause=%s faultAt=%s", id(admitted),
+				target.replica().id(), path(target.path()), outcome, cause,
+				faultAddress.map(NetworkAddress::toString).orElse(""));
+	}
+
+	static void pathChanged(Admitted admitted, Target next, Replica dead, ReplicaControl.OrderAnswer answer) {
+		LOGGER.infof("Path changed: request=%s dead=%s path=%s answer=%s", id(admitted), dead.id(), path(next.path()),
+				answer);
+	}
+
+	static void ended(Admitted admitted, int status, Verdict verdict, String cause, long startNanos) {
+		LOGGER.infof("Request ended: request=%s route=%s organisation=%s rules=%d status=%d ran=%s millis=%d cause=%s",
+				id(admitted), admitted.route().name(), admitted.request().organisation().orElse(""),
+				admitted.rulesVersion(), status, verdict.wireName(), (System.nanoTime() - startNanos) / NANOS_PER_MILLI,
+				cause);
+	}
+
+	static void turnedAway(Optional<String> requestId, int status, String cause) {
+		LOGGER.infof("Request turned away: request=%s status=%d ran=no cause=%s", requestId.orElse(""), status, cause);
+	}
+
+	private static String id(Admitted admitted) {
+		return admitted.head().requestId().orElse("");
+	}
+
+	private static String path(Optional<LayerPath> path) {
+		return path
+			.map((held) -> held.parts()
+				.stream()
+				.map((part) -> part.replica().id() + "=" + part.layers().from() + "-" + part.layers().to())
+				.collect(Collectors.joining(",")))
+			.orElse("");
+	}
+
+}
--- /dev/null
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/RequestsUnderWay.java
@@ -0,0 +1,43 @@
+package org.burdocktray.process.serve.gateway;
+
+import java.util.Comparator;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+
+import org.burdocktray.process.directory.Replica;
+
+/**
+ * The requests of this VM without their final answer. Thread safety: none, confined to
+ * one event loop.
+ */
+final class RequestsUnderWay {
+
+	private final Set<ForwardExchange> exchanges = new LinkedHashSet<>();
+
+	void add(ForwardExchange exchange) {
+		this.exchanges.add(exchange);
+	}
+
+	void remove(ForwardExchange exchange) {
+		this.exchanges.remove(exchange);
+	}
+
+	int count() {
+		return this.exchanges.size();
+	}
+
+	void tick(long nowNanos) {
+		List.copyOf(this.exchanges).forEach((exchange) -> exchange.checkProgress(nowNanos));
+		this.exchanges.stream()
+			.filter(ForwardExchange::isWaiting)
+			.sorted(Comparator.comparingInt(ForwardExchange::priority).thenComparingLong(ForwardExchange::startNanos))
+			.toList()
+			.forEach(ForwardExchange::dispatchWaiting);
+	}
+
+	void engineIsDead(Replica engine) {
+		List.copyOf(this.exchanges).forEach((exchange) -> exchange.engineIsDead(engine));
+	}
+
+}
--- /dev/null
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/Target.java
@@ -0,0 +1,48 @@
+package org.burdocktray.process.serve.gateway;
+
+import java.util.List;
+import java.util.Optional;
+
+import org.burdocktray.process.directory.Replica;
+import org.burdocktray.process.directory.ReplicaLoads;
+import org.burdocktray.request.path.LayerPath;
+import org.burdocktray.request.path.PathPart;
+
+/**
+ * Where one attempt goes. Thread safety: immutable.
+ *
+ * @param replica the replica that the request is sent to
+ * @param path the engines it passes through, for engines
+ * @param tokens the tokens that it keeps in the KV cache, for engines
+ */
+record Target(Replica replica, Optional<LayerPath> path, int tokens) {
+
+	void countIn(ReplicaLoads loads) {
+		if (this.path.isEmpty()) {
+			loads.sent(this.replica, 0);
+			return;
+		}
+		parts().forEach((part) -> loads.sent(part.replica(), tokenLayers(part)));
+	}
+
+	void countOut(ReplicaLoads loads) {
+		if (this.path.isEmpty()) {
+			loads.ended(this.replica, 0);
+			return;
+		}
+		parts().forEach((part) -> loads.ended(part.replica(), tokenLayers(part)));
+	}
+
+	boolean contains(Replica engine) {
+		return this.path.map((held) -> held.contains(engine)).orElse(this.replica.isSameStart(engine));
+	}
+
+	private List<PathPart> parts() {
+		return this.path.map(LayerPath::parts).orElse(List.of());
+	}
+
+	private long tokenLayers(PathPart part) {
+		return (long) this.tokens * part.layers().size();
+	}
+
+}
--- /dev/null
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/TargetChoice.java
@@ -0,0 +1,125 @@
+package org.burdocktray.process.serve.gateway;
+
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+import org.burdocktray.process.directory.Replica;
+import org.burdocktray.request.path.LayerPath;
+import org.burdocktray.request.path.PathDemand;
+import org.burdocktray.version.rules.EngineProfile;
+import org.burdocktray.version.rules.ServiceRule;
+
+/**
+ * Chooses where the attempts of one request go. Replicas on which it has failed are not
+ * chosen again while there are others. Thread safety: none, confined to the request.
+ */
+final class TargetChoice {
+
+	private static final double OTHER_DATA_CENTRE_LOAD = 0.5;
+
+	private static final double RANDOM_LOAD = 0.1;
+
+	/** The share of an engine's KV cache that new requests may fill. */
+	private static final double KV_SHARE = 0.92;
+
+	private final GatewayContext context;
+
+	private final ServiceRule service;
+
+	private final RequestHead head;
+
+	private final Set<String> failed = new HashSet<>();
+
+	TargetChoice(GatewayContext context, ServiceRule service, RequestHead head) {
+		this.context = context;
+		this.service = service;
+		this.head = head;
+	}
+
+	void exclude(Replica replica) {
+		this.failed.add(replica.id());
+	}
+
+	/**
+	 * Chooses the next target.
+	 * @return the target, empty when no replica can take the request now
+	 */
+	Optional<Target> next() {
+		if (this.service.engine().isPresent()) {
+			return onEngines(this.service.engine().get());
+		}
+		return onReplicas();
+	}
+
+	/**
+	 * Tells whether replicas could take the request if they had room.
+	 * @return whether any replica of the service is listed and not avoided
+	 */
+	boolean canWait() {
+		return this.service.engine()
+			.flatMap((profile) -> this.context.paths().find(candidates(), demand(profile, Double.MAX_VALUE), profile))
+			.isPresent();
+	}
+
+	/**
+	 * Chooses another path behind the first engine of the present one.
+	 * @param present the present target
+	 * @return the target with the new path
+	 */
+	Optional<Target> behindHead(Target present) {
+		LayerPath path = present.path().orElseThrow();
+		EngineProfile profile = this.service.engine().orElseThrow();
+		return this.context.paths()
+			.findBehind(path.parts().get(0), candidates(), demand(profile, 1), profile)
+			.map((found) -> new Target(present.replica(), Optional.of(found), present.tokens()));
+	}
+
+	private Optional<Target> onEngines(EngineProfile profile) {
+		PathDemand demand = demand(profile, KV_SHARE);
+		return this.context.paths()
+			.find(candidates(), demand, profile)
+			.map((path) -> new Target(path.head(), Optional.of(path), demand.tokens()));
+	}
+
+	private Optional<Target> onReplicas() {
+		List<Replica> listed = this.context.directory().usable(this.service.name());
+		List<Replica> preferred = candidates();
+		List<Replica> untried = listed.stream().filter((replica) -> !this.failed.contains(replica.id())).toList();
+		List<Replica> from = preferred.isEmpty() ? untried : preferred;
+		return from.stream()
+			.map((replica) -> new Scored(replica, load(replica)))
+			.min(Comparator.comparingDouble(Scored::load))
+			.map((scored) -> new Target(scored.replica(), Optional.empty(), 0));
+	}
+
+	private List<Replica> candidates() {
+		long nowNanos = System.nanoTime();
+		return this.context.directory()
+			.usable(this.service.name())
+			.stream()
+			.filter((replica) -> !this.failed.contains(replica.id()))
+			.filter((replica) -> !this.context.loads().isAvoided(replica, nowNanos))
+			.toList();
+	}
+
+	private double load(Replica replica) {
+		double inFlight = this.context.loads().inFlight(replica) / (double) Math.max(1, replica.slots());
+		double distance = replica.dataCentre().equals(this.context.here()) ? 0 : OTHER_DATA_CENTRE_LOAD;
+		return inFlight + distance + RANDOM_LOAD * this.context.random().nextDouble();
+	}
+
+	private PathDemand demand(EngineProfile profile, double kvShare) {
+		int prompt = this.head.promptTokens().orElse(profile.usualPromptTokens());
+		int most = this.head.maxAnswerTokens().orElse(profile.usualAnswerTokens());
+		int expected = Math.min(most, this.head.expectedAnswerTokens().orElse(profile.usualAnswerTokens()));
+		return new PathDemand(prompt, expected, kvShare);
+	}
+
+	private record Scored(Replica replica, double load) {
+
+	}
+
+}
--- /dev/null
+++ b/router/src/main/java/org/burdocktray/request/forward/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The decisions on a request that is forwarded unchanged.
+ */
+package org.burdocktray.request.forward;
--- /dev/null
+++ b/router/src/main/java/org/burdocktray/request/path/PathPart.java
@@ -0,0 +1,14 @@
+package org.burdocktray.request.path;
+
+import org.burdocktray.process.directory.LayerRange;
+import org.burdocktray.process.directory.Replica;
+
+/**
+ * One engine of a path and the layers it runs. Thread safety: immutable.
+ *
+ * @param replica the engine
+ * @param layers the layers, all of which it holds
+ */
+public record PathPart(Replica replica, LayerRange layers) {
+
+}
