--- a/router/src/main/java/org/burdocktray/process/placement/LayerPlacement.java
+++ b/router/src/main/java/org/burdocktray/process/placement/LayerPlacement.java
@@ -59,7 +59,7 @@
 		return changes;
 	}
 
-	/** Splits empty engines into chains that hold all layers each. */
+	// Splits empty engines into chains that hold all layers each.
 	private static Map<String, LayerRange> chains(List<Replica> engines, EngineProfile profile) {
 		List<Replica> sorted = engines.stream()
 			.sorted(Comparator.comparingDouble((Replica engine) -> kind(engine, profile).stepFactor())
@@ -92,10 +92,8 @@
 		return result;
 	}
 
-	/**
-	 * Values a chain by the tokens a second that it can write: those it can keep in its
-	 * cache, in requests of usual size, over the time of one token.
-	 */
+	// Values a chain by the tokens a second that it can write: those it can keep in its
+	// cache, in requests of usual size, over the time of one token.
 	private static double chainValue(List<Replica> engines, EngineProfile profile) {
 		double tokens = chainTokens(engines, profile);
 		double requests = Math.min(tokens / profile.usualTokens(), profile.maxSequences());
@@ -115,7 +113,7 @@
 		return requests / (tokenMillis / layers * step);
 	}
 
-	/** The most tokens for which the engines together hold all layers. */
+	// The most tokens for which the engines together hold all layers.
 	private static double chainTokens(List<Replica> engines, EngineProfile profile) {
 		double low = 0;
 		double high = engines.stream().mapToDouble((engine) -> kind(engine, profile).memoryMegabytes()).sum()
@@ -154,7 +152,7 @@
 		return result;
 	}
 
-	/** Gives each engine without layers those for which there is the least room. */
+	// Gives each engine without layers those for which there is the least room.
 	private static Map<String, LayerRange> fill(List<Replica> held, List<Replica> spare, EngineProfile profile) {
 		Map<String, LayerRange> result = new LinkedHashMap<>();
 		double tokens = typicalTokens(held, profile);
@@ -196,9 +194,7 @@
 		return new LayerRange(best, best + size);
 	}
 
-	/**
-	 * Moves one engine whose layers others hold as well to layers that nobody holds.
-	 */
+	// Moves one engine whose layers others hold as well to layers that nobody holds.
 	private static Map<String, LayerRange> repair(List<Replica> held, EngineProfile profile) {
 		Optional<LayerRange> hole = firstHole(held, profile);
 		if (hole.isEmpty()) {
--- a/router/src/main/java/org/burdocktray/request/path/PathSearch.java
+++ b/router/src/main/java/org/burdocktray/request/path/PathSearch.java
@@ -151,9 +151,7 @@
 		return room - this.loads.kvUsed(engine) >= (double) demand.tokens() * held;
 	}
 
-	/**
-	 * Estimates how long an engine keeps a request, from its queue to its last token.
-	 */
+	// Estimates how long an engine keeps a request, from its queue to its last token.
 	private double cost(PathPart part, PathDemand demand, EngineProfile profile) {
 		AcceleratorKind kind = part.replica().acceleratorKind().flatMap(profile::kind).orElseThrow();
 		double share = part.layers().size() / (double) profile.layers();
--- a/router/src/test/java/org/burdocktray/architecture/LayerTests.java
+++ b/router/src/test/java/org/burdocktray/architecture/LayerTests.java
@@ -35,7 +35,9 @@
 					"org.burdocktray.process.membership..", "org.burdocktray.process.limits..",
 					"org.burdocktray.process.quarantine..", "org.burdocktray.process.settings..",
 					"org.burdocktray.process.metrics..", "org.burdocktray.process.order..",
-					"org.burdocktray.process.bundle..", "org.burdocktray.process.burn..")
+					"org.burdocktray.process.bundle..", "org.burdocktray.process.burn..",
+					"org.burdocktray.process.directory..", "org.burdocktray.process.placement..",
+					"org.burdocktray.process.freshness..")
 			.layer("request")
 			.definedBy("org.burdocktray.request..")
 			.layer("composition")
--- /dev/null
+++ b/router/src/test/java/org/burdocktray/process/directory/ReplicaLoadsTests.java
@@ -0,0 +1,52 @@
+package org.burdocktray.process.directory;
+
+import java.util.Optional;
+
+import org.burdocktray.model.DataCentre;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class ReplicaLoadsTests {
+
+	private final ReplicaLoads loads = new ReplicaLoads();
+
+	private final Replica engine = TestReplicas.engine("e", "ghent", "fast", 0, 5);
+
+	@Test
+	void addsWhatWasSentSinceTheReport() {
+		this.loads.reported(this.engine, TestReplicas.report(0, false, 1_000));
+		this.loads.sent(this.engine, 500);
+		assertThat(this.loads.kvUsed(this.engine)).isEqualTo(1_500);
+	}
+
+	@Test
+	void ownRequestsCountEvenWhenTheReportIsOlder() {
+		this.loads.sent(this.engine, 500);
+		this.loads.reported(this.engine, TestReplicas.report(0, false, 0));
+		assertThat(this.loads.kvUsed(this.engine)).isEqualTo(500);
+		this.loads.ended(this.engine, 500);
+		assertThat(this.loads.kvUsed(this.engine)).isZero();
+	}
+
+	@Test
+	void avoidanceEndsWithTimeOrSuccess() {
+		this.loads.avoid(this.engine, 100);
+		assertThat(this.loads.isAvoided(this.engine, 99)).isTrue();
+		assertThat(this.loads.isAvoided(this.engine, 100)).isFalse();
+		this.loads.avoid(this.engine, 200);
+		this.loads.succeeded(this.engine);
+		assertThat(this.loads.isAvoided(this.engine, 150)).isFalse();
+	}
+
+	@Test
+	void aNewStartUnderTheSameIdHasNoHistory() {
+		this.loads.avoid(this.engine, 100);
+		this.loads.sent(this.engine, 500);
+		Replica again = new Replica("e", 2, "s", this.engine.address(), new DataCentre("ghent"), 4, false,
+				Optional.of("fast"), this.engine.layers());
+		assertThat(this.loads.isAvoided(again, 50)).isFalse();
+		assertThat(this.loads.kvUsed(again)).isZero();
+	}
+
+}
--- /dev/null
+++ b/router/src/test/java/org/burdocktray/process/placement/OrderLedgerTests.java
@@ -0,0 +1,73 @@
+package org.burdocktray.process.placement;
+
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+import org.burdocktray.process.directory.LayerRange;
+import org.burdocktray.process.directory.Replica;
+import org.burdocktray.process.directory.TestReplicas;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class OrderLedgerTests {
+
+	private static final LayerRange LAYERS = new LayerRange(0, 5);
+
+	private final OrderLedger ledger = new OrderLedger();
+
+	private final Replica engine = TestReplicas.emptyEngine("e", "ghent", "fast");
+
+	@Test
+	void oneOrderAtATime() {
+		assertThat(this.ledger.begin(this.engine, LAYERS, 0)).isTrue();
+		assertThat(this.ledger.begin(this.engine, LAYERS, seconds(100))).isFalse();
+	}
+
+	@Test
+	void acceptedOrderIsExpectedToTakeEffect() {
+		order(0, true, false);
+		assertThat(this.ledger.withExpectedLayers(this.engine, seconds(1)).layers()).contains(LAYERS);
+		assertThat(this.ledger.withExpectedLayers(this.engine, seconds(60)).layers()).isEmpty();
+	}
+
+	@Test
+	void orderWithoutAnAnswerBlocksUntilItCannotCome() {
+		order(3, false, true);
+		assertThat(this.ledger.begin(this.engine, LAYERS, seconds(5))).isTrue();
+		assertThat(this.ledger.maySend(this.engine, TestReplicas.report(3, false, 0), seconds(5))).isFalse();
+		assertThat(this.ledger.maySend(this.engine, TestReplicas.report(3, false, 0), seconds(14))).isTrue();
+	}
+
+	@Test
+	void orderWithoutAnAnswerIsOverOnceTheEngineBeganAnother() {
+		order(3, false, true);
+		this.ledger.begin(this.engine, LAYERS, seconds(5));
+		assertThat(this.ledger.maySend(this.engine, TestReplicas.report(4, false, 0), seconds(5))).isTrue();
+	}
+
+	@Test
+	void busyEngineIsNotOrdered() {
+		this.ledger.begin(this.engine, LAYERS, 0);
+		assertThat(this.ledger.maySend(this.engine, TestReplicas.report(0, true, 0), 0)).isFalse();
+	}
+
+	@Test
+	void whatIsKnownOfAnEngineEndsWithItsStart() {
+		order(3, false, true);
+		Replica again = new Replica("e", 2, "s", this.engine.address(), this.engine.dataCentre(), 4, false,
+				Optional.of("fast"), Optional.empty());
+		assertThat(this.ledger.begin(again, LAYERS, 1)).isTrue();
+	}
+
+	private void order(long sequence, boolean accepted, boolean unresolved) {
+		assertThat(this.ledger.begin(this.engine, LAYERS, 0)).isTrue();
+		this.ledger.sending(this.engine, TestReplicas.report(sequence, false, 0), 0);
+		this.ledger.answered(this.engine, accepted, unresolved, 0);
+	}
+
+	private static long seconds(long count) {
+		return TimeUnit.SECONDS.toNanos(count);
+	}
+
+}
--- /dev/null
+++ b/router/src/test/java/org/burdocktray/request/forward/EventFramerTests.java
@@ -0,0 +1,57 @@
+package org.burdocktray.request.forward;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.Random;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class EventFramerTests {
+
+	private static final String STREAM = "id: 1\ndata: a\n\nid: 2\ndata: bb\n\nid:3\r\ndata: c\r\n\r\n";
+
+	private final EventFramer framer = new EventFramer();
+
+	@Test
+	void keepsBackTheEventThatHasNotEnded() {
+		assertThat(accept("id: 1\ndata: a\n\nid: 2\nda")).isEqualTo("id: 1\ndata: a\n\n");
+		assertThat(this.framer.isWithinEvent()).isTrue();
+		assertThat(this.framer.lastEventId()).contains("1");
+		assertThat(accept("ta: b\n\n")).isEqualTo("id: 2\ndata: b\n\n");
+		assertThat(this.framer.isWithinEvent()).isFalse();
+		assertThat(this.framer.lastEventId()).contains("2");
+	}
+
+	@Test
+	void dropsWhatBrokeOff() {
+		accept("id: 1\n\nid: 2\nda");
+		this.framer.reset();
+		assertThat(accept("id: 2\ndata: b\n\n")).isEqualTo("id: 2\ndata: b\n\n");
+	}
+
+	@Test
+	void handsOnEveryByteOnceHoweverTheStreamIsCut() {
+		Random random = new Random(7);
+		for (int run = 0; run < 200; run++) {
+			EventFramer cut = new EventFramer();
+			ByteArrayOutputStream seen = new ByteArrayOutputStream();
+			byte[] bytes = STREAM.getBytes(StandardCharsets.US_ASCII);
+			int from = 0;
+			while (from < bytes.length) {
+				int to = Math.min(bytes.length, from + 1 + random.nextInt(9));
+				seen.writeBytes(cut.accept(Arrays.copyOfRange(bytes, from, to)));
+				from = to;
+			}
+			assertThat(seen.toString(StandardCharsets.US_ASCII)).isEqualTo(STREAM);
+			assertThat(cut.lastEventId()).contains("3");
+		}
+	}
+
+	private String accept(String text) {
+		return new String(this.framer.accept(text.getBytes(StandardCharsets.US_ASCII)), StandardCharsets.US_ASCII);
+	}
+
+}
--- /dev/null
+++ b/router/src/test/java/org/burdocktray/request/forward/ForwardStateTests.java
@@ -0,0 +1,69 @@
+package org.burdocktray.request.forward;
+
+import java.util.List;
+
+import org.burdocktray.model.Verdict;
+import org.burdocktray.version.rules.RequestKind;
+import org.burdocktray.version.rules.RouteRule;
+import org.burdocktray.version.rules.WeightedService;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class ForwardStateTests {
+
+	@Test
+	void anUnsafeRequestThatMayHaveRunIsNotSentAgain() {
+		ForwardState state = sent(RequestKind.NON_IDEMPOTENT, AttemptOutcome.LOST);
+		assertThat(state.maySendAgain()).isFalse();
+		assertThat(state.verdict()).isEqualTo(Verdict.MAY_HAVE_RUN);
+	}
+
+	@Test
+	void anUnsafeRequestThatWasRejectedIsSentAgain() {
+		ForwardState state = sent(RequestKind.NON_IDEMPOTENT, AttemptOutcome.REJECTED);
+		assertThat(state.maySendAgain()).isTrue();
+		assertThat(state.verdict()).isEqualTo(Verdict.NOT_RUN);
+	}
+
+	@Test
+	void aRejectionAfterALossDoesNotMakeTheRequestNotRun() {
+		ForwardState state = sent(RequestKind.IDEMPOTENT, AttemptOutcome.LOST);
+		state.sending();
+		state.ended(AttemptOutcome.REJECTED);
+		assertThat(state.verdict()).isEqualTo(Verdict.MAY_HAVE_RUN);
+	}
+
+	@Test
+	void noMoreReplicasRunARequestThanItsRouteAllows() {
+		ForwardState state = sent(RequestKind.IDEMPOTENT, AttemptOutcome.FAILED);
+		assertThat(state.maySendAgain()).isTrue();
+		state.sending();
+		state.ended(AttemptOutcome.FAILED);
+		assertThat(state.maySendAgain()).isFalse();
+	}
+
+	@Test
+	void rejectionsEndAfterAFewAttempts() {
+		ForwardState state = sent(RequestKind.IDEMPOTENT, AttemptOutcome.REJECTED);
+		int sends = 1;
+		while (state.maySendAgain()) {
+			state.sending();
+			state.ended(AttemptOutcome.REJECTED);
+			sends++;
+		}
+		assertThat(sends).isBetween(2, 10);
+	}
+
+	private static ForwardState sent(RequestKind kind, AttemptOutcome outcome) {
+		RouteRule route = new RouteRule("r", "h", "/", kind, false, 1_000, 100, 0, 0, 2, false,
+				List.of(new WeightedService("s", 1)));
+		ForwardState state = new ForwardState(route);
+		assertThat(state.isRepeat()).isFalse();
+		state.sending();
+		state.ended(outcome);
+		assertThat(state.isRepeat()).isTrue();
+		return state;
+	}
+
+}
--- /dev/null
+++ b/router/src/test/java/org/burdocktray/request/path/PathSearchTests.java
@@ -0,0 +1,94 @@
+package org.burdocktray.request.path;
+
+import java.util.List;
+import java.util.Random;
+
+import org.burdocktray.model.DataCentre;
+import org.burdocktray.process.directory.LayerRange;
+import org.burdocktray.process.directory.Replica;
+import org.burdocktray.process.directory.ReplicaLoads;
+import org.burdocktray.process.directory.TestReplicas;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatIllegalArgumentException;
+
+class PathSearchTests {
+
+	private static final PathDemand DEMAND = new PathDemand(100, 50, 1);
+
+	private final ReplicaLoads loads = new ReplicaLoads();
+
+	private final PathSearch search = new PathSearch(new DataCentre("ghent"), this.loads, new Random(1));
+
+	private final Replica head = TestReplicas.engine("head", "ghent", "fast", 0, 5);
+
+	private final Replica tail = TestReplicas.engine("tail", "ghent", "fast", 5, 10);
+
+	private final Replica slowTail = TestReplicas.engine("slow", "ghent", "slow", 7, 10);
+
+	private final Replica overlap = TestReplicas.engine("overlap", "ghent", "slow", 4, 7);
+
+	@Test
+	void prefersFastEngines() {
+		assertThat(ids(this.head, this.tail, this.slowTail, this.overlap)).containsExactly("head", "tail");
+	}
+
+	@Test
+	void bypassesALostEngineOverOverlappingOnes() {
+		LayerPath path = this.search.find(List.of(this.head, this.slowTail, this.overlap), DEMAND, TestReplicas.PROFILE)
+			.orElseThrow();
+		assertThat(path.parts()).extracting((part) -> part.replica().id()).containsExactly("head", "overlap", "slow");
+		assertThat(path.parts().get(1).layers()).isEqualTo(new LayerRange(5, 7));
+	}
+
+	@Test
+	void findsNoPathWhenALayerIsMissing() {
+		assertThat(this.search.find(List.of(this.head, this.slowTail), DEMAND, TestReplicas.PROFILE)).isEmpty();
+	}
+
+	@Test
+	void staysInItsDataCentreWhileItHoldsAllLayers() {
+		Replica farHead = TestReplicas.engine("far-head", "leuven", "fast", 0, 5);
+		Replica farTail = TestReplicas.engine("far-tail", "leuven", "fast", 5, 10);
+		assertThat(ids(this.head, this.tail, farHead, farTail)).containsExactly("head", "tail");
+		assertThat(ids(this.head, farHead, farTail)).containsExactly("far-head", "far-tail");
+		assertThat(ids(this.head, farTail)).containsExactly("head", "far-tail");
+	}
+
+	@Test
+	void avoidsAnEngineWithoutRoomInItsCache() {
+		this.loads.sent(this.tail, 199_500);
+		assertThat(ids(this.head, this.tail, this.slowTail, this.overlap)).containsExactly("head", "overlap", "slow");
+	}
+
+	@Test
+	void changesThePathOnlyBehindTheFirstEngine() {
+		PathPart first = new PathPart(this.head, new LayerRange(0, 5));
+		LayerPath path = this.search
+			.findBehind(first, List.of(this.slowTail, this.overlap), DEMAND, TestReplicas.PROFILE)
+			.orElseThrow();
+		assertThat(path.head()).isEqualTo(this.head);
+		assertThat(path.layers()).isEqualTo(10);
+	}
+
+	@Test
+	void aPathRunsEveryLayerOnceAndInOrder() {
+		PathPart first = new PathPart(this.head, new LayerRange(0, 5));
+		PathPart gap = new PathPart(this.slowTail, new LayerRange(7, 10));
+		PathPart notHeld = new PathPart(this.overlap, new LayerRange(5, 9));
+		assertThatIllegalArgumentException().isThrownBy(() -> new LayerPath(List.of(first, gap)));
+		assertThatIllegalArgumentException().isThrownBy(() -> new LayerPath(List.of(first, notHeld)));
+		assertThatIllegalArgumentException().isThrownBy(() -> new LayerPath(List.of()));
+	}
+
+	private List<String> ids(Replica... engines) {
+		return this.search.find(List.of(engines), DEMAND, TestReplicas.PROFILE)
+			.orElseThrow()
+			.parts()
+			.stream()
+			.map((part) -> part.replica().id())
+			.toList();
+	}
+
+}
