--- a/router/src/main/java/org/burdocktray/process/directory/ReplicaLoads.java
+++ b/router/src/main/java/org/burdocktray/process/directory/ReplicaLoads.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
 
 /**
@@ -14,6 +15,10 @@
 
 	private static final double NO_SLOWNESS = 1.0;
 
+	private static final long FIRST_REJECTION_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+
+	private static final int MAX_DOUBLINGS = 4;
+
 	private final Map<String, State> states = new HashMap<>();
 
 	/**
@@ -61,6 +66,18 @@
 		state.avoided = true;
 	}
 
+	/**
+	 * Avoids a replica that turned a request away, for longer each time in a row.
+	 * @param replica the replica
+	 * @param nowNanos the time
+	 */
+	public void rejected(Replica replica, long nowNanos) {
+		State state = state(replica);
+		int doublings = Math.min(state.rejectionsInARow, MAX_DOUBLINGS);
+		state.rejectionsInARow++;
+		avoid(replica, nowNanos + (FIRST_REJECTION_NANOS << doublings));
+	}
+
 	/**
 	 * Notes a failure by the replica's fault.
 	 * @param replica the replica
@@ -77,6 +94,7 @@
 	public void succeeded(Replica replica) {
 		State state = state(replica);
 		state.failuresInARow = 0;
+		state.rejectionsInARow = 0;
 		state.avoided = false;
 	}
 
@@ -166,6 +184,8 @@
 
 		private int failuresInARow;
 
+		private int rejectionsInARow;
+
 		State(long bornMillis) {
 			this.bornMillis = bornMillis;
 		}
--- a/router/src/main/java/org/burdocktray/process/placement/LayerPlacement.java
+++ b/router/src/main/java/org/burdocktray/process/placement/LayerPlacement.java
@@ -1,6 +1,7 @@
 package org.burdocktray.process.placement;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -26,6 +27,9 @@
 	/** An engine that is given layers has room for this many requests beside them. */
 	private static final double MIN_REQUESTS = 4;
 
+	/** An engine that fills a gap has room for this many requests beside its layers. */
+	private static final double MIN_GAP_REQUESTS = 12;
+
 	private LayerPlacement() {
 	}
 
@@ -157,15 +161,55 @@
 		Map<String, LayerRange> result = new LinkedHashMap<>();
 		double tokens = typicalTokens(held, profile);
 		for (Replica engine : spare) {
-			int fit = profile.layersThatFit(kind(engine, profile), tokens);
-			if (fit == 0) {
+			rangeFor(engine, held, tokens, profile).ifPresent((range) -> {
+				result.put(engine.id(), range);
+				held.add(engine.withLayers(Optional.of(range)));
+			});
+		}
+		return result;
+	}
+
+	// An engine that was replaced leaves layers that fewer engines hold than the others.
+	// The
+	// new one takes just those where they fit, so that chains stay whole.
+	private static Optional<LayerRange> rangeFor(Replica engine, List<Replica> held, double tokens,
+			EngineProfile profile) {
+		int usual = profile.layersThatFit(kind(engine, profile), tokens);
+		int most = profile.layersThatFit(kind(engine, profile), MIN_GAP_REQUESTS * profile.usualTokens());
+		Optional<LayerRange> gap = gap(held, profile);
+		if (gap.isPresent() && most > 0) {
+			LayerRange thin = gap.get();
+			return Optional.of(new LayerRange(thin.from(), Math.min(thin.to(), thin.from() + most)));
+		}
+		return (usual > 0) ? Optional.of(neediest(held, usual, profile)) : Optional.empty();
+	}
+
+	// Finds the longest run of layers that the fewest engines hold, unless all layers are
+	// held equally often.
+	private static Optional<LayerRange> gap(List<Replica> held, EngineProfile profile) {
+		int[] holders = new int[profile.layers()];
+		for (int layer = 0; layer < holders.length; layer++) {
+			int wanted = layer;
+			holders[layer] = (int) held.stream()
+				.filter((engine) -> engine.layers().orElseThrow().contains(wanted))
+				.count();
+		}
+		int least = Arrays.stream(holders).min().orElse(0);
+		if (Arrays.stream(holders).allMatch((count) -> count == least)) {
+			return Optional.empty();
+		}
+		LayerRange longest = null;
+		int from = 0;
+		for (int layer = 0; layer <= holders.length; layer++) {
+			if (layer < holders.length && holders[layer] == least) {
 				continue;
 			}
-			LayerRange range = neediest(held, fit, profile);
-			result.put(engine.id(), range);
-			held.add(engine.withLayers(Optional.of(range)));
+			if (layer > from && (longest == null || layer - from > longest.size())) {
+				longest = new LayerRange(from, layer);
+			}
+			from = layer + 1;
 		}
-		return result;
+		return Optional.ofNullable(longest);
 	}
 
 	private static double typicalTokens(List<Replica> held, EngineProfile profile) {
@@ -209,8 +253,9 @@
 			return Map.of();
 		}
 		List<Replica> rest = others(held, redundant.get());
-		int fit = profile.layersThatFit(kind(redundant.get(), profile), typicalTokens(rest, profile));
-		return (fit > 0) ? Map.of(redundant.get().id(), neediest(rest, fit, profile)) : Map.of();
+		return rangeFor(redundant.get(), rest, typicalTokens(rest, profile), profile)
+			.map((range) -> Map.of(redundant.get().id(), range))
+			.orElse(Map.of());
 	}
 
 	private static boolean isRedundant(Replica engine, List<Replica> held) {
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/EngineMonitor.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/EngineMonitor.java
@@ -26,6 +26,11 @@
 
 	private static final long REMOTE_PERIOD_NANOS = TimeUnit.SECONDS.toNanos(6);
 
+	private static final long AVOIDED_PERIOD_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+	/** How long an answer serves others who ask. */
+	private static final long REUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
+
 	/** How long an engine that did not answer is avoided. */
 	static final long SILENT_NANOS = TimeUnit.SECONDS.toNanos(2);
 
@@ -39,6 +44,8 @@
 
 	private final Map<String, Long> askedNanos = new HashMap<>();
 
+	private final Map<String, Answer> lastAnswers = new HashMap<>();
+
 	EngineMonitor(DataCentre here, ReplicaControl control, ReplicaLoads loads) {
 		this.here = here;
 		this.control = control;
@@ -55,7 +62,7 @@
 			if (engine.layers().isEmpty()) {
 				continue;
 			}
-			long period = engine.dataCentre().equals(this.here) ? LOCAL_PERIOD_NANOS : REMOTE_PERIOD_NANOS;
+			long period = period(engine, nowNanos);
 			Long asked = this.askedNanos.get(engine.id());
 			if (asked == null || nowNanos - asked > period) {
 				ask(engine).subscribe();
@@ -63,8 +70,15 @@
 		}
 	}
 
+	private long period(Replica engine, long nowNanos) {
+		if (this.loads.isAvoided(engine, nowNanos)) {
+			return AVOIDED_PERIOD_NANOS;
+		}
+		return engine.dataCentre().equals(this.here) ? LOCAL_PERIOD_NANOS : REMOTE_PERIOD_NANOS;
+	}
+
 	/**
-	 * Asks an engine now.
+	 * Asks an engine now, unless its last answer has just come.
 	 * @param engine the engine
 	 * @return its report, or why there is none
 	 */
@@ -73,6 +87,10 @@
 		if (running != null) {
 			return running;
 		}
+		Answer last = this.lastAnswers.get(engine.id());
+		if (last != null && System.nanoTime() - last.atNanos() < REUSE_NANOS) {
+			return Single.just(last.answer());
+		}
 		this.askedNanos.put(engine.id(), System.nanoTime());
 		Single<Either<String, LoadReport>> call = this.control.report(engine)
 			.doOnSuccess((answer) -> answered(engine, answer))
@@ -83,10 +101,15 @@
 
 	private void answered(Replica engine, Either<String, LoadReport> answer) {
 		this.inProgress.remove(engine.id());
+		this.lastAnswers.put(engine.id(), new Answer(answer, System.nanoTime()));
 		answer.peek((report) -> this.loads.reported(engine, report)).peekLeft((fault) -> {
 			LOGGER.infof("Engine gave no report: replica=%s fault=%s", engine.id(), fault);
 			this.loads.avoid(engine, System.nanoTime() + SILENT_NANOS);
 		});
 	}
 
+	private record Answer(Either<String, LoadReport> answer, long atNanos) {
+
+	}
+
 }
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/ForwardExchange.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/ForwardExchange.java
@@ -23,6 +23,8 @@
  */
 final class ForwardExchange implements Attempt.Listener {
 
+	private static final long NANOS_PER_MILLI = 1_000_000;
+
 	private static final int SERVICE_UNAVAILABLE = 503;
 
 	private static final int BAD_GATEWAY = 502;
@@ -36,12 +38,14 @@
 
 	private static final long AVOID_FAILED_NANOS = TimeUnit.SECONDS.toNanos(2);
 
-	private static final long AVOID_REJECTING_NANOS = TimeUnit.MILLISECONDS.toNanos(150);
+	/** The part of a caller's patience that its request waits for room. */
+	private static final double FIRST_WAIT_SHARE = 0.5;
 
-	private static final long MAX_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(2_500);
+	/** The part of a caller's patience that a stream which broke off waits for room. */
+	private static final double NEXT_WAIT_SHARE = 0.85;
 
 	/** The silence of a stream after which its first engine is asked. */
-	private static final long SILENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(600);
+	private static final long SILENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
 	/** The silence after which a stream through a dead engine takes another path. */
 	private static final long SILENCE_BEHIND_DEAD_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
@@ -144,7 +148,10 @@
 	}
 
 	private void waitOrGiveUp() {
-		boolean mayWait = System.nanoTime() - this.startNanos < MAX_WAIT_NANOS && this.choice.canWait();
+		double share = this.answer.isBegun() ? NEXT_WAIT_SHARE : FIRST_WAIT_SHARE;
+		long since = this.answer.isBegun() ? this.progressNanos : this.startNanos;
+		double waitNanos = share * this.admitted.route().patienceMillis() * NANOS_PER_MILLI;
+		boolean mayWait = System.nanoTime() - since < waitNanos && (this.answer.isBegun() || this.choice.canWait());
 		if (!mayWait) {
 			giveUp("no replica can take the request");
 			return;
@@ -155,8 +162,10 @@
 	private void send(Target target) {
 		this.state.sending();
 		this.framer.reset();
-		this.progressNanos = System.nanoTime();
-		this.askedNanos = this.progressNanos;
+		this.askedNanos = System.nanoTime();
+		if (!this.answer.isBegun()) {
+			this.progressNanos = this.askedNanos;
+		}
 		Optional<String> from = this.framer.lastEventId().or(this.admitted.head()::lastEventId);
 		Attempt next = new Attempt(this.context, this.admitted.request().behind(from), target, this);
 		this.attempt = Optional.of(next);
@@ -224,6 +233,7 @@
 		}
 		if (!this.answer.isBegun()) {
 			this.context.metrics().firstByte(System.nanoTime() - this.startNanos);
+			current().target().replicas().forEach(this.context.loads()::succeeded);
 			this.answer.beginStream(this.streamHead.orElseThrow());
 		}
 		Attempt source = current();
@@ -276,11 +286,11 @@
 		long nowNanos = System.nanoTime();
 		Optional<Replica> atFault = faultAddress.flatMap(this.context.directory()::at);
 		if (atFault.isPresent()) {
-			this.context.loads().avoid(atFault.get(), nowNanos + AVOID_REJECTING_NANOS);
+			this.context.loads().rejected(atFault.get(), nowNanos);
 			return;
 		}
 		if (outcome == AttemptOutcome.REJECTED) {
-			this.context.loads().avoid(replica, nowNanos + AVOID_REJECTING_NANOS);
+			this.context.loads().rejected(replica, nowNanos);
 			return;
 		}
 		this.choice.exclude(replica);
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayServer.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayServer.java
@@ -55,7 +55,7 @@
 
 	private static final String LEASE_KEY = "burdocktray-leases/placement";
 
-	private static final OrderSettings LEASE_TIMES = new OrderSettings(6_000, 2_000, 3_000, 3_000, 1_000, 1_000,
+	private static final OrderSettings LEASE_TIMES = new OrderSettings(4_500, 1_500, 2_000, 2_000, 1_000, 1_000,
 			600_000);
 
 	/** How long the balancer takes to send no new connections. */
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/PlacementLoop.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/PlacementLoop.java
@@ -58,7 +58,7 @@
 		this.lease.tick(nowNanos);
 		this.rules.current().ifPresent((current) -> {
 			noteNewEngines(current, nowNanos);
-			if (this.lease.mayOrder(nowNanos) && nowNanos - this.lastNewNanos > SETTLE_NANOS) {
+			if (this.lease.mayOrder(nowNanos)) {
 				current.services().values().forEach((service) -> place(service, nowNanos));
 			}
 		});
@@ -86,6 +86,7 @@
 			.stream()
 			.map((engine) -> this.ledger.withExpectedLayers(engine, nowNanos))
 			.collect(Collectors.groupingBy(Replica::dataCentre));
+		byDataCentre.values().removeIf((engines) -> isFilling(engines, nowNanos));
 		byDataCentre.forEach((dataCentre, engines) -> LayerPlacement.changes(engines, profile)
 			.forEach((id, layers) -> engines.stream()
 				.filter((engine) -> engine.id().equals(id))
@@ -93,6 +94,12 @@
 				.ifPresent((engine) -> order(engine, layers, nowNanos))));
 	}
 
+	// A data centre without any layers waits for all its engines to register.
+	private boolean isFilling(List<Replica> engines, long nowNanos) {
+		boolean isEmpty = engines.stream().allMatch((engine) -> engine.layers().isEmpty());
+		return isEmpty && nowNanos - this.lastNewNanos < SETTLE_NANOS;
+	}
+
 	private void order(Replica engine, LayerRange layers, long nowNanos) {
 		if (!this.ledger.begin(engine, layers, nowNanos)) {
 			return;
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/Target.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/Target.java
@@ -37,6 +37,11 @@
 		return this.path.map((held) -> held.contains(engine)).orElse(this.replica.isSameStart(engine));
 	}
 
+	List<Replica> replicas() {
+		return this.path.map((held) -> held.parts().stream().map(PathPart::replica).toList())
+			.orElse(List.of(this.replica));
+	}
+
 	private List<PathPart> parts() {
 		return this.path.map(LayerPath::parts).orElse(List.of());
 	}
--- a/router/src/main/java/org/burdocktray/request/path/PathSearch.java
+++ b/router/src/main/java/org/burdocktray/request/path/PathSearch.java
@@ -61,7 +61,7 @@
 	 * @return the path, or empty when the engines with room do not hold all layers
 	 */
 	public Optional<LayerPath> find(List<Replica> engines, PathDemand demand, EngineProfile profile) {
-		List<Replica> fitting = engines.stream().filter((engine) -> hasRoom(engine, demand, profile)).toList();
+		List<Replica> fitting = engines.stream().filter((engine) -> isKnown(engine, profile)).toList();
 		Map<DataCentre, List<Replica>> byDataCentre = new HashMap<>();
 		fitting.forEach(
 				(engine) -> byDataCentre.computeIfAbsent(engine.dataCentre(), (any) -> new ArrayList<>()).add(engine));
@@ -89,7 +89,7 @@
 			EngineProfile profile) {
 		List<Replica> others = engines.stream()
 			.filter((engine) -> !engine.id().equals(first.replica().id()))
-			.filter((engine) -> hasRoom(engine, demand, profile))
+			.filter((engine) -> isKnown(engine, profile))
 			.toList();
 		List<Replica> local = others.stream()
 			.filter((engine) -> engine.dataCentre().equals(first.replica().dataCentre()))
@@ -120,6 +120,9 @@
 				continue;
 			}
 			PathPart part = new PathPart(engine, new LayerRange(layer, held.to()));
+			if (!hasRoom(part, demand, profile)) {
+				continue;
+			}
 			Optional<Step> rest = from(held.to(), engines, demand, profile, variation, known);
 			double cost = cost(part, demand, profile) * variation.get(engine.id());
 			best = cheaper(best, rest.map((step) -> step.behind(part, cost + border(part, step))));
@@ -141,14 +144,15 @@
 		return crosses ? BORDER_MILLIS : 0;
 	}
 
-	private boolean hasRoom(Replica engine, PathDemand demand, EngineProfile profile) {
-		Optional<AcceleratorKind> kind = engine.acceleratorKind().flatMap(profile::kind);
-		if (kind.isEmpty() || engine.layers().isEmpty()) {
-			return false;
-		}
-		int held = engine.layers().get().size();
-		double room = profile.kvTokenLayers(kind.get(), held) * demand.kvShare();
-		return room - this.loads.kvUsed(engine) >= (double) demand.tokens() * held;
+	private static boolean isKnown(Replica engine, EngineProfile profile) {
+		return engine.layers().isPresent() && engine.acceleratorKind().flatMap(profile::kind).isPresent();
+	}
+
+	private boolean hasRoom(PathPart part, PathDemand demand, EngineProfile profile) {
+		AcceleratorKind kind = part.replica().acceleratorKind().flatMap(profile::kind).orElseThrow();
+		int held = part.replica().layers().orElseThrow().size();
+		double room = profile.kvTokenLayers(kind, held) * demand.kvShare();
+		return room - this.loads.kvUsed(part.replica()) >= (double) demand.tokens() * part.layers().size();
 	}
 
 	// Estimates how long an engine keeps a request, from its queue to its last token.
--- a/router/src/main/java/org/burdocktray/version/rules/RouteRule.java
+++ b/router/src/main/java/org/burdocktray/version/rules/RouteRule.java
@@ -23,6 +23,12 @@
 		long timeoutMillis, long targetLatencyMillis, long gapTargetMillis, int priority, int maxAttempts,
 		boolean isPublic, List<WeightedService> targets) {
 
+	private static final long MIN_PATIENCE_MILLIS = 2_000;
+
+	private static final long PATIENCE_LATENCIES = 4;
+
+	private static final long PATIENCE_GAPS = 8;
+
 	public RouteRule {
 		targets = List.copyOf(targets);
 		if (targets.isEmpty()) {
@@ -38,6 +44,16 @@
 		return this.kind == RequestKind.IDEMPOTENT || (this.kind == RequestKind.STREAMING && this.resumable);
 	}
 
+	/**
+	 * Returns how long a caller of a stream waits for its next event, or the first one.
+	 * @return the time after which it goes away
+	 */
+	public long patienceMillis() {
+		long byLatency = PATIENCE_LATENCIES * this.targetLatencyMillis;
+		long byGap = PATIENCE_GAPS * this.gapTargetMillis;
+		return Math.max(MIN_PATIENCE_MILLIS, Math.max(byLatency, byGap));
+	}
+
 	/**
 	 * Picks the service of one request.
 	 * @param draw a number from 0 inclusive to 1 exclusive
--- a/router/src/test/java/org/burdocktray/request/path/PathSearchTests.java
+++ b/router/src/test/java/org/burdocktray/request/path/PathSearchTests.java
@@ -58,7 +58,7 @@
 
 	@Test
 	void avoidsAnEngineWithoutRoomInItsCache() {
-		this.loads.sent(this.tail, 199_500);
+		this.loads.sent(this.tail, 199_900);
 		assertThat(ids(this.head, this.tail, this.slowTail, this.overlap)).containsExactly("head", "overlap", "slow");
 	}
 
