--- a/router/src/main/java/org/burdocktray/process/placement/LayerPlacement.java
+++ b/router/src/main/java/org/burdocktray/process/placement/LayerPlacement.java
@@ -97,7 +97,9 @@
 	}
 
 	// Values a chain by the tokens a second that it can write: those it can keep in its
-	// cache, in requests of usual size, over the time of one token.
+	// cache, in requests of usual size, over the time of one token. The root makes two
+	// chains worth more than one that writes as much, since the loss of an engine breaks
+	// its chain.
 	private static double chainValue(List<Replica> engines, EngineProfile profile) {
 		double tokens = chainTokens(engines, profile);
 		double requests = Math.min(tokens / profile.usualTokens(), profile.maxSequences());
@@ -114,7 +116,7 @@
 		double sequencesInStep = requests / engines.size();
 		double step = profile.stepMillis() + profile.sequenceMillis() * sequencesInStep
 				+ profile.contextMillis() * sequencesInStep * profile.usualTokens() / 1_000;
-		return requests / (tokenMillis / layers * step);
+		return Math.sqrt(requests / (tokenMillis / layers * step));
 	}
 
 	// The most tokens for which the engines together hold all layers.
@@ -177,9 +179,8 @@
 		int usual = profile.layersThatFit(kind(engine, profile), tokens);
 		int most = profile.layersThatFit(kind(engine, profile), MIN_GAP_REQUESTS * profile.usualTokens());
 		Optional<LayerRange> gap = gap(held, profile);
-		if (gap.isPresent() && most > 0) {
-			LayerRange thin = gap.get();
-			return Optional.of(new LayerRange(thin.from(), Math.min(thin.to(), thin.from() + most)));
+		if (gap.isPresent() && gap.get().size() <= most) {
+			return gap;
 		}
 		return (usual > 0) ? Optional.of(neediest(held, usual, profile)) : Optional.empty();
 	}
@@ -187,13 +188,7 @@
 	// Finds the longest run of layers that the fewest engines hold, unless all layers are
 	// held equally often.
 	private static Optional<LayerRange> gap(List<Replica> held, EngineProfile profile) {
-		int[] holders = new int[profile.layers()];
-		for (int layer = 0; layer < holders.length; layer++) {
-			int wanted = layer;
-			holders[layer] = (int) held.stream()
-				.filter((engine) -> engine.layers().orElseThrow().contains(wanted))
-				.count();
-		}
+		int[] holders = holders(held, profile);
 		int least = Arrays.stream(holders).min().orElse(0);
 		if (Arrays.stream(holders).allMatch((count) -> count == least)) {
 			return Optional.empty();
@@ -238,15 +233,13 @@
 		return new LayerRange(best, best + size);
 	}
 
-	// Moves one engine whose layers others hold as well to layers that nobody holds.
+	// Moves one engine to layers that two fewer engines hold than any of its own, so that
+	// the layers it leaves are still held by more engines than those were.
 	private static Map<String, LayerRange> repair(List<Replica> held, EngineProfile profile) {
-		Optional<LayerRange> hole = firstHole(held, profile);
-		if (hole.isEmpty()) {
-			return Map.of();
-		}
+		int[] holders = holders(held, profile);
+		int least = Arrays.stream(holders).min().orElse(0);
 		Optional<Replica> redundant = held.stream()
-			.filter((engine) -> isRedundant(engine, held))
-			.filter((engine) -> !holes(others(held, engine), profile).isEmpty())
+			.filter((engine) -> leastHolders(engine, holders) >= least + 2)
 			.max(Comparator.comparingDouble((Replica engine) -> kind(engine, profile).stepFactor())
 				.thenComparing(Replica::id));
 		if (redundant.isEmpty()) {
@@ -258,42 +251,24 @@
 			.orElse(Map.of());
 	}
 
-	private static boolean isRedundant(Replica engine, List<Replica> held) {
+	private static int leastHolders(Replica engine, int[] holders) {
 		LayerRange range = engine.layers().orElseThrow();
-		List<Replica> rest = others(held, engine);
-		for (int layer = range.from(); layer < range.to(); layer++) {
-			if (!isHeld(layer, rest)) {
-				return false;
-			}
-		}
-		return true;
-	}
-
-	private static List<Replica> others(List<Replica> held, Replica engine) {
-		return held.stream().filter((other) -> !other.id().equals(engine.id())).toList();
+		return Arrays.stream(holders, range.from(), range.to()).min().orElse(0);
 	}
 
-	private static Optional<LayerRange> firstHole(List<Replica> held, EngineProfile profile) {
-		return holes(held, profile).stream().findFirst();
-	}
-
-	private static List<LayerRange> holes(List<Replica> held, EngineProfile profile) {
-		List<LayerRange> holes = new ArrayList<>();
-		int from = 0;
-		for (int layer = 0; layer <= profile.layers(); layer++) {
-			boolean isHole = layer < profile.layers() && !isHeld(layer, held);
-			if (!isHole) {
-				if (layer > from) {
-					holes.add(new LayerRange(from, layer));
-				}
-				from = layer + 1;
+	private static int[] holders(List<Replica> held, EngineProfile profile) {
+		int[] holders = new int[profile.layers()];
+		for (Replica engine : held) {
+			LayerRange range = engine.layers().orElseThrow();
+			for (int layer = range.from(); layer < Math.min(range.to(), holders.length); layer++) {
+				holders[layer]++;
 			}
 		}
-		return holes;
+		return holders;
 	}
 
-	private static boolean isHeld(int layer, List<Replica> held) {
-		return held.stream().anyMatch((engine) -> engine.layers().orElseThrow().contains(layer));
+	private static List<Replica> others(List<Replica> held, Replica engine) {
+		return held.stream().filter((other) -> !other.id().equals(engine.id())).toList();
 	}
 
 	private static double layerRoom(List<Replica> held, int layer, EngineProfile profile) {
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/ForwardExchange.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/ForwardExchange.java
@@ -39,7 +39,7 @@
 	private static final long AVOID_FAILED_NANOS = TimeUnit.SECONDS.toNanos(2);
 
 	/** The part of a caller's patience that its request waits for room. */
-	private static final double FIRST_WAIT_SHARE = 0.5;
+	private static final double FIRST_WAIT_SHARE = 0.8;
 
 	/** The part of a caller's patience that a stream which broke off waits for room. */
 	private static final double NEXT_WAIT_SHARE = 0.85;
@@ -287,6 +287,7 @@
 		Optional<Replica> atFault = faultAddress.flatMap(this.context.directory()::at);
 		if (atFault.isPresent()) {
 			this.context.loads().rejected(atFault.get(), nowNanos);
+			this.context.monitor().ask(atFault.get()).subscribe();
 			return;
 		}
 		if (outcome == AttemptOutcome.REJECTED) {
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/TargetChoice.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/TargetChoice.java
@@ -23,7 +23,7 @@
 	private static final double RANDOM_LOAD = 0.1;
 
 	/** The share of an engine's KV cache that new requests may fill. */
-	private static final double KV_SHARE = 0.92;
+	private static final double KV_SHARE = 0.85;
 
 	private final GatewayContext context;
 
