Renew the lease with a new value, and let new engines wait for the one they replace

A write that changes nothing gives no new version in the platform's store, so that the other VM took a renewed lease for lapsed. New engines of a release were placed anywhere before their predecessor was seen to drain, and live engines were moved for redundancy only, which takes 5 to 9 s. Ruled out: a wrong clock or a late write of the first holder; its renewals were answered in time.

--- a/router/src/main/java/org/burdocktray/process/order/LeaseKeeper.java
+++ b/router/src/main/java/org/burdocktray/process/order/LeaseKeeper.java
@@ -41,6 +41,8 @@
 
 	private long tenure;
 
+	private long writes;
+
 	LeaseKeeper(String holder, OrderSettings settings, long nowNanos) {
 		this.holder = holder;
 		this.settings = settings;
@@ -63,8 +65,8 @@
 		this.writeSentNanos = nowNanos;
 		OptionalLong expected = this.seen.map((lease) -> OptionalLong.of(lease.fencingNumber()))
 			.orElse(OptionalLong.empty());
-		return Optional
-			.of(new OrderAction.WriteLease(expected, OrderLease.value(this.holder, this.settings.ttlMillis())));
+		return Optional.of(new OrderAction.WriteLease(expected,
+				OrderLease.value(this.holder, this.settings.ttlMillis(), ++this.writes)));
 	}
 
 	void read(Optional<StoredObject> object, long nowNanos) {
--- a/router/src/main/java/org/burdocktray/process/order/OrderLease.java
+++ b/router/src/main/java/org/burdocktray/process/order/OrderLease.java
@@ -41,10 +41,15 @@
 	 * Returns the value to store. The fencing number is given by the store.
 	 * @param holder the holder
 	 * @param ttlMillis the time to live
+	 * @param renewal the number of the holder's write; a store may give no new version to
+	 * a write that changes nothing, and then nobody would see the renewal
 	 * @return the value
 	 */
-	static String value(String holder, long ttlMillis) {
-		ObjectNode root = MAPPER.createObjectNode().put("holder", holder).put("ttlMillis", ttlMillis);
+	static String value(String holder, long ttlMillis, long renewal) {
+		ObjectNode root = MAPPER.createObjectNode()
+			.put("holder", holder)
+			.put("ttlMillis", ttlMillis)
+			.put("renewal", renewal);
 		return root.toString();
 	}
 
--- a/router/src/main/java/org/burdocktray/process/placement/LayerPlacement.java
+++ b/router/src/main/java/org/burdocktray/process/placement/LayerPlacement.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Predicate;
 
 import org.burdocktray.process.directory.LayerRange;
 import org.burdocktray.process.directory.Replica;
@@ -37,9 +38,13 @@
 	 * Decides the layers.
 	 * @param engines the engines of one data centre that are not leaving
 	 * @param profile how they behave
+	 * @param isSettled tells which engines have been there long enough to get layers that
+	 * all others hold equally often; a new engine may be there to replace one that leaves
+	 * soon
 	 * @return the layers by id of the engines that must change
 	 */
-	public static Map<String, LayerRange> changes(List<Replica> engines, EngineProfile profile) {
+	public static Map<String, LayerRange> changes(List<Replica> engines, EngineProfile profile,
+			Predicate<Replica> isSettled) {
 		List<Replica> known = engines.stream()
 			.filter((engine) -> engine.acceleratorKind().flatMap(profile::kind).isPresent())
 			.sorted(Comparator.comparing(Replica::id))
@@ -56,7 +61,7 @@
 			range.ifPresentOrElse((layers) -> held.add(engine.withLayers(Optional.of(layers))),
 					() -> spare.add(engine));
 		}
-		changes.putAll(fill(held, spare, profile));
+		changes.putAll(fill(held, spare, profile, isSettled));
 		if (spare.isEmpty()) {
 			changes.putAll(repair(held, profile));
 		}
@@ -159,11 +164,12 @@
 	}
 
 	// Gives each engine without layers those for which there is the least room.
-	private static Map<String, LayerRange> fill(List<Replica> held, List<Replica> spare, EngineProfile profile) {
+	private static Map<String, LayerRange> fill(List<Replica> held, List<Replica> spare, EngineProfile profile,
+			Predicate<Replica> isSettled) {
 		Map<String, LayerRange> result = new LinkedHashMap<>();
 		double tokens = typicalTokens(held, profile);
 		for (Replica engine : spare) {
-			rangeFor(engine, held, tokens, profile).ifPresent((range) -> {
+			rangeFor(engine, held, tokens, profile, isSettled.test(engine)).ifPresent((range) -> {
 				result.put(engine.id(), range);
 				held.add(engine.withLayers(Optional.of(range)));
 			});
@@ -175,14 +181,14 @@
 	// The
 	// new one takes just those where they fit, so that chains stay whole.
 	private static Optional<LayerRange> rangeFor(Replica engine, List<Replica> held, double tokens,
-			EngineProfile profile) {
+			EngineProfile profile, boolean isSettled) {
 		int usual = profile.layersThatFit(kind(engine, profile), tokens);
 		int most = profile.layersThatFit(kind(engine, profile), MIN_GAP_REQUESTS * profile.usualTokens());
 		Optional<LayerRange> gap = gap(held, profile);
 		if (gap.isPresent() && gap.get().size() <= most) {
 			return gap;
 		}
-		return (usual > 0) ? Optional.of(neediest(held, usual, profile)) : Optional.empty();
+		return (usual > 0 && isSettled) ? Optional.of(neediest(held, usual, profile)) : Optional.empty();
 	}
 
 	// Finds the longest run of layers that the fewest engines hold, unless all layers are
@@ -233,20 +239,22 @@
 		return new LayerRange(best, best + size);
 	}
 
-	// Moves one engine to layers that two fewer engines hold than any of its own, so that
-	// the layers it leaves are still held by more engines than those were.
+	// Moves one engine whose layers others hold as well to layers that nobody holds. An
+	// engine serves nothing while it moves, so this is done for no lesser gain.
 	private static Map<String, LayerRange> repair(List<Replica> held, EngineProfile profile) {
 		int[] holders = holders(held, profile);
-		int least = Arrays.stream(holders).min().orElse(0);
+		if (Arrays.stream(holders).allMatch((count) -> count > 0)) {
+			return Map.of();
+		}
 		Optional<Replica> redundant = held.stream()
-			.filter((engine) -> leastHolders(engine, holders) >= least + 2)
+			.filter((engine) -> leastHolders(engine, holders) > 1)
 			.max(Comparator.comparingDouble((Replica engine) -> kind(engine, profile).stepFactor())
 				.thenComparing(Replica::id));
 		if (redundant.isEmpty()) {
 			return Map.of();
 		}
 		List<Replica> rest = others(held, redundant.get());
-		return rangeFor(redundant.get(), rest, typicalTokens(rest, profile), profile)
+		return rangeFor(redundant.get(), rest, typicalTokens(rest, profile), profile, true)
 			.map((range) -> Map.of(redundant.get().id(), range))
 			.orElse(Map.of());
 	}
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/PlacementLoop.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/PlacementLoop.java
@@ -33,6 +33,9 @@
 	/** New engines register one after the other. */
 	private static final long SETTLE_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
 
+	/** How long after a new engine the one that it replaces may still be listed. */
+	private static final long REPLACE_NANOS = TimeUnit.MILLISECONDS.toNanos(2_500);
+
 	private final RulesGate rules;
 
 	private final ReplicaDirectory directory;
@@ -87,13 +90,19 @@
 			.map((engine) -> this.ledger.withExpectedLayers(engine, nowNanos))
 			.collect(Collectors.groupingBy(Replica::dataCentre));
 		byDataCentre.values().removeIf((engines) -> isFilling(engines, nowNanos));
-		byDataCentre.forEach((dataCentre, engines) -> LayerPlacement.changes(engines, profile)
+		byDataCentre.forEach((dataCentre, engines) -> LayerPlacement
+			.changes(engines, profile, (engine) -> isSettled(engine, nowNanos))
 			.forEach((id, layers) -> engines.stream()
 				.filter((engine) -> engine.id().equals(id))
 				.findFirst()
 				.ifPresent((engine) -> order(engine, layers, nowNanos))));
 	}
 
+	private boolean isSettled(Replica engine, long nowNanos) {
+		Long seen = this.firstSeenNanos.get(engine.id() + engine.bornMillis());
+		return seen != null && nowNanos - seen > REPLACE_NANOS;
+	}
+
 	// A data centre without any layers waits for all its engines to register.
 	private boolean isFilling(List<Replica> engines, long nowNanos) {
 		boolean isEmpty = engines.stream().allMatch((engine) -> engine.layers().isEmpty());
--- /dev/null
+++ b/router/src/test/java/org/burdocktray/process/order/LeaseKeeperTests.java
@@ -0,0 +1,68 @@
+package org.burdocktray.process.order;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+import org.burdocktray.connection.platform.StoreError;
+import org.burdocktray.connection.platform.StoredObject;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class LeaseKeeperTests {
+
+	private static final OrderSettings SETTINGS = new OrderSettings(4_500, 1_500, 2_000, 2_000, 1_000, 1_000, 600_000);
+
+	private static final long STEP_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+
+	private final List<LeaseKeeper> keepers = List.of(new LeaseKeeper("one", SETTINGS, 0),
+			new LeaseKeeper("two", SETTINGS, 0));
+
+	private Optional<StoredObject> stored = Optional.empty();
+
+	/**
+	 * Two VMs gave orders at once in the users' bench (scale-2 of yanki-tray): the
+	 * renewal wrote the same value, the store kept its version, and the other VM took it
+	 * for lapsed.
+	 */
+	@Test
+	void renewalIsSeenInAStoreThatGivesNoVersionToAWriteThatChangesNothing() {
+		List<Integer> holders = new ArrayList<>();
+		for (long now = 0; now < TimeUnit.SECONDS.toNanos(60); now += STEP_NANOS) {
+			for (LeaseKeeper keeper : this.keepers) {
+				step(keeper, now);
+			}
+			long instant = now;
+			holders
+				.add((int) this.keepers.stream().filter((keeper) -> keeper.fencingNumber(instant).isPresent()).count());
+		}
+		assertThat(holders).allMatch((count) -> count <= 1);
+		assertThat(this.keepers.get(0).tenure() + this.keepers.get(1).tenure()).isEqualTo(1);
+	}
+
+	private void step(LeaseKeeper keeper, long nowNanos) {
+		keeper.next(nowNanos).ifPresent((action) -> {
+			if (action instanceof OrderAction.WriteLease write) {
+				write(keeper, write, nowNanos);
+				return;
+			}
+			keeper.read(this.stored, nowNanos);
+		});
+	}
+
+	private void write(LeaseKeeper keeper, OrderAction.WriteLease write, long nowNanos) {
+		boolean fits = this.stored.isPresent() ? write.expectedVersion().orElse(-1) == this.stored.get().version()
+				: write.expectedVersion().isEmpty();
+		if (!fits) {
+			keeper.writeFailed(StoreError.CONFLICT, nowNanos);
+			return;
+		}
+		long version = this.stored.map(StoredObject::version).orElse(0L);
+		boolean changes = this.stored.map(StoredObject::value).filter(write.value()::equals).isEmpty();
+		this.stored = Optional.of(new StoredObject("lease", changes ? version + 1 : version, write.value()));
+		keeper.written(this.stored.get(), nowNanos);
+	}
+
+}
--- a/router/src/test/java/org/burdocktray/process/order/OrderHolderTests.java
+++ b/router/src/test/java/org/burdocktray/process/order/OrderHolderTests.java
@@ -80,7 +80,7 @@
 	}
 
 	private static StoredObject stored(String holder) {
-		return new StoredObject("lease", 7, OrderLease.value(holder, SETTINGS.ttlMillis()));
+		return new StoredObject("lease", 7, OrderLease.value(holder, SETTINGS.ttlMillis(), 1));
 	}
 
 	private static OrderTarget target(String name) {
--- a/router/src/test/java/org/burdocktray/process/placement/LayerPlacementTests.java
+++ b/router/src/test/java/org/burdocktray/process/placement/LayerPlacementTests.java
@@ -28,14 +28,14 @@
 	void engineThatHoldsLayersKeepsThem() {
 		List<Replica> engines = List.of(TestReplicas.engine("a", "ghent", "fast", 0, 5),
 				TestReplicas.engine("b", "ghent", "fast", 5, 10));
-		assertThat(LayerPlacement.changes(engines, TestReplicas.PROFILE)).isEmpty();
+		assertThat(changes(engines, TestReplicas.PROFILE)).isEmpty();
 	}
 
 	@Test
 	void emptyEngineIsGivenTheLayersThatNobodyHolds() {
 		List<Replica> engines = List.of(TestReplicas.engine("a", "ghent", "fast", 0, 5),
 				TestReplicas.engine("b", "ghent", "fast", 0, 5), empty("new", "fast"));
-		LayerRange given = LayerPlacement.changes(engines, TestReplicas.PROFILE).get("new");
+		LayerRange given = changes(engines, TestReplicas.PROFILE).get("new");
 		assertThat(given.from()).isLessThanOrEqualTo(5);
 		assertThat(given.to()).isEqualTo(10);
 	}
@@ -44,7 +44,7 @@
 	void redundantEngineIsMovedToALostRange() {
 		List<Replica> engines = List.of(TestReplicas.engine("a", "ghent", "fast", 0, 5),
 				TestReplicas.engine("b", "ghent", "fast", 0, 5));
-		Map<String, LayerRange> changes = LayerPlacement.changes(engines, TestReplicas.PROFILE);
+		Map<String, LayerRange> changes = changes(engines, TestReplicas.PROFILE);
 		assertThat(changes).hasSize(1);
 		assertThat(covered(after(engines, TestReplicas.PROFILE), TestReplicas.PROFILE)).isTrue();
 	}
@@ -60,8 +60,8 @@
 				String kind = "k" + random.nextInt(profile.kinds().size());
 				engines.add(randomEngine("e" + index, kind, profile, random));
 			}
-			Map<String, LayerRange> changes = LayerPlacement.changes(engines, profile);
-			assertThat(LayerPlacement.changes(engines, profile)).isEqualTo(changes);
+			Map<String, LayerRange> changes = changes(engines, profile);
+			assertThat(changes(engines, profile)).isEqualTo(changes);
 			changes.forEach((id, layers) -> {
 				Replica engine = engines.stream()
 					.filter((candidate) -> candidate.id().equals(id))
@@ -97,8 +97,36 @@
 			.isTrue();
 	}
 
+	@Test
+	void newEngineTakesTheVeryLayersThatItsPredecessorLeft() {
+		List<Replica> engines = List.of(TestReplicas.engine("a", "ghent", "fast", 0, 5),
+				TestReplicas.engine("b", "ghent", "fast", 5, 10), TestReplicas.engine("c", "ghent", "slow", 0, 3),
+				TestReplicas.engine("d", "ghent", "slow", 6, 10), empty("new", "slow"));
+		assertThat(changes(engines, TestReplicas.PROFILE)).containsOnly(Map.entry("new", new LayerRange(3, 6)));
+	}
+
+	@Test
+	void newEngineWaitsForTheOneThatItMayReplace() {
+		List<Replica> engines = List.of(TestReplicas.engine("a", "ghent", "fast", 0, 5),
+				TestReplicas.engine("b", "ghent", "fast", 5, 10), empty("new", "fast"));
+		assertThat(LayerPlacement.changes(engines, TestReplicas.PROFILE, (engine) -> false)).isEmpty();
+		assertThat(LayerPlacement.changes(engines, TestReplicas.PROFILE, (engine) -> true)).containsOnlyKeys("new");
+	}
+
+	@Test
+	void engineIsNotMovedWhileAllLayersAreHeld() {
+		List<Replica> engines = List.of(TestReplicas.engine("a", "ghent", "fast", 0, 5),
+				TestReplicas.engine("b", "ghent", "fast", 0, 5), TestReplicas.engine("c", "ghent", "fast", 0, 5),
+				TestReplicas.engine("d", "ghent", "fast", 5, 10));
+		assertThat(changes(engines, TestReplicas.PROFILE)).isEmpty();
+	}
+
+	private static Map<String, LayerRange> changes(List<Replica> engines, EngineProfile profile) {
+		return LayerPlacement.changes(engines, profile, (engine) -> true);
+	}
+
 	private static List<Replica> after(List<Replica> engines, EngineProfile profile) {
-		Map<String, LayerRange> changes = LayerPlacement.changes(engines, profile);
+		Map<String, LayerRange> changes = changes(engines, profile);
 		return engines.stream()
 			.map((engine) -> engine.withLayers(Optional.ofNullable(changes.get(engine.id())).or(engine::layers)))
 			.toList();
