--- a/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayServer.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayServer.java
@@ -203,6 +203,14 @@
 		return !this.stopping && this.rules.current().isPresent() && this.freshness.isFresh(Moment.now());
 	}
 
+	/**
+	 * Closes everything at once.
+	 * @return completes when nothing is open
+	 */
+	public Future<Void> close() {
+		return this.vertx.close();
+	}
+
 	/**
 	 * Stops in order: leaves the balancer's rotation, ends what is in progress, and
 	 * closes all connections within the grace period.
--- /dev/null
+++ b/standins/src/main/java/org/burdocktray/standins/gateway/ObjectApiStandIn.java
@@ -0,0 +1,212 @@
+package org.burdocktray.standins.gateway;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+import io.vertx.core.json.Json;
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import io.vertx.ext.web.Router;
+import io.vertx.ext.web.RoutingContext;
+import org.burdocktray.standins.HttpStandIn;
+
+/**
+ * The platform's metadata store: objects by kind and name under one revision counter,
+ * conditional writes and waiting watches. A write that changes nothing gives no new
+ * revision. Thread safety: see {@link HttpStandIn}.
+ */
+public final class ObjectApiStandIn extends HttpStandIn {
+
+	private static final int POLL_MILLIS = 10;
+
+	private static final int NOT_FOUND = 404;
+
+	private static final int CONFLICT = 409;
+
+	private static final int GONE = 410;
+
+	private static final int UNAVAILABLE = 503;
+
+	private final Map<String, Map<String, JsonObject>> kinds = new TreeMap<>();
+
+	private final List<JsonObject> history = new ArrayList<>();
+
+	private long revision = 1;
+
+	private long forgottenUpTo;
+
+	private volatile boolean away;
+
+	private volatile boolean losingWrites;
+
+	/**
+	 * Writes an object as an operator or a replica does.
+	 * @param kind its kind
+	 * @param name its name
+	 * @param spec what it says, as JSON
+	 */
+	public void put(String kind, String name, String spec) {
+		onEventLoop(() -> store(kind, name, Json.decodeValue(spec)));
+	}
+
+	/**
+	 * Removes an object.
+	 * @param kind its kind
+	 * @param name its name
+	 */
+	public void remove(String kind, String name) {
+		onEventLoop(() -> {
+			JsonObject removed = objects(kind).remove(name);
+			if (removed != null) {
+				this.history.add(event(kind, removed, ++this.revision, true));
+			}
+		});
+	}
+
+	/**
+	 * Turns all calls away, or serves again.
+	 * @param isAway whether calls get 503
+	 */
+	public void setAway(boolean isAway) {
+		this.away = isAway;
+	}
+
+	/**
+	 * Carries out writes without answering them, or answers again.
+	 * @param isLosing whether the answers of writes are lost
+	 */
+	public void setLosingWrites(boolean isLosing) {
+		this.losingWrites = isLosing;
+	}
+
+	/** Drops the history, so that watches from before get 410. */
+	public void forgetHistory() {
+		onEventLoop(() -> this.forgottenUpTo = this.revision);
+	}
+
+	@Override
+	protected void addRoutes(Router router) {
+		router.route().handler((context) -> {
+			if (this.away) {
+				answerEmpty(context, UNAVAILABLE);
+				return;
+			}
+			context.next();
+		});
+		router.get("/objects/:kind").handler(this::listOrWatch);
+		router.get("/objects/:kind/:name").handler(this::read);
+		router.post("/objects/:kind").handler(this::create);
+		router.put("/objects/:kind/:name").handler(this::replace);
+	}
+
+	private void listOrWatch(RoutingContext context) {
+		String watch = context.request().getParam("watch");
+		if (watch == null) {
+			JsonArray items = new JsonArray(new ArrayList<>(objects(context.pathParam("kind")).values()));
+			send(context, 200,
+					new JsonObject().put("items", items).put("hasMore", false).put("currentRev", this.revision));
+			return;
+		}
+		long waitMillis = Long.parseLong(context.request().getParam("waitMs"));
+		watch(context, context.pathParam("kind"), Long.parseLong(watch), waitMillis);
+	}
+
+	private void watch(RoutingContext context, String kind, long after, long waitMillis) {
+		if (this.away) {
+			drop(context);
+			return;
+		}
+		if (after < this.forgottenUpTo) {
+			send(context, GONE, new JsonObject().put("currentRev", this.revision));
+			return;
+		}
+		JsonArray events = new JsonArray();
+		this.history.stream()
+			.filter((event) -> event.getString("kind").equals(kind) && event.getLong("at") > after)
+			.map((event) -> event.getJsonObject("event"))
+			.forEach(events::add);
+		if (events.isEmpty() && waitMillis > 0) {
+			after(POLL_MILLIS, () -> watch(context, kind, after, waitMillis - POLL_MILLIS));
+			return;
+		}
+		send(context, 200, new JsonObject().put("events", events).put("currentRev", this.revision));
+	}
+
+	private void read(RoutingContext context) {
+		JsonObject object = objects(context.pathParam("kind")).get(context.pathParam("name"));
+		if (object == null) {
+			answerEmpty(context, NOT_FOUND);
+			return;
+		}
+		send(context, 200, object);
+	}
+
+	private void create(RoutingContext context) {
+		JsonObject body = context.body().asJsonObject();
+		String name = body.getJsonObject("metadata").getString("name");
+		JsonObject present = objects(context.pathParam("kind")).get(name);
+		if (present != null) {
+			send(context, CONFLICT, present);
+			return;
+		}
+		written(context, store(context.pathParam("kind"), name, body.getValue("spec")));
+	}
+
+	private void replace(RoutingContext context) {
+		JsonObject body = context.body().asJsonObject();
+		JsonObject present = objects(context.pathParam("kind")).get(context.pathParam("name"));
+		if (present == null) {
+			answerEmpty(context, NOT_FOUND);
+			return;
+		}
+		Long expected = body.getJsonObject("metadata").getLong("revision");
+		if (expected != null && !expected.equals(present.getJsonObject("metadata").getLong("revision"))) {
+			send(context, CONFLICT, present);
+			return;
+		}
+		written(context, store(context.pathParam("kind"), context.pathParam("name"), body.getValue("spec")));
+	}
+
+	private void written(RoutingContext context, JsonObject object) {
+		if (this.losingWrites) {
+			drop(context);
+			return;
+		}
+		send(context, 200, object);
+	}
+
+	private JsonObject store(String kind, String name, Object spec) {
+		JsonObject present = objects(kind).get(name);
+		if (present != null && present.getValue("spec").equals(spec)) {
+			return present;
+		}
+		JsonObject object = new JsonObject()
+			.put("metadata", new JsonObject().put("name", name).put("revision", ++this.revision))
+			.put("spec", spec);
+		objects(kind).put(name, object);
+		this.history.add(event(kind, object, this.revision, false));
+		return object;
+	}
+
+	private Map<String, JsonObject> objects(String kind) {
+		return this.kinds.computeIfAbsent(kind, (any) -> new TreeMap<>());
+	}
+
+	private static JsonObject event(String kind, JsonObject object, long revision, boolean isRemoval) {
+		return new JsonObject().put("kind", kind)
+			.put("at", revision)
+			.put("event", new JsonObject().put("tombstone", isRemoval).put("object", object));
+	}
+
+	private static void send(RoutingContext context, int statusCode, JsonObject body) {
+		if (!context.response().ended() && !context.response().closed()) {
+			context.response()
+				.setStatusCode(statusCode)
+				.putHeader("Content-Type", "application/json")
+				.end(body.encode());
+		}
+	}
+
+}
--- /dev/null
+++ b/standins/src/main/java/org/burdocktray/standins/gateway/PlainReplicaStandIn.java
@@ -0,0 +1,107 @@
+package org.burdocktray.standins.gateway;
+
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+
+import io.vertx.core.json.JsonObject;
+import io.vertx.ext.web.Router;
+import io.vertx.ext.web.RoutingContext;
+import org.burdocktray.standins.HttpStandIn;
+
+/**
+ * A replica of a plain service. Thread safety: see {@link HttpStandIn}.
+ */
+public final class PlainReplicaStandIn extends HttpStandIn {
+
+	private final String id;
+
+	private final List<String> ran = new CopyOnWriteArrayList<>();
+
+	private volatile Behaviour behaviour = Behaviour.ANSWER;
+
+	/**
+	 * Creates a replica.
+	 * @param id its id
+	 */
+	public PlainReplicaStandIn(String id) {
+		this.id = id;
+	}
+
+	/**
+	 * Sets what becomes of the next requests.
+	 * @param next the behaviour
+	 */
+	public void behave(Behaviour next) {
+		this.behaviour = next;
+	}
+
+	/**
+	 * Returns the ids of the requests that ran, in their order.
+	 * @return the ids
+	 */
+	public List<String> ran() {
+		return this.ran;
+	}
+
+	/**
+	 * Returns what the replica registers in the store.
+	 * @param service its service
+	 * @param zone where it runs
+	 * @param state its state
+	 * @return the entry as JSON
+	 */
+	public String entry(String service, String zone, String state) {
+		return new JsonObject().put("service", service)
+			.put("address", address())
+			.put("zone", zone)
+			.put("slots", 8)
+			.put("state", state)
+			.put("sequence", 1)
+			.put("born", 1)
+			.encode();
+	}
+
+	@Override
+	protected void addRoutes(Router router) {
+		router.route().handler(this::run);
+	}
+
+	private void run(RoutingContext context) {
+		if (this.behaviour == Behaviour.REJECT) {
+			context.response().setStatusCode(503).putHeader("X-Burdocktray-Not-Executed", "1").end();
+			return;
+		}
+		String requestId = context.request().getHeader("X-Burdocktray-Request-Id");
+		this.ran.add(requestId);
+		if (this.behaviour == Behaviour.LOSE_ANSWER) {
+			drop(context);
+			return;
+		}
+		String answeredId = (this.behaviour == Behaviour.ANSWER_ANOTHER) ? "another" : requestId;
+		context.response()
+			.setStatusCode(200)
+			.putHeader("X-Burdocktray-Request-Id", answeredId)
+			.putHeader("X-Burdocktray-Response-Signature", "signed-by-" + this.id)
+			.end("ran at " + this.id + " for " + context.request().getHeader("X-Burdocktray-Tenant"));
+	}
+
+	/**
+	 * What becomes of a request.
+	 */
+	public enum Behaviour {
+
+		/** It is run and answered. */
+		ANSWER,
+
+		/** It is turned away without being run. */
+		REJECT,
+
+		/** It is run, and the connection is closed without an answer. */
+		LOSE_ANSWER,
+
+		/** It is run, and the answer to another request is sent. */
+		ANSWER_ANOTHER
+
+	}
+
+}
