Let one VM of a data centre ask each engine for its load and tell the others

Now the VM with the highest rendezvous hash asks every 0.5 s and tells the others in datagrams; who hears nothing asks itself.

--- a/router/src/main/java/org/burdocktray/process/directory/ReplicaDirectory.java
+++ b/router/src/main/java/org/burdocktray/process/directory/ReplicaDirectory.java
@@ -140,6 +140,15 @@
 		return entry != null && !entry.draining() && entry.isSameStart(replica);
 	}
 
+	/**
+	 * Finds a replica by its id.
+	 * @param id the id
+	 * @return the replica, empty when it isn't listed
+	 */
+	public Optional<Replica> byId(String id) {
+		return Optional.ofNullable(this.entries.get(id));
+	}
+
 	/**
 	 * Finds the replica at an address.
 	 * @param address the address
--- a/router/src/main/java/org/burdocktray/process/directory/ReplicaLoads.java
+++ b/router/src/main/java/org/burdocktray/process/directory/ReplicaLoads.java
@@ -1,5 +1,7 @@
 package org.burdocktray.process.directory;
 
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -17,6 +19,9 @@
 
 	private static final long FIRST_REJECTION_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
+	/** A request that was sent longer ago than this shows in a report that comes now. */
+	private static final long REPORT_AGE_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
 	private static final int MAX_DOUBLINGS = 4;
 
 	private final Map<String, State> states = new HashMap<>();
@@ -25,12 +30,13 @@
 	 * Notes that a request was sent.
 	 * @param replica the replica
 	 * @param tokenLayers the KV cache that the request takes there
+	 * @param nowNanos the time
 	 */
-	public void sent(Replica replica, long tokenLayers) {
+	public void sent(Replica replica, long tokenLayers, long nowNanos) {
 		State state = state(replica);
 		state.inFlight++;
 		state.ownTokenLayers += tokenLayers;
-		state.sentSinceReport += tokenLayers;
+		state.recent.addLast(new Sent(nowNanos, tokenLayers));
 	}
 
 	/**
@@ -42,17 +48,24 @@
 		State state = state(replica);
 		state.inFlight = Math.max(0, state.inFlight - 1);
 		state.ownTokenLayers = Math.max(0, state.ownTokenLayers - tokenLayers);
+		state.recent.stream()
+			.filter((sent) -> sent.tokenLayers() == tokenLayers)
+			.findFirst()
+			.ifPresent(state.recent::remove);
 	}
 
 	/**
 	 * Takes in a report.
 	 * @param replica the replica
 	 * @param report the report
+	 * @param nowNanos the time
 	 */
-	public void reported(Replica replica, LoadReport report) {
+	public void reported(Replica replica, LoadReport report, long nowNanos) {
 		State state = state(replica);
 		state.report = Optional.of(report);
-		state.sentSinceReport = 0;
+		while (!state.recent.isEmpty() && nowNanos - state.recent.peekFirst().atNanos() > REPORT_AGE_NANOS) {
+			state.recent.removeFirst();
+		}
 	}
 
 	/**
@@ -137,7 +150,7 @@
 	public long kvUsed(Replica replica) {
 		State state = state(replica);
 		long reported = state.report.map(LoadReport::kvUsed).orElse(0L);
-		return Math.max(state.ownTokenLayers, reported + state.sentSinceReport);
+		return Math.max(state.ownTokenLayers, reported + state.recent.stream().mapToLong(Sent::tokenLayers).sum());
 	}
 
 	/**
@@ -174,7 +187,7 @@
 
 		private long ownTokenLayers;
 
-		private long sentSinceReport;
+		private final Deque<Sent> recent = new ArrayDeque<>();
 
 		private Optional<LoadReport> report = Optional.empty();
 
@@ -192,4 +205,8 @@
 
 	}
 
+	private record Sent(long atNanos, long tokenLayers) {
+
+	}
+
 }
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/EngineMonitor.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/EngineMonitor.java
@@ -1,40 +1,35 @@
 package org.burdocktray.process.serve.gateway;
 
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
 
 import io.reactivex.rxjava3.core.Single;
 import io.vavr.control.Either;
-import org.burdocktray.model.DataCentre;
 import org.burdocktray.process.directory.LoadReport;
 import org.burdocktray.process.directory.Replica;
 import org.burdocktray.process.directory.ReplicaLoads;
+import org.burdocktray.process.directory.ReportDuty;
 import org.jboss.logging.Logger;
 
 /**
- * Asks engines for their load, those of this data centre more often than others. Calls to
- * one engine that overlap become one. Thread safety: none, confined to one event loop.
+ * Asks engines for their load as {@link ReportDuty} decides. Calls to one engine that
+ * overlap become one. Thread safety: none, confined to one event loop.
  */
 final class EngineMonitor {
 
 	private static final Logger LOGGER = Logger.getLogger(EngineMonitor.class);
 
-	private static final long LOCAL_PERIOD_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
-
-	private static final long REMOTE_PERIOD_NANOS = TimeUnit.SECONDS.toNanos(6);
-
-	private static final long AVOIDED_PERIOD_NANOS = TimeUnit.SECONDS.toNanos(1);
-
 	/** How long an answer serves others who ask. */
 	private static final long REUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
 
 	/** How long an engine that did not answer is avoided. */
 	static final long SILENT_NANOS = TimeUnit.SECONDS.toNanos(2);
 
-	private final DataCentre here;
+	private final ReportDuty duty;
 
 	private final ReplicaControl control;
 
@@ -42,39 +37,43 @@
 
 	private final Map<String, Single<Either<String, LoadReport>>> inProgress = new HashMap<>();
 
-	private final Map<String, Long> askedNanos = new HashMap<>();
-
 	private final Map<String, Answer> lastAnswers = new HashMap<>();
 
-	EngineMonitor(DataCentre here, ReplicaControl control, ReplicaLoads loads) {
-		this.here = here;
+	private BiConsumer<Replica, Either<String, LoadReport>> onAnswer = (engine, answer) -> {
+	};
+
+	EngineMonitor(ReportDuty duty, ReplicaControl control, ReplicaLoads loads) {
+		this.duty = duty;
 		this.control = control;
 		this.loads = loads;
 	}
 
 	/**
-	 * Asks the engines whose report is old.
+	 * Sets who is told of engines' answers.
+	 * @param listener takes an engine and its answer
+	 */
+	void onAnswer(BiConsumer<Replica, Either<String, LoadReport>> listener) {
+		this.onAnswer = listener;
+	}
+
+	/**
+	 * Asks the engines whose report is due from this VM.
 	 * @param engines the engines that get work
 	 * @param nowNanos the time
 	 */
 	void tick(List<Replica> engines, long nowNanos) {
-		for (Replica engine : new ArrayList<>(engines)) {
-			if (engine.layers().isEmpty()) {
-				continue;
-			}
-			long period = period(engine, nowNanos);
-			Long asked = this.askedNanos.get(engine.id());
-			if (asked == null || nowNanos - asked > period) {
-				ask(engine).subscribe();
-			}
-		}
+		this.duty.due(engines, nowNanos).forEach((engine) -> ask(engine).subscribe());
 	}
 
-	private long period(Replica engine, long nowNanos) {
-		if (this.loads.isAvoided(engine, nowNanos)) {
-			return AVOIDED_PERIOD_NANOS;
-		}
-		return engine.dataCentre().equals(this.here) ? LOCAL_PERIOD_NANOS : REMOTE_PERIOD_NANOS;
+	/**
+	 * Takes in what another VM heard of an engine.
+	 * @param engine the engine
+	 * @param report its report, empty when it gave none
+	 */
+	void heard(Replica engine, Optional<LoadReport> report) {
+		this.duty.known(engine.id(), System.nanoTime());
+		report.ifPresentOrElse((load) -> this.loads.reported(engine, load, System.nanoTime()),
+				() -> this.loads.avoid(engine, System.nanoTime() + SILENT_NANOS));
 	}
 
 	/**
@@ -91,7 +90,7 @@
 		if (last != null && System.nanoTime() - last.atNanos() < REUSE_NANOS) {
 			return Single.just(last.answer());
 		}
-		this.askedNanos.put(engine.id(), System.nanoTime());
+		this.duty.known(engine.id(), System.nanoTime());
 		Single<Either<String, LoadReport>> call = this.control.report(engine)
 			.doOnSuccess((answer) -> answered(engine, answer))
 			.cache();
@@ -102,7 +101,8 @@
 	private void answered(Replica engine, Either<String, LoadReport> answer) {
 		this.inProgress.remove(engine.id());
 		this.lastAnswers.put(engine.id(), new Answer(answer, System.nanoTime()));
-		answer.peek((report) -> this.loads.reported(engine, report)).peekLeft((fault) -> {
+		this.onAnswer.accept(engine, answer);
+		answer.peek((report) -> this.loads.reported(engine, report, System.nanoTime())).peekLeft((fault) -> {
 			LOGGER.infof("Engine gave no report: replica=%s fault=%s", engine.id(), fault);
 			this.loads.avoid(engine, System.nanoTime() + SILENT_NANOS);
 		});
--- /dev/null
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/FleetRegistry.java
@@ -0,0 +1,107 @@
+package org.burdocktray.process.serve.gateway;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.json.DecodeException;
+import io.vertx.core.json.JsonObject;
+import org.burdocktray.connection.platform.PlatformStore;
+import org.burdocktray.connection.platform.StoreError;
+import org.burdocktray.connection.platform.StoredObject;
+import org.burdocktray.model.DataCentre;
+import org.burdocktray.model.NetworkAddress;
+import org.jboss.logging.Logger;
+
+/**
+ * Registers this VM in the platform's store and lists the VMs that have registered. VMs
+ * that are gone stay listed, so that their number is never too low. Thread safety: none,
+ * confined to one event loop.
+ */
+final class FleetRegistry {
+
+	private static final Logger LOGGER = Logger.getLogger(FleetRegistry.class);
+
+	private static final String PREFIX = "burdocktray-vms/";
+
+	private static final String DATA_CENTRE = "dataCentre";
+
+	private static final String ADDRESS = "address";
+
+	private static final long FIRST_PERIOD_MILLIS = 1_000;
+
+	private static final long MAX_PERIOD_MILLIS = 16_000;
+
+	private final Vertx vertx;
+
+	private final PlatformStore store;
+
+	private final RegisteredVm own;
+
+	private final Consumer<List<RegisteredVm>> listener;
+
+	private long periodMillis = FIRST_PERIOD_MILLIS;
+
+	FleetRegistry(Vertx vertx, PlatformStore store, RegisteredVm own, Consumer<List<RegisteredVm>> listener) {
+		this.vertx = vertx;
+		this.store = store;
+		this.own = own;
+		this.listener = listener;
+	}
+
+	void start() {
+		String value = new JsonObject().put(DATA_CENTRE, this.own.dataCentre().name())
+			.put(ADDRESS, this.own.address().map(NetworkAddress::toString).orElse(""))
+			.encode();
+		this.store.create(PREFIX + this.own.name(), value).subscribe((result) -> {
+			boolean isRegistered = result.isRight() || result.getLeft() == StoreError.CONFLICT;
+			if (!isRegistered) {
+				LOGGER.warnf("VM could not register, will try again: error=%s", result.getLeft());
+			}
+			this.vertx.setTimer(FIRST_PERIOD_MILLIS, (timer) -> {
+				if (isRegistered) {
+					list();
+				}
+				else {
+					start();
+				}
+			});
+		});
+	}
+
+	private void list() {
+		this.store.list(PREFIX).subscribe((listed) -> {
+			listed.peek((objects) -> this.listener.accept(objects.stream().map(FleetRegistry::decode).toList()))
+				.peekLeft((error) -> LOGGER.infof("VMs could not be listed: error=%s", error));
+			this.vertx.setTimer(this.periodMillis, (timer) -> list());
+			this.periodMillis = listed.isRight() ? Math.min(MAX_PERIOD_MILLIS, 2 * this.periodMillis)
+					: FIRST_PERIOD_MILLIS;
+		});
+	}
+
+	private static RegisteredVm decode(StoredObject object) {
+		String name = object.key().substring(PREFIX.length());
+		try {
+			JsonObject value = new JsonObject(object.value());
+			Optional<NetworkAddress> address = NetworkAddress.parse(value.getString(ADDRESS, ""));
+			return new RegisteredVm(name, new DataCentre(value.getString(DATA_CENTRE, "")), address);
+		}
+		catch (DecodeException | ClassCastException ex) {
+			LOGGER.warnf("VM entry cannot be read, the VM is only counted: vm=%s cause=%s", name, ex.getMessage());
+			return new RegisteredVm(name, new DataCentre(""), Optional.empty());
+		}
+	}
+
+	/**
+	 * A VM that has registered. Thread safety: immutable.
+	 *
+	 * @param name its name
+	 * @param dataCentre where it runs
+	 * @param address where it hears other VMs, empty when its entry can't be read
+	 */
+	record RegisteredVm(String name, DataCentre dataCentre, Optional<NetworkAddress> address) {
+
+	}
+
+}
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayServer.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayServer.java
@@ -2,6 +2,7 @@
 
 import java.util.Collection;
 import java.util.List;
+import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 
@@ -18,6 +19,7 @@
 import org.burdocktray.process.directory.Replica;
 import org.burdocktray.process.directory.ReplicaDirectory;
 import org.burdocktray.process.directory.ReplicaLoads;
+import org.burdocktray.process.directory.ReportDuty;
 import org.burdocktray.process.freshness.RulesFreshness;
 import org.burdocktray.process.freshness.RulesFreshness.Moment;
 import org.burdocktray.process.limits.FleetRetryBudget;
@@ -45,6 +47,8 @@
 
 	private static final long TICK_MILLIS = 50;
 
+	private static final long SHARE_MILLIS = 200;
+
 	private static final long LAPSE_GRACE_NANOS = TimeUnit.MILLISECONDS.toNanos(1_900);
 
 	private static final double FRESH_SHARE = 0.88;
@@ -115,7 +119,8 @@
 		ReplicaLoads loads = new ReplicaLoads();
 		SplittableRandom random = new SplittableRandom(
 				this.settings.vmName().hashCode() * 31L + System.currentTimeMillis());
-		EngineMonitor monitor = new EngineMonitor(this.settings.dataCentre(), this.adapter.control(), loads);
+		ReportDuty duty = new ReportDuty(this.settings.vmName(), this.settings.dataCentre());
+		EngineMonitor monitor = new EngineMonitor(duty, this.adapter.control(), loads);
 		GatewaySettings.Bounds bounds = this.settings.bounds();
 		FleetRetryBudget budget = new FleetRetryBudget(bounds.retryRatio(), bounds.retryExtra(),
 				TimeUnit.MILLISECONDS.toNanos(bounds.retryWindowMillis()), nowNanos);
@@ -127,10 +132,25 @@
 		LeaseLoop lease = new LeaseLoop(this.adapter.store(), LEASE_KEY,
 				this.settings.vmName() + "/" + System.currentTimeMillis(), LEASE_TIMES, nowNanos);
 		PlacementLoop placement = new PlacementLoop(this.rules, this.directory, this.adapter.control(), lease);
-		FleetSize fleetSize = new FleetSize(this.vertx, this.adapter.store(), this.settings.vmName(),
-				budget::fleetSize);
+		LoadSharing sharing = new LoadSharing(this.vertx, this.settings.peerAddress(),
+				(id, bornMillis, report) -> this.directory.byId(id)
+					.filter((engine) -> engine.bornMillis() == bornMillis)
+					.ifPresent((engine) -> monitor.heard(engine, report)));
+		monitor.onAnswer(sharing::note);
+		FleetRegistry registry = new FleetRegistry(this.vertx, this.adapter.store(),
+				new FleetRegistry.RegisteredVm(this.settings.vmName(), this.settings.dataCentre(),
+						Optional.of(this.settings.peerAddress())),
+				(vms) -> {
+					budget.fleetSize(vms.size());
+					List<FleetRegistry.RegisteredVm> near = vms.stream()
+						.filter((vm) -> vm.dataCentre().equals(this.settings.dataCentre()))
+						.toList();
+					duty.vms(near.stream().map(FleetRegistry.RegisteredVm::name).toList());
+					sharing.peers(near.stream().flatMap((vm) -> vm.address().stream()).toList());
+				});
 		follow();
-		fleetSize.start();
+		registry.start();
+		this.vertx.setPeriodic(SHARE_MILLIS, (timer) -> sharing.flush());
 		this.vertx.setPeriodic(TICK_MILLIS, (timer) -> {
 			long tickNanos = System.nanoTime();
 			this.directory.tick(tickNanos);
@@ -139,7 +159,7 @@
 			this.underWay.tick(tickNanos);
 			this.metrics.inProgress(this.underWay.count());
 		});
-		return listen(front);
+		return sharing.start().compose((listening) -> listen(front));
 	}
 
 	private void follow() {
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/GatewaySettings.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/GatewaySettings.java
@@ -12,13 +12,14 @@
  * @param dataCentre where the VM runs
  * @param callerAddress where callers connect
  * @param readinessAddress where the balancer asks whether this VM takes requests
+ * @param peerAddress where this VM hears the others of its data centre
  * @param metricsAddress where metrics are served
  * @param platformAddress the platform's store
  * @param bounds the times and amounts that the platform promises or asks for
  */
 public record GatewaySettings(String vmName, DataCentre dataCentre, NetworkAddress callerAddress,
-		NetworkAddress readinessAddress, Optional<NetworkAddress> metricsAddress, NetworkAddress platformAddress,
-		Bounds bounds) {
+		NetworkAddress readinessAddress, NetworkAddress peerAddress, Optional<NetworkAddress> metricsAddress,
+		NetworkAddress platformAddress, Bounds bounds) {
 
 	/**
 	 * Returns these settings with an address for metrics.
@@ -27,7 +28,7 @@
 	 */
 	public GatewaySettings withMetricsAddress(NetworkAddress address) {
 		return new GatewaySettings(this.vmName, this.dataCentre, this.callerAddress, this.readinessAddress,
-				Optional.of(address), this.platformAddress, this.bounds);
+				this.peerAddress, Optional.of(address), this.platformAddress, this.bounds);
 	}
 
 	/**
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/Target.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/Target.java
@@ -18,11 +18,12 @@
 record Target(Replica replica, Optional<LayerPath> path, int tokens) {
 
 	void countIn(ReplicaLoads loads) {
+		long nowNanos = System.nanoTime();
 		if (this.path.isEmpty()) {
-			loads.sent(this.replica, 0);
+			loads.sent(this.replica, 0, nowNanos);
 			return;
 		}
-		parts().forEach((part) -> loads.sent(part.replica(), tokenLayers(part)));
+		parts().forEach((part) -> loads.sent(part.replica(), tokenLayers(part), nowNanos));
 	}
 
 	void countOut(ReplicaLoads loads) {
--- a/router/src/test/java/org/burdocktray/process/directory/ReplicaLoadsTests.java
+++ b/router/src/test/java/org/burdocktray/process/directory/ReplicaLoadsTests.java
@@ -15,15 +15,15 @@
 
 	@Test
 	void addsWhatWasSentSinceTheReport() {
-		this.loads.reported(this.engine, TestReplicas.report(0, false, 1_000));
-		this.loads.sent(this.engine, 500);
+		this.loads.reported(this.engine, TestReplicas.report(0, false, 1_000), 0);
+		this.loads.sent(this.engine, 500, 0);
 		assertThat(this.loads.kvUsed(this.engine)).isEqualTo(1_500);
 	}
 
 	@Test
 	void ownRequestsCountEvenWhenTheReportIsOlder() {
-		this.loads.sent(this.engine, 500);
-		this.loads.reported(this.engine, TestReplicas.report(0, false, 0));
+		this.loads.sent(this.engine, 500, 0);
+		this.loads.reported(this.engine, TestReplicas.report(0, false, 0), 0);
 		assertThat(this.loads.kvUsed(this.engine)).isEqualTo(500);
 		this.loads.ended(this.engine, 500);
 		assertThat(this.loads.kvUsed(this.engine)).isZero();
@@ -42,7 +42,7 @@
 	@Test
 	void aNewStartUnderTheSameIdHasNoHistory() {
 		this.loads.avoid(this.engine, 100);
-		this.loads.sent(this.engine, 500);
+		this.loads.sent(this.engine, 500, 0);
 		Replica again = new Replica("e", 2, "s", this.engine.address(), new DataCentre("ghent"), 4, false,
 				Optional.of("fast"), this.engine.layers());
 		assertThat(this.loads.isAvoided(again, 50)).isFalse();
