--- a/router/src/main/java/org/burdocktray/process/placement/LayerPlacement.java
+++ b/router/src/main/java/org/burdocktray/process/placement/LayerPlacement.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -52,7 +51,7 @@
 		boolean isEmpty = known.stream().allMatch((engine) -> engine.layers().isEmpty());
 		Map<String, LayerRange> changes = new LinkedHashMap<>();
 		if (isEmpty) {
-			changes.putAll(chains(known, profile));
+			changes.putAll(EngineChains.split(known, profile));
 		}
 		List<Replica> held = new ArrayList<>();
 		List<Replica> spare = new ArrayList<>();
@@ -68,101 +67,6 @@
 		return changes;
 	}
 
-	// Splits empty engines into chains that hold all layers each.
-	private static Map<String, LayerRange> chains(List<Replica> engines, EngineProfile profile) {
-		List<Replica> sorted = engines.stream()
-			.sorted(Comparator.comparingDouble((Replica engine) -> kind(engine, profile).stepFactor())
-				.thenComparing(Replica::id))
-			.toList();
-		int count = sorted.size();
-		double[] best = new double[count + 1];
-		int[] previous = new int[count + 1];
-		boolean[] isChain = new boolean[count + 1];
-		for (int end = 1; end <= count; end++) {
-			best[end] = best[end - 1];
-			previous[end] = end - 1;
-			for (int start = 0; start < end; start++) {
-				double value = best[start] + chainValue(sorted.subList(start, end), profile);
-				if (value > best[end]) {
-					best[end] = value;
-					previous[end] = start;
-					isChain[end] = true;
-				}
-			}
-		}
-		Map<String, LayerRange> result = new HashMap<>();
-		int end = count;
-		while (end > 0) {
-			if (isChain[end]) {
-				result.putAll(chain(sorted.subList(previous[end], end), profile));
-			}
-			end = previous[end];
-		}
-		return result;
-	}
-
-	// Values a chain by the tokens a second that it can write: those it can keep in its
-	// cache, in requests of usual size, over the time of one token. The root makes two
-	// chains worth more than one that writes as much, since the loss of an engine breaks
-	// its chain.
-	private static double chainValue(List<Replica> engines, EngineProfile profile) {
-		double tokens = chainTokens(engines, profile);
-		double requests = Math.min(tokens / profile.usualTokens(), profile.maxSequences());
-		if (requests < MIN_REQUESTS) {
-			return 0;
-		}
-		double tokenMillis = 0;
-		double layers = 0;
-		for (Replica engine : engines) {
-			int fit = profile.layersThatFit(kind(engine, profile), tokens);
-			tokenMillis += fit * kind(engine, profile).stepFactor();
-			layers += fit;
-		}
-		double sequencesInStep = requests / engines.size();
-		double step = profile.stepMillis() + profile.sequenceMillis() * sequencesInStep
-				+ profile.contextMillis() * sequencesInStep * profile.usualTokens() / 1_000;
-		return Math.sqrt(requests / (tokenMillis / layers * step));
-	}
-
-	// The most tokens for which the engines together hold all layers.
-	private static double chainTokens(List<Replica> engines, EngineProfile profile) {
-		double low = 0;
-		double high = engines.stream().mapToDouble((engine) -> kind(engine, profile).memoryMegabytes()).sum()
-				/ profile.kvMegabytesPerTokenLayer();
-		if (fittingLayers(engines, profile, low) < profile.layers()) {
-			return 0;
-		}
-		while (high - low > 1) {
-			double middle = (low + high) / 2;
-			if (fittingLayers(engines, profile, middle) >= profile.layers()) {
-				low = middle;
-			}
-			else {
-				high = middle;
-			}
-		}
-		return low;
-	}
-
-	private static int fittingLayers(List<Replica> engines, EngineProfile profile, double tokens) {
-		return engines.stream().mapToInt((engine) -> profile.layersThatFit(kind(engine, profile), tokens)).sum();
-	}
-
-	private static Map<String, LayerRange> chain(List<Replica> engines, EngineProfile profile) {
-		double tokens = chainTokens(engines, profile);
-		Map<String, LayerRange> result = new HashMap<>();
-		int next = 0;
-		for (Replica engine : engines) {
-			int fit = profile.layersThatFit(kind(engine, profile), tokens);
-			int to = Math.min(profile.layers(), next + fit);
-			if (to > next) {
-				result.put(engine.id(), new LayerRange(next, to));
-			}
-			next = to;
-		}
-		return result;
-	}
-
 	// Gives each engine without layers those for which there is the least room.
 	private static Map<String, LayerRange> fill(List<Replica> held, List<Replica> spare, EngineProfile profile,
 			Predicate<Replica> isSettled) {
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/Attempt.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/Attempt.java
@@ -71,6 +71,10 @@
 		return this.sent;
 	}
 
+	boolean isOnEngines() {
+		return this.sent && this.target.path().isPresent();
+	}
+
 	/** Ends the attempt without a report and closes its connection. */
 	void cancel() {
 		if (finish()) {
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/ForwardExchange.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/ForwardExchange.java
@@ -3,12 +3,10 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
-import io.vavr.control.Either;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientResponse;
 import org.burdocktray.model.NetworkAddress;
 import org.burdocktray.model.Verdict;
-import org.burdocktray.process.directory.LoadReport;
 import org.burdocktray.process.directory.Replica;
 import org.burdocktray.process.freshness.RulesFreshness.Moment;
 import org.burdocktray.request.forward.AttemptOutcome;
@@ -21,7 +19,7 @@
  * one final answer; a request that may have run is not refused as not run, and is sent
  * again only if it is repeatable. Thread safety: confined to one event loop.
  */
-final class ForwardExchange implements Attempt.Listener {
+final class ForwardExchange implements Attempt.Listener, StreamRecovery.Owner {
 
 	private static final long NANOS_PER_MILLI = 1_000_000;
 
@@ -44,12 +42,6 @@
 	/** The part of a caller's patience that a stream which broke off waits for room. */
 	private static final double NEXT_WAIT_SHARE = 0.85;
 
-	/** The silence of a stream after which its first engine is asked. */
-	private static final long SILENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
-
-	/** The silence after which a stream through a dead engine takes another path. */
-	private static final long SILENCE_BEHIND_DEAD_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
-
 	private static final double ENGINE_RETRY_AFTER_SECONDS = 1;
 
 	private static final double SERVICE_RETRY_AFTER_SECONDS = 0.1;
@@ -69,6 +61,8 @@
 
 	private final TargetChoice choice;
 
+	private final StreamRecovery recovery;
+
 	private final EventFramer framer = new EventFramer();
 
 	private final long startNanos = System.nanoTime();
@@ -77,12 +71,6 @@
 
 	private Optional<HttpClientResponse> streamHead = Optional.empty();
 
-	private long progressNanos = System.nanoTime();
-
-	private long askedNanos = System.nanoTime();
-
-	private boolean changingPath;
-
 	private boolean waiting;
 
 	private boolean ended;
@@ -98,6 +86,7 @@
 		this.underWay = underWay;
 		this.state = new ForwardState(admitted.route());
 		this.choice = new TargetChoice(context, admitted.service(), admitted.head());
+		this.recovery = new StreamRecovery(context, admitted, this.choice, this);
 	}
 
 	void start() {
@@ -149,7 +138,7 @@
 
 	private void waitOrGiveUp() {
 		double share = this.answer.isBegun() ? NEXT_WAIT_SHARE : FIRST_WAIT_SHARE;
-		long since = this.answer.isBegun() ? this.progressNanos : this.startNanos;
+		long since = this.answer.isBegun() ? this.recovery.progressNanos() : this.startNanos;
 		double waitNanos = share * this.admitted.route().patienceMillis() * NANOS_PER_MILLI;
 		boolean mayWait = System.nanoTime() - since < waitNanos && (this.answer.isBegun() || this.choice.canWait());
 		if (!mayWait) {
@@ -162,10 +151,7 @@
 	private void send(Target target) {
 		this.state.sending();
 		this.framer.reset();
-		this.askedNanos = System.nanoTime();
-		if (!this.answer.isBegun()) {
-			this.progressNanos = this.askedNanos;
-		}
+		this.recovery.sending(this.answer.isBegun());
 		Optional<String> from = this.framer.lastEventId().or(this.admitted.head()::lastEventId);
 		Attempt next = new Attempt(this.context, this.admitted.request().behind(from), target, this);
 		this.attempt = Optional.of(next);
@@ -221,12 +207,12 @@
 			this.streamHead = Optional.of(head);
 			return;
 		}
-		noteProgress();
+		this.recovery.progressed();
 	}
 
 	@Override
 	public void streamGoesOn(Buffer bytes) {
-		noteProgress();
+		this.recovery.progressed();
 		byte[] events = this.framer.accept(bytes.getBytes());
 		if (events.length == 0) {
 			return;
@@ -271,7 +257,6 @@
 		RequestEvents.attemptFailed(this.admitted, target, outcome, cause, faultAddress);
 		avoid(target.replica(), outcome, faultAddress);
 		this.attempt = Optional.empty();
-		this.changingPath = false;
 		if (!this.answer.isBegun()) {
 			this.streamHead = Optional.empty();
 		}
@@ -313,38 +298,13 @@
 	}
 
 	/**
-	 * Looks whether the stream is stuck, and asks its first engine why.
+	 * Looks whether the stream is stuck.
 	 * @param nowNanos the time
 	 */
 	void checkProgress(long nowNanos) {
-		boolean isSilent = nowNanos - this.progressNanos > SILENCE_NANOS && nowNanos - this.askedNanos > SILENCE_NANOS;
-		if (this.ended || !isSilent || this.changingPath || !isOnEngines()) {
-			return;
+		if (!this.ended) {
+			this.attempt.ifPresent((running) -> this.recovery.check(running, nowNanos));
 		}
-		this.askedNanos = nowNanos;
-		Attempt asked = current();
-		this.context.monitor().ask(asked.target().replica()).subscribe((report) -> headAnswered(asked, report));
-	}
-
-	private void headAnswered(Attempt asked, Either<String, LoadReport> answer) {
-		if (!isCurrent(asked)) {
-			return;
-		}
-		if (answer.isLeft()) {
-			asked.cancel();
-			failed(AttemptOutcome.LOST, "first engine is silent: " + answer.getLeft(), Optional.empty());
-			return;
-		}
-		answer.get()
-			.stalled()
-			.stream()
-			.filter((stalled) -> this.admitted.head().requestId().equals(Optional.of(stalled.requestId())))
-			.findFirst()
-			.flatMap((stalled) -> this.context.directory().at(stalled.waitsFor()))
-			.ifPresent((engine) -> {
-				this.context.loads().avoid(engine, System.nanoTime() + AVOID_FAILED_NANOS);
-				this.underWay.engineIsDead(engine);
-			});
 	}
 
 	/**
@@ -352,46 +312,27 @@
 	 * @param engine the engine that does not answer
 	 */
 	void engineIsDead(Replica engine) {
-		boolean isSilent = System.nanoTime() - this.progressNanos > SILENCE_BEHIND_DEAD_NANOS;
-		if (this.ended || this.changingPath || !isSilent || !isOnEngines() || !current().target().contains(engine)) {
-			return;
+		if (!this.ended) {
+			this.attempt.ifPresent((running) -> this.recovery.engineIsDead(running, engine));
 		}
-		Attempt stuck = current();
-		Optional<Target> other = this.choice.behindHead(stuck.target());
-		if (other.isEmpty() || this.admitted.head().requestId().isEmpty()) {
-			resumeElsewhere(stuck, "engine " + engine.id() + " is silent");
-			return;
-		}
-		this.changingPath = true;
-		this.context.control()
-			.repath(this.admitted.head().requestId().get(), other.get().path().orElseThrow())
-			.subscribe((result) -> pathChanged(stuck, other.get(), engine, result));
 	}
 
-	private void pathChanged(Attempt stuck, Target next, Replica engine, ReplicaControl.OrderAnswer result) {
-		if (!isCurrent(stuck)) {
-			return;
-		}
-		this.changingPath = false;
-		RequestEvents.pathChanged(this.admitted, next, engine, result);
-		if (result == ReplicaControl.OrderAnswer.ACCEPTED) {
-			noteProgress();
-			stuck.moved(next);
-			return;
+	@Override
+	public void leave(Attempt stuck, String cause) {
+		if (this.state.maySendAgain()) {
+			stuck.cancel();
+			failed(AttemptOutcome.LOST, cause, Optional.empty());
 		}
-		resumeElsewhere(stuck, "path could not be changed: " + result);
 	}
 
-	private void resumeElsewhere(Attempt stuck, String cause) {
-		if (!this.state.maySendAgain()) {
-			return;
-		}
-		stuck.cancel();
-		failed(AttemptOutcome.LOST, cause, Optional.empty());
+	@Override
+	public boolean isCurrent(Attempt other) {
+		return !this.ended && this.attempt.isPresent() && this.attempt.get() == other;
 	}
 
-	private boolean isOnEngines() {
-		return this.attempt.filter(Attempt::isSent).map(Attempt::target).flatMap(Target::path).isPresent();
+	@Override
+	public void engineFound(Replica engine) {
+		this.underWay.engineIsDead(engine);
 	}
 
 	private void timeIsUp() {
@@ -451,14 +392,6 @@
 		this.underWay.remove(this);
 	}
 
-	private void noteProgress() {
-		this.progressNanos = System.nanoTime();
-	}
-
-	private boolean isCurrent(Attempt other) {
-		return !this.ended && this.attempt.isPresent() && this.attempt.get() == other;
-	}
-
 	private Attempt current() {
 		return this.attempt.orElseThrow();
 	}
