--- /dev/null
+++ b/standins/src/main/java/org/burdocktray/standins/gateway/TrainingFleet.java
@@ -0,0 +1,148 @@
+package org.burdocktray.standins.gateway;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+
+/**
+ * Sends a gateway through its usual work, so that a class-data archive can be made of the
+ * classes that it loads. Writes a settings file, waits until the gateway that is started
+ * with it is ready, sends requests, and ends. Thread safety: runs once in a process.
+ */
+public final class TrainingFleet {
+
+	private static final Duration CALL_TIMEOUT = Duration.ofSeconds(3);
+
+	private static final long READY_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(30);
+
+	private static final long POLL_MILLIS = 100;
+
+	private static final int REQUESTS = 40;
+
+	private static final int EVENTS = 10;
+
+	private final HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+
+	private TrainingFleet() {
+	}
+
+	/**
+	 * Runs the training.
+	 * @param arguments the path of the settings file to write
+	 * @throws IOException when the file can't be written or a call fails
+	 * @throws InterruptedException when the wait is interrupted
+	 */
+	public static void main(String[] arguments) throws IOException, InterruptedException {
+		System.setProperty("jdk.httpclient.allowRestrictedHeaders", "host");
+		new TrainingFleet().run(Path.of(arguments[0]));
+		System.exit(0);
+	}
+
+	private void run(Path settingsFile) throws IOException, InterruptedException {
+		ObjectApiStandIn store = new ObjectApiStandIn();
+		store.start(0);
+		LayeredFleet fleet = new LayeredFleet();
+		register(store, new LayeredEngineStandIn("head", fleet, EVENTS).join(), 0, 6, "head");
+		register(store, new LayeredEngineStandIn("tail", fleet, EVENTS).join(), 6, 10, "tail");
+		register(store, new LayeredEngineStandIn("empty", fleet, EVENTS).join(), 0, 0, "empty");
+		PlainReplicaStandIn replica = new PlainReplicaStandIn("desk-1");
+		replica.start(0);
+		store.put("servers", "desk-1", replica.entry("desk", "ghent", "ready"));
+		store.put("config", "main", resource("training-rules.json"));
+		int callerPort = freePort();
+		int readinessPort = freePort();
+		Files.writeString(settingsFile, settings(store, callerPort, readinessPort));
+		awaitReady(readinessPort);
+		for (int request = 0; request < REQUESTS; request++) {
+			send(callerPort, "/draft/" + request, "POST", "d" + request);
+			send(callerPort, "/book/" + request, "POST", "b" + request);
+			send(callerPort, "/check/" + request, "GET", "c" + request);
+			send(callerPort, "/nowhere/" + request, "GET", "n" + request);
+		}
+	}
+
+	private static void register(ObjectApiStandIn store, LayeredEngineStandIn engine, int from, int to, String id) {
+		engine.hold(from, to);
+		store.put("servers", id, engine.entry("llm", "ghent", "fast"));
+	}
+
+	private void awaitReady(int port) throws InterruptedException {
+		long endNanos = System.nanoTime() + READY_TIMEOUT_NANOS;
+		while (!isReady(port)) {
+			if (System.nanoTime() > endNanos) {
+				throw new IllegalStateException("the gateway was not ready in time");
+			}
+			TimeUnit.MILLISECONDS.sleep(POLL_MILLIS);
+		}
+	}
+
+	private boolean isReady(int port) throws InterruptedException {
+		try {
+			HttpRequest question = HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + port + "/"))
+				.timeout(CALL_TIMEOUT)
+				.build();
+			return this.client.send(question, HttpResponse.BodyHandlers.discarding()).statusCode() == 200;
+		}
+		catch (IOException ex) {
+			return false;
+		}
+	}
+
+	private void send(int port, String path, String method, String requestId) throws IOException, InterruptedException {
+		HttpRequest request = HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + port + path))
+			.method(method, HttpRequest.BodyPublishers.ofString("GET".equals(method) ? "" : "body"))
+			.header("Host", "a.example")
+			.header("X-Burdocktray-Request-Id", requestId)
+			.header("X-Burdocktray-Deadline-Ms", "2000")
+			.header("X-Burdocktray-Token-Count", "50,20")
+			.header("Authorization", "Bearer k1")
+			.timeout(CALL_TIMEOUT)
+			.build();
+		this.client.send(request, HttpResponse.BodyHandlers.ofString());
+	}
+
+	private static String settings(ObjectApiStandIn store, int callerPort, int readinessPort) throws IOException {
+		int peerPort = freePort();
+		return new JsonObject().put("nodeName", "training")
+			.put("zone", "ghent")
+			.put("ip", "127.0.0.1")
+			.put("internalPorts", new JsonArray().add(peerPort).add(peerPort))
+			.put("listen",
+					new JsonObject().put("front", "127.0.0.1:" + callerPort).put("ready", "127.0.0.1:" + readinessPort))
+			.put("bounds",
+					new JsonObject().put("revokeMs", 5_000)
+						.put("graceS", 8)
+						.put("contactMs", 3_000)
+						.put("retryBudgetRatio", 0.2)
+						.put("budgetWindowS", 10)
+						.put("budgetExtra", 100)
+						.put("stall_ms", 3_000))
+			.put("platform", new JsonObject().put("address", store.address()))
+			.encode();
+	}
+
+	private static String resource(String name) throws IOException {
+		try (InputStream stream = TrainingFleet.class.getResourceAsStream("/" + name)) {
+			return new String(stream.readAllBytes(), StandardCharsets.UTF_8);
+		}
+	}
+
+	private static int freePort() throws IOException {
+		try (ServerSocket socket = new ServerSocket(0)) {
+			return socket.getLocalPort();
+		}
+	}
+
+}
