--- a/router/src/main/java/org/burdocktray/process/serve/gateway/ForwardExchange.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/ForwardExchange.java
@@ -166,7 +166,7 @@
 		}
 		long limitMillis = (long) (CALL_TIME_SHARE * this.admitted.request().remainingMillis());
 		this.context.vertx().setTimer(Math.max(1, limitMillis), (timer) -> {
-			if (isCurrent(limited) && this.state.maySendAgain()) {
+			if (isCurrent(limited) && this.state.mayGiveUpAttempt()) {
 				limited.cancel();
 				failed(limited.isSent() ? AttemptOutcome.LOST : AttemptOutcome.NOT_SENT, "no answer in time",
 						Optional.empty());
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayServer.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayServer.java
@@ -23,8 +23,6 @@
 import org.burdocktray.process.freshness.RulesFreshness;
 import org.burdocktray.process.freshness.RulesFreshness.Moment;
 import org.burdocktray.process.limits.FleetRetryBudget;
-import org.burdocktray.process.order.LeaseLoop;
-import org.burdocktray.process.order.OrderSettings;
 import org.burdocktray.request.path.PathSearch;
 import org.burdocktray.version.rules.RulesGate;
 import org.jboss.logging.Logger;
@@ -53,15 +51,6 @@
 
 	private static final double FRESH_SHARE = 0.88;
 
-	private static final long RULES_WAIT_MILLIS = 2_000;
-
-	private static final long REPLICAS_WAIT_MILLIS = 5_000;
-
-	private static final String LEASE_KEY = "burdocktray-leases/placement";
-
-	private static final OrderSettings LEASE_TIMES = new OrderSettings(4_500, 1_500, 2_000, 2_000, 1_000, 1_000,
-			600_000);
-
 	/** How long the balancer takes to send no new connections. */
 	private static final long LEAVE_ROTATION_MILLIS = 2_500;
 
@@ -129,8 +118,7 @@
 				new ReplicaConnections(this.vertx), new PathSearch(this.settings.dataCentre(), loads, random), budget,
 				random, this.metrics);
 		GatewayFront front = new GatewayFront(context, this.underWay, () -> this.stopping, () -> this.refusing);
-		LeaseLoop lease = new LeaseLoop(this.adapter.store(), LEASE_KEY,
-				this.settings.vmName() + "/" + System.currentTimeMillis(), LEASE_TIMES, nowNanos);
+		PlacementLease lease = new PlacementLease(this.adapter.store(), this.settings.vmName());
 		PlacementLoop placement = new PlacementLoop(this.rules, this.directory, this.adapter.control(), lease);
 		LoadSharing sharing = new LoadSharing(this.vertx, this.settings.peerAddress(),
 				(id, bornMillis, report) -> this.directory.byId(id)
@@ -142,6 +130,9 @@
 						Optional.of(this.settings.peerAddress())),
 				(vms) -> {
 					budget.fleetSize(vms.size());
+					lease.vms(vms.stream().map(FleetRegistry.RegisteredVm::name).toList());
+					loads.sharingVms(
+							vms.stream().filter((vm) -> vm.dataCentre().equals(this.settings.dataCentre())).count());
 					List<FleetRegistry.RegisteredVm> near = vms.stream()
 						.filter((vm) -> vm.dataCentre().equals(this.settings.dataCentre()))
 						.toList();
@@ -163,7 +154,8 @@
 	}
 
 	private void follow() {
-		new StoreFollower(this.vertx, this.adapter.feed(), this.adapter.objects().rulesKind(), RULES_WAIT_MILLIS,
+		new StoreFollower(this.vertx, this.adapter.feed(), this.adapter.objects().rulesKind(),
+				this.settings.bounds().revocationMillis() / 2,
 				StoreFollower.Listener.ofObjects(this::rulesRead, this.freshness::confirmed))
 			.start();
 		new StoreFollower(this.vertx, this.adapter.feed(), this.adapter.objects().replicasKind(), REPLICAS_WAIT_MILLIS,
--- /dev/null
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/PlacementLease.java
@@ -0,0 +1,64 @@
+package org.burdocktray.process.serve.gateway;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+
+import org.burdocktray.connection.platform.PlatformStore;
+import org.burdocktray.process.order.LeaseLoop;
+import org.burdocktray.process.order.OrderSettings;
+
+/**
+ * The lease under which engines are ordered. A few VMs look at it often; the others look
+ * seldom, so that the calls to the store don't grow with the fleet, and take over only
+ * when all of those are gone. Thread safety: none, confined to one event loop.
+ */
+final class PlacementLease {
+
+	private static final String KEY = "burdocktray-leases/placement";
+
+	private static final int CANDIDATES = 4;
+
+	private static final long OFTEN_MILLIS = 2_000;
+
+	private static final long SELDOM_MILLIS = 15_000;
+
+	private final PlatformStore store;
+
+	private final String vmName;
+
+	private Optional<LeaseLoop> loop = Optional.empty();
+
+	PlacementLease(PlatformStore store, String vmName) {
+		this.store = store;
+		this.vmName = vmName;
+	}
+
+	/**
+	 * Takes in the VMs of the fleet. The first list decides how often this VM looks.
+	 * @param names their names
+	 */
+	void vms(List<String> names) {
+		if (this.loop.isPresent()) {
+			return;
+		}
+		long before = names.stream().filter((name) -> name.compareTo(this.vmName) < 0).count();
+		long pollMillis = (before < CANDIDATES) ? OFTEN_MILLIS : SELDOM_MILLIS;
+		OrderSettings times = new OrderSettings(4_500, 1_500, 2_000, pollMillis, 1_000, 1_000, 600_000);
+		String holder = this.vmName + "/" + System.currentTimeMillis();
+		this.loop = Optional.of(new LeaseLoop(this.store, KEY, holder, times, System.nanoTime()));
+	}
+
+	void tick(long nowNanos) {
+		this.loop.ifPresent((running) -> running.tick(nowNanos));
+	}
+
+	boolean mayOrder(long nowNanos) {
+		return this.loop.filter((running) -> running.mayOrder(nowNanos)).isPresent();
+	}
+
+	OptionalLong fencingNumber(long nowNanos) {
+		return this.loop.map((running) -> running.fencingNumber(nowNanos)).orElse(OptionalLong.empty());
+	}
+
+}
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/PlacementLoop.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/PlacementLoop.java
@@ -12,7 +12,6 @@
 import org.burdocktray.process.directory.LoadReport;
 import org.burdocktray.process.directory.Replica;
 import org.burdocktray.process.directory.ReplicaDirectory;
-import org.burdocktray.process.order.LeaseLoop;
 import org.burdocktray.process.placement.LayerPlacement;
 import org.burdocktray.process.placement.OrderLedger;
 import org.burdocktray.version.rules.EngineProfile;
@@ -42,7 +41,7 @@
 
 	private final ReplicaControl control;
 
-	private final LeaseLoop lease;
+	private final PlacementLease lease;
 
 	private final OrderLedger ledger = new OrderLedger();
 
@@ -50,7 +49,7 @@
 
 	private long lastNewNanos;
 
-	PlacementLoop(RulesGate rules, ReplicaDirectory directory, ReplicaControl control, LeaseLoop lease) {
+	PlacementLoop(RulesGate rules, ReplicaDirectory directory, ReplicaControl control, PlacementLease lease) {
 		this.rules = rules;
 		this.directory = directory;
 		this.control = control;
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/StoreFollower.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/StoreFollower.java
@@ -26,6 +26,9 @@
 
 	private static final long MAX_PAUSE_MILLIS = 800;
 
+	/** How long further changes gather, so that one call tells of many. */
+	private static final long GATHER_MILLIS = 250;
+
 	private final Vertx vertx;
 
 	private final ChangeFeed feed;
@@ -78,7 +81,7 @@
 			return;
 		}
 		this.revision = Optional.of(answer.get().revision());
-		succeeded(() -> this.listener.listed(answer.get(), sent));
+		succeeded(() -> this.listener.listed(answer.get(), sent), 0);
 	}
 
 	private void changed(Either<StoreError, ObjectChanges> answer, Moment sent) {
@@ -93,17 +96,22 @@
 			return;
 		}
 		this.revision = Optional.of(answer.get().revision());
-		succeeded(() -> this.listener.changed(answer.get(), sent));
+		boolean isQuiet = answer.get().changes().isEmpty();
+		succeeded(() -> this.listener.changed(answer.get(), sent), isQuiet ? 0 : GATHER_MILLIS);
 	}
 
-	private void succeeded(Runnable notification) {
+	private void succeeded(Runnable notification, long thenMillis) {
 		if (this.lost) {
 			this.lost = false;
 			LOGGER.infof("Store answers again: kind=%s", this.kind);
 		}
 		this.pauseMillis = FIRST_PAUSE_MILLIS;
 		notification.run();
-		next();
+		if (thenMillis == 0) {
+			next();
+			return;
+		}
+		this.vertx.setTimer(thenMillis, (timer) -> next());
 	}
 
 	private void failed(StoreError error) {
--- a/router/src/main/java/org/burdocktray/request/forward/ForwardState.java
+++ b/router/src/main/java/org/burdocktray/request/forward/ForwardState.java
@@ -57,6 +57,14 @@
 		return this.verdict == Verdict.NOT_RUN || this.route.isRepeatable();
 	}
 
+	/**
+	 * Tells whether the request could be sent again if the present attempt were given up.
+	 * @return whether giving it up leaves another attempt
+	 */
+	public boolean mayGiveUpAttempt() {
+		return this.sends < MAX_SENDS && this.runs + 1 < this.route.maxAttempts() && this.route.isRepeatable();
+	}
+
 	/**
 	 * Tells whether the next attempt draws on the retry budget.
 	 * @return whether the request has arrived at a replica before
--- a/router/src/test/java/org/burdocktray/request/forward/ForwardStateTests.java
+++ b/router/src/test/java/org/burdocktray/request/forward/ForwardStateTests.java
@@ -55,6 +55,16 @@
 		assertThat(sends).isBetween(2, 10);
 	}
 
+	@Test
+	void theLastAttemptIsNotGivenUp() {
+		ForwardState state = sent(RequestKind.IDEMPOTENT, AttemptOutcome.REJECTED);
+		state.sending();
+		assertThat(state.mayGiveUpAttempt()).isTrue();
+		state.ended(AttemptOutcome.LOST);
+		state.sending();
+		assertThat(state.mayGiveUpAttempt()).isFalse();
+	}
+
 	private static ForwardState sent(RequestKind kind, AttemptOutcome outcome) {
 		RouteRule route = new RouteRule("r", "h", "/", kind, false, 1_000, 100, 0, 0, 2, false,
 				List.of(new WeightedService("s", 1)));
