--- a/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayServer.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayServer.java
@@ -158,8 +158,8 @@
 				this.settings.bounds().revocationMillis() / 2,
 				StoreFollower.Listener.ofObjects(this::rulesRead, this.freshness::confirmed))
 			.start();
-		new StoreFollower(this.vertx, this.adapter.feed(), this.adapter.objects().replicasKind(), REPLICAS_WAIT_MILLIS,
-				new DirectoryListener(this.adapter.objects(), this.directory))
+		new StoreFollower(this.vertx, this.adapter.feed(), this.adapter.objects().replicasKind(),
+				this.settings.bounds().contactMillis(), new DirectoryListener(this.adapter.objects(), this.directory))
 			.start();
 	}
 
