--- a/router/src/main/java/org/burdocktray/process/freshness/RulesFreshness.java
+++ b/router/src/main/java/org/burdocktray/process/freshness/RulesFreshness.java
@@ -11,6 +11,9 @@
  */
 public final class RulesFreshness {
 
+	/** How late a call may be given up, and how long until the next one is answered. */
+	private static final long OVERDUE_MILLIS = 1_000;
+
 	private final long maxAgeMillis;
 
 	private final AtomicReference<Moment> newest = new AtomicReference<>();
@@ -23,6 +26,16 @@
 		this.maxAgeMillis = maxAgeMillis;
 	}
 
+	/**
+	 * Returns how long a call for changes may wait. The answer to one wait is as old as
+	 * that wait when the next begins, so two waits must fit into the bound, and the
+	 * second one may be overdue.
+	 * @return milliseconds, at least 1
+	 */
+	public long waitMillis() {
+		return Math.max(1, (this.maxAgeMillis - OVERDUE_MILLIS) / 2);
+	}
+
 	/**
 	 * Takes in an answer of the store.
 	 * @param sent when its call was sent
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayServer.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayServer.java
@@ -155,7 +155,7 @@
 
 	private void follow() {
 		new StoreFollower(this.vertx, this.adapter.feed(), this.adapter.objects().rulesKind(),
-				this.settings.bounds().revocationMillis() / 2,
+				this.freshness.waitMillis(),
 				StoreFollower.Listener.ofObjects(this::rulesRead, this.freshness::confirmed))
 			.start();
 		new StoreFollower(this.vertx, this.adapter.feed(), this.adapter.objects().replicasKind(),
--- a/router/src/test/java/org/burdocktray/process/freshness/RulesFreshnessTests.java
+++ b/router/src/test/java/org/burdocktray/process/freshness/RulesFreshnessTests.java
@@ -42,6 +42,19 @@
 		assertThat(this.freshness.ageMillis(at(4_000, 4_000))).isEqualTo(1_000);
 	}
 
+	/**
+	 * On scale-1 of yanki-tray VMs refused keys for half of each wait, since they waited
+	 * for half of the bound.
+	 */
+	@Test
+	void rulesStayFreshOverTwoWaitsOfWhichTheSecondIsOverdue() {
+		long overdueMillis = 800;
+		this.freshness.confirmed(at(0, 0));
+		long nextAnswer = 2 * this.freshness.waitMillis() + overdueMillis;
+		assertThat(this.freshness.isFresh(at(nextAnswer, nextAnswer))).isTrue();
+		assertThat(this.freshness.waitMillis()).isGreaterThan(1_000);
+	}
+
 	private static Moment at(long monotonicMillis, long epochMillis) {
 		return new Moment(TimeUnit.MILLISECONDS.toNanos(monotonicMillis), epochMillis);
 	}
