--- a/router/src/main/java/org/burdocktray/process/serve/gateway/ForwardExchange.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/ForwardExchange.java
@@ -335,16 +335,28 @@
 		this.underWay.engineIsDead(engine);
 	}
 
-	private void timeIsUp() {
-		if (this.ended) {
-			return;
+	/** Ends the request now, since the process stops. */
+	void stop() {
+		if (!this.ended) {
+			cancelAttempt();
+			giveUp("VM is stopping");
 		}
+	}
+
+	private void cancelAttempt() {
 		this.attempt.ifPresent((running) -> {
 			if (running.isSent()) {
 				this.state.ended(AttemptOutcome.LOST);
 			}
 			running.cancel();
 		});
+	}
+
+	private void timeIsUp() {
+		if (this.ended) {
+			return;
+		}
+		cancelAttempt();
 		if (this.answer.isBegun()) {
 			breakOff("time is up");
 			return;
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayServer.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayServer.java
@@ -43,6 +43,12 @@
 
 	private static final int BACKLOG = 1_024;
 
+	/**
+	 * Ends connections that their callers have forgotten; longer than any caller reuses
+	 * one.
+	 */
+	private static final int IDLE_TIMEOUT_SECONDS = 300;
+
 	private static final long TICK_MILLIS = 50;
 
 	private static final long SHARE_MILLIS = 200;
@@ -204,6 +210,7 @@
 			.setMaxInitialLineLength(MAX_HEADER_BYTES)
 			.setAcceptBacklog(BACKLOG)
 			.setTcpNoDelay(true)
+			.setIdleTimeout(IDLE_TIMEOUT_SECONDS)
 			.setHandle100ContinueAutomatically(true));
 	}
 
@@ -240,6 +247,7 @@
 				boolean isIdle = this.refusing && this.underWay.count() == 0;
 				if (isIdle || elapsedMillis > this.settings.bounds().graceMillis() - STOP_MARGIN_MILLIS) {
 					this.vertx.cancelTimer(timer);
+					this.underWay.stopAll();
 					this.vertx.close().onComplete(stopped);
 				}
 			});
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/RequestsUnderWay.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/RequestsUnderWay.java
@@ -36,6 +36,10 @@
 			.forEach(ForwardExchange::dispatchWaiting);
 	}
 
+	void stopAll() {
+		List.copyOf(this.exchanges).forEach(ForwardExchange::stop);
+	}
+
 	void engineIsDead(Replica engine) {
 		List.copyOf(this.exchanges).forEach((exchange) -> exchange.engineIsDead(engine));
 	}
