Count only what this VM has sent on top of an engine's report

Each VM took the others to have sent as much as itself since the last report, three times its own in all, and held back up to a third of a cache for requests that did not exist.

--- a/router/src/main/java/org/burdocktray/process/directory/ReplicaLoads.java
+++ b/router/src/main/java/org/burdocktray/process/directory/ReplicaLoads.java
@@ -22,24 +22,10 @@
 	/** A request that was sent longer ago than this shows in a report that comes now. */
 	private static final long REPORT_AGE_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
-	/** With more VMs, what one has sent says too little of the others. */
-	private static final long MAX_SHARING_VMS = 4;
-
 	private static final int MAX_DOUBLINGS = 4;
 
 	private final Map<String, State> states = new HashMap<>();
 
-	private long sharingVms = 1;
-
-	/**
-	 * Takes in how many VMs send to the same engines. What the others have sent since the
-	 * last report is assumed to be as much as this VM has.
-	 * @param count the number of VMs, this one among them
-	 */
-	public void sharingVms(long count) {
-		this.sharingVms = Math.max(1, Math.min(count, MAX_SHARING_VMS));
-	}
-
 	/**
 	 * Notes that a request was sent.
 	 * @param replica the replica
@@ -164,8 +150,7 @@
 	public long kvUsed(Replica replica) {
 		State state = state(replica);
 		long reported = state.report.map(LoadReport::kvUsed).orElse(0L);
-		return Math.max(state.ownTokenLayers,
-				reported + this.sharingVms * state.recent.stream().mapToLong(Sent::tokenLayers).sum());
+		return Math.max(state.ownTokenLayers, reported + state.recent.stream().mapToLong(Sent::tokenLayers).sum());
 	}
 
 	/**
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayServer.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayServer.java
@@ -137,8 +137,6 @@
 				(vms) -> {
 					budget.fleetSize(vms.size());
 					lease.vms(vms.stream().map(FleetRegistry.RegisteredVm::name).toList());
-					loads.sharingVms(
-							vms.stream().filter((vm) -> vm.dataCentre().equals(this.settings.dataCentre())).count());
 					List<FleetRegistry.RegisteredVm> near = vms.stream()
 						.filter((vm) -> vm.dataCentre().equals(this.settings.dataCentre()))
 						.toList();
