Value chains of engines by what they write, and fill by speed

Cause: the root in a chain's value made two chains a data centre, each with all the weights, where one keeps almost twice the requests. And an engine that was added after a fast one was lost took layers of which there was most memory, not those that only slow engines held.

Ruled out: that two chains bear the loss of an engine better. With one chain in each of three data centres, two of them keep more after a loss than six small ones did before it.

--- a/router/src/main/java/org/burdocktray/process/placement/EngineChains.java
+++ b/router/src/main/java/org/burdocktray/process/placement/EngineChains.java
@@ -65,9 +65,8 @@
 	}
 
 	// Values a chain by the tokens a second that it can write: those it can keep in its
-	// cache, in requests of usual size, over the time of one token. The root makes two
-	// chains worth more than one that writes as much, since the loss of an engine breaks
-	// its chain.
+	// cache, in requests of usual size, over the time of one token. Each further chain
+	// holds all weights once more, and what they take is missing in the cache.
 	private static double chainValue(List<Replica> engines, EngineProfile profile) {
 		double tokens = chainTokens(engines, profile);
 		double requests = Math.min(tokens / profile.usualTokens(), profile.maxSequences());
@@ -84,7 +83,7 @@
 		double sequencesInStep = requests / engines.size();
 		double step = profile.stepMillis() + profile.sequenceMillis() * sequencesInStep
 				+ profile.contextMillis() * sequencesInStep * profile.usualTokens() / TOKENS_PER_CONTEXT_UNIT;
-		return Math.sqrt(requests / (tokenMillis / layers * step));
+		return requests / (tokenMillis / layers * step);
 	}
 
 	// The most tokens for which the engines together hold all layers.
--- a/router/src/main/java/org/burdocktray/process/placement/LayerPlacement.java
+++ b/router/src/main/java/org/burdocktray/process/placement/LayerPlacement.java
@@ -123,10 +123,12 @@
 		return (tokens.length > 0) ? Math.max(least, tokens[tokens.length / 2]) : least;
 	}
 
+	// Finds the layers of which the engines that hold them can run the fewest requests in
+	// a given time.
 	private static LayerRange neediest(List<Replica> held, int size, EngineProfile profile) {
 		double[] need = new double[profile.layers()];
 		for (int layer = 0; layer < need.length; layer++) {
-			need[layer] = 1 / (1 + layerRoom(held, layer, profile) / profile.usualTokens());
+			need[layer] = 1 / (1 + layerPace(held, layer, profile) / profile.usualTokens());
 		}
 		int best = 0;
 		double bestNeed = -1;
@@ -183,10 +185,10 @@
 		return held.stream().filter((other) -> !other.id().equals(engine.id())).toList();
 	}
 
-	private static double layerRoom(List<Replica> held, int layer, EngineProfile profile) {
+	private static double layerPace(List<Replica> held, int layer, EngineProfile profile) {
 		return held.stream()
 			.filter((engine) -> engine.layers().orElseThrow().contains(layer))
-			.mapToDouble((engine) -> roomTokens(engine, profile))
+			.mapToDouble((engine) -> roomTokens(engine, profile) / kind(engine, profile).stepFactor())
 			.sum();
 	}
 
