Accept keys for longer once the store is lost; say why answers are late

- A request is asked for fresh rules once, when it arrives.
A key that was in force when its request came stays good for that request.
- Changes of replicas gather for a quarter of the time in which a leaving one must be known, in place of a fixed 250 ms.
- Callers of a VM that stops come back at once, to another one; it said 0.5 s and, to requests in progress, 1 s.
- A request's last line says when its first event came and how long the longest pause was; ReplicaHealth is split off from ForwardExchange.

--- a/router/src/main/java/org/burdocktray/process/freshness/RulesFreshness.java
+++ b/router/src/main/java/org/burdocktray/process/freshness/RulesFreshness.java
@@ -14,6 +14,9 @@
 	/** How late a call may be given up, and how long until the next one is answered. */
 	private static final long OVERDUE_MILLIS = 1_000;
 
+	/** The part of the bound for which keys are still accepted once the store is lost. */
+	private static final double LOST_SHARE = 0.7;
+
 	private final long maxAgeMillis;
 
 	private final AtomicReference<Moment> newest = new AtomicReference<>();
@@ -32,10 +35,19 @@
 	 * second one may be overdue.
 	 * @return milliseconds, at least 1
 	 */
-	public long waitMillis() {
+	public long longestWaitMillis() {
 		return Math.max(1, (this.maxAgeMillis - OVERDUE_MILLIS) / 2);
 	}
 
+	/**
+	 * Returns how long a call for changes waits at least. Shorter waits would keep the
+	 * rules fresh for longer than it takes to notice that the store is lost.
+	 * @return milliseconds, at most the longest wait
+	 */
+	public long shortestWaitMillis() {
+		return Math.min(longestWaitMillis(), Math.max(1, (long) ((1 - LOST_SHARE) * this.maxAgeMillis / 2)));
+	}
+
 	/**
 	 * Takes in an answer of the store.
 	 * @param sent when its call was sent
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/Admitted.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/Admitted.java
@@ -21,10 +21,6 @@
 
 	private static final int RANKS = 1_000;
 
-	boolean isKeyed() {
-		return this.organisation.isPresent();
-	}
-
 	/**
 	 * Ranks the request: by its organisation first, then by its route.
 	 * @return the rank, the lowest first
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/CallerAnswer.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/CallerAnswer.java
@@ -18,6 +18,9 @@
  */
 final class CallerAnswer {
 
+	/** When another VM can take the request at once; callers come back to another one. */
+	static final double OTHER_VM_RETRY_AFTER_SECONDS = 0.02;
+
 	private final HttpServerRequest request;
 
 	private final HttpServerResponse response;
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/ForwardExchange.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/ForwardExchange.java
@@ -1,14 +1,13 @@
 package org.burdocktray.process.serve.gateway;
 
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
 
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientResponse;
 import org.burdocktray.model.NetworkAddress;
 import org.burdocktray.model.Verdict;
 import org.burdocktray.process.directory.Replica;
-import org.burdocktray.process.freshness.RulesFreshness.Moment;
+import org.burdocktray.request.forward.AnswerTiming;
 import org.burdocktray.request.forward.AttemptOutcome;
 import org.burdocktray.request.forward.EventFramer;
 import org.burdocktray.request.forward.ForwardState;
@@ -31,11 +30,6 @@
 
 	private static final int FIRST_SERVER_ERROR = 500;
 
-	/** Failures in a row after which a replica gets no requests for a while. */
-	private static final int FAILURES_TO_AVOID = 3;
-
-	private static final long AVOID_FAILED_NANOS = TimeUnit.SECONDS.toNanos(2);
-
 	/** The part of a caller's patience that its request waits for room. */
 	private static final double FIRST_WAIT_SHARE = 0.8;
 
@@ -63,9 +57,11 @@
 
 	private final StreamRecovery recovery;
 
+	private final ReplicaHealth health;
+
 	private final EventFramer framer = new EventFramer();
 
-	private final long startNanos = System.nanoTime();
+	private final AnswerTiming timing = new AnswerTiming(System.nanoTime());
 
 	private Optional<Attempt> attempt = Optional.empty();
 
@@ -86,6 +82,7 @@
 		this.underWay = underWay;
 		this.state = new ForwardState(admitted.route());
 		this.choice = new TargetChoice(context, admitted.service(), admitted.head());
+		this.health = new ReplicaHealth(context);
 		this.recovery = new StreamRecovery(context, admitted, this.choice, this);
 	}
 
@@ -114,14 +111,10 @@
 	}
 
 	long startNanos() {
-		return this.startNanos;
+		return this.timing.startNanos();
 	}
 
 	private void dispatch() {
-		if (this.admitted.isKeyed() && !this.context.freshness().isFresh(Moment.now())) {
-			giveUp("rules are too old to accept keys");
-			return;
-		}
 		Optional<Target> target = this.choice.next();
 		if (target.isEmpty()) {
 			waitOrGiveUp();
@@ -138,7 +131,7 @@
 
 	private void waitOrGiveUp() {
 		double share = this.answer.isBegun() ? NEXT_WAIT_SHARE : FIRST_WAIT_SHARE;
-		long since = this.answer.isBegun() ? this.recovery.progressNanos() : this.startNanos;
+		long since = this.answer.isBegun() ? this.recovery.progressNanos() : this.timing.startNanos();
 		double waitNanos = share * this.admitted.route().patienceMillis() * NANOS_PER_MILLI;
 		boolean mayWait = System.nanoTime() - since < waitNanos && (this.answer.isBegun() || this.choice.canWait());
 		if (!mayWait) {
@@ -178,7 +171,7 @@
 	public void answered(HttpClientResponse head, Buffer body) {
 		Replica replica = current().target().replica();
 		boolean isFailure = head.statusCode() >= FIRST_SERVER_ERROR;
-		noteHealth(replica, isFailure);
+		this.health.answered(replica, isFailure);
 		if (isFailure) {
 			this.state.ended(AttemptOutcome.FAILED);
 			this.choice.exclude(replica);
@@ -197,8 +190,7 @@
 		}
 		finish();
 		this.answer.deliver(head, body);
-		RequestEvents.ended(this.admitted, head.statusCode(), Verdict.RAN, "answered by " + replica.id(),
-				this.startNanos);
+		RequestEvents.ended(this.admitted, head.statusCode(), Verdict.RAN, "answered by " + replica.id(), this.timing);
 	}
 
 	@Override
@@ -217,8 +209,9 @@
 		if (events.length == 0) {
 			return;
 		}
+		this.timing.events(System.nanoTime());
 		if (!this.answer.isBegun()) {
-			this.context.metrics().firstByte(System.nanoTime() - this.startNanos);
+			this.context.metrics().firstByte(System.nanoTime() - this.timing.startNanos());
 			current().target().replicas().forEach(this.context.loads()::succeeded);
 			this.answer.beginStream(this.streamHead.orElseThrow());
 		}
@@ -235,14 +228,14 @@
 			failed(AttemptOutcome.LOST, "stream ended within an event", Optional.empty());
 			return;
 		}
-		noteHealth(replica, false);
+		this.health.answered(replica, false);
 		finish();
 		if (!this.answer.isBegun()) {
 			this.answer.beginStream(this.streamHead.orElseThrow());
 		}
 		this.answer.endStream();
 		RequestEvents.ended(this.admitted, this.streamHead.orElseThrow().statusCode(), Verdict.RAN,
-				"stream ended by " + replica.id(), this.startNanos);
+				"stream ended by " + replica.id(), this.timing);
 	}
 
 	@Override
@@ -255,7 +248,9 @@
 		this.state.ended(outcome);
 		this.context.metrics().attemptEnded(outcome.name());
 		RequestEvents.attemptFailed(this.admitted, target, outcome, cause, faultAddress);
-		avoid(target.replica(), outcome, faultAddress);
+		if (this.health.failed(target.replica(), outcome, faultAddress)) {
+			this.choice.exclude(target.replica());
+		}
 		this.attempt = Optional.empty();
 		if (!this.answer.isBegun()) {
 			this.streamHead = Optional.empty();
@@ -267,36 +262,6 @@
 		dispatch();
 	}
 
-	private void avoid(Replica replica, AttemptOutcome outcome, Optional<NetworkAddress> faultAddress) {
-		long nowNanos = System.nanoTime();
-		Optional<Replica> atFault = faultAddress.flatMap(this.context.directory()::at);
-		if (atFault.isPresent()) {
-			this.context.loads().rejected(atFault.get(), nowNanos);
-			this.context.monitor().ask(atFault.get()).subscribe();
-			return;
-		}
-		if (outcome == AttemptOutcome.REJECTED) {
-			this.context.loads().rejected(replica, nowNanos);
-			return;
-		}
-		this.choice.exclude(replica);
-		if (outcome == AttemptOutcome.NOT_SENT) {
-			this.context.loads().avoid(replica, nowNanos + AVOID_FAILED_NANOS);
-			return;
-		}
-		noteHealth(replica, true);
-	}
-
-	private void noteHealth(Replica replica, boolean isFailure) {
-		if (!isFailure) {
-			this.context.loads().succeeded(replica);
-			return;
-		}
-		if (this.context.loads().failed(replica) >= FAILURES_TO_AVOID) {
-			this.context.loads().avoid(replica, System.nanoTime() + AVOID_FAILED_NANOS);
-		}
-	}
-
 	/**
 	 * Looks whether the stream is stuck.
 	 * @param nowNanos the time
@@ -339,7 +304,7 @@
 	void stop() {
 		if (!this.ended) {
 			cancelAttempt();
-			giveUp("VM is stopping");
+			giveUp("VM is stopping", CallerAnswer.OTHER_VM_RETRY_AFTER_SECONDS);
 		}
 	}
 
@@ -361,7 +326,8 @@
 			breakOff("time is up");
 			return;
 		}
-		refuse((this.state.verdict() == Verdict.NOT_RUN) ? SERVICE_UNAVAILABLE : GATEWAY_TIMEOUT, "time is up");
+		int status = (this.state.verdict() == Verdict.NOT_RUN) ? SERVICE_UNAVAILABLE : GATEWAY_TIMEOUT;
+		refuse(status, "time is up", serviceRetryAfterSeconds());
 	}
 
 	private void callerGone() {
@@ -370,30 +336,37 @@
 		}
 		this.attempt.ifPresent(Attempt::cancel);
 		finish();
-		RequestEvents.ended(this.admitted, 0, Verdict.MAY_HAVE_RUN, "caller went away", this.startNanos);
+		RequestEvents.ended(this.admitted, 0, Verdict.MAY_HAVE_RUN, "caller went away", this.timing);
 	}
 
 	private void giveUp(String cause) {
+		giveUp(cause, serviceRetryAfterSeconds());
+	}
+
+	private void giveUp(String cause, double retryAfterSeconds) {
 		if (this.answer.isBegun()) {
 			breakOff(cause);
 			return;
 		}
-		refuse((this.state.verdict() == Verdict.NOT_RUN) ? SERVICE_UNAVAILABLE : BAD_GATEWAY, cause);
+		int status = (this.state.verdict() == Verdict.NOT_RUN) ? SERVICE_UNAVAILABLE : BAD_GATEWAY;
+		refuse(status, cause, retryAfterSeconds);
+	}
+
+	private double serviceRetryAfterSeconds() {
+		return this.admitted.service().engine().isPresent() ? ENGINE_RETRY_AFTER_SECONDS : SERVICE_RETRY_AFTER_SECONDS;
 	}
 
-	private void refuse(int status, String cause) {
+	private void refuse(int status, String cause, double retryAfterSeconds) {
 		finish();
-		double retryAfter = this.admitted.service().engine().isPresent() ? ENGINE_RETRY_AFTER_SECONDS
-				: SERVICE_RETRY_AFTER_SECONDS;
-		this.answer.refuse(status, this.state.verdict(), cause, retryAfter);
+		this.answer.refuse(status, this.state.verdict(), cause, retryAfterSeconds);
 		RequestEvents.ended(this.admitted, status, this.state.verdict(), cause + "; last attempt: " + this.lastCause,
-				this.startNanos);
+				this.timing);
 	}
 
 	private void breakOff(String cause) {
 		finish();
 		this.answer.breakOff();
-		RequestEvents.ended(this.admitted, 0, Verdict.MAY_HAVE_RUN, "stream broken off: " + cause, this.startNanos);
+		RequestEvents.ended(this.admitted, 0, Verdict.MAY_HAVE_RUN, "stream broken off: " + cause, this.timing);
 	}
 
 	private void finish() {
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayFront.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayFront.java
@@ -9,6 +9,7 @@
 import io.vertx.core.http.HttpServerRequest;
 import org.burdocktray.model.Verdict;
 import org.burdocktray.process.freshness.RulesFreshness.Moment;
+import org.burdocktray.process.freshness.RulesPace;
 import org.burdocktray.version.rules.OrganisationRule;
 import org.burdocktray.version.rules.RequestKind;
 import org.burdocktray.version.rules.RouteRule;
@@ -35,14 +36,17 @@
 
 	private final RequestsUnderWay underWay;
 
+	private final RulesPace rulesPace;
+
 	private final BooleanSupplier stopping;
 
 	private final BooleanSupplier refusing;
 
-	GatewayFront(GatewayContext context, RequestsUnderWay underWay, BooleanSupplier stopping,
+	GatewayFront(GatewayContext context, RequestsUnderWay underWay, RulesPace rulesPace, BooleanSupplier stopping,
 			BooleanSupplier refusing) {
 		this.context = context;
 		this.underWay = underWay;
+		this.rulesPace = rulesPace;
 		this.stopping = stopping;
 		this.refusing = refusing;
 	}
@@ -52,8 +56,12 @@
 		RequestHead head = this.context.headers().readRequest(request.headers());
 		CallerAnswer answer = new CallerAnswer(request, this.context.headers(), this.context.metrics(), this.stopping);
 		Optional<RoutingRules> rules = this.context.rules().current();
-		if (rules.isEmpty() || this.refusing.getAsBoolean()) {
-			turnAway(head, answer, SERVICE_UNAVAILABLE, rules.isEmpty() ? "no rules yet" : "VM is stopping");
+		if (this.refusing.getAsBoolean()) {
+			turnAway(head, answer, SERVICE_UNAVAILABLE, "VM is stopping", CallerAnswer.OTHER_VM_RETRY_AFTER_SECONDS);
+			return;
+		}
+		if (rules.isEmpty()) {
+			turnAway(head, answer, SERVICE_UNAVAILABLE, "no rules yet");
 			return;
 		}
 		Optional<RouteRule> route = rules.get().route(host(request), request.path());
@@ -64,6 +72,7 @@
 		}
 		Optional<OrganisationRule> organisation = Optional.empty();
 		if (rules.get().asksForKeys() && !route.get().isPublic()) {
+			this.rulesPace.keyed();
 			organisation = head.key().flatMap(rules.get()::organisation);
 			if (!isFresh || organisation.isEmpty()) {
 				turnAway(head, answer, isFresh ? UNAUTHORIZED : SERVICE_UNAVAILABLE,
@@ -111,7 +120,11 @@
 	}
 
 	private void turnAway(RequestHead head, CallerAnswer answer, int status, String cause) {
-		answer.refuse(status, Verdict.NOT_RUN, cause, (status == SERVICE_UNAVAILABLE) ? RETRY_AFTER_SECONDS : 0);
+		turnAway(head, answer, status, cause, (status == SERVICE_UNAVAILABLE) ? RETRY_AFTER_SECONDS : 0);
+	}
+
+	private void turnAway(RequestHead head, CallerAnswer answer, int status, String cause, double retryAfterSeconds) {
+		answer.refuse(status, Verdict.NOT_RUN, cause, retryAfterSeconds);
 		RequestEvents.turnedAway(head.requestId(), status, cause);
 	}
 
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayServer.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayServer.java
@@ -22,6 +22,7 @@
 import org.burdocktray.process.directory.ReportDuty;
 import org.burdocktray.process.freshness.RulesFreshness;
 import org.burdocktray.process.freshness.RulesFreshness.Moment;
+import org.burdocktray.process.freshness.RulesPace;
 import org.burdocktray.process.limits.FleetRetryBudget;
 import org.burdocktray.request.path.PathSearch;
 import org.burdocktray.version.rules.RulesGate;
@@ -57,6 +58,11 @@
 
 	private static final double FRESH_SHARE = 0.88;
 
+	private static final long RULES_GATHER_MILLIS = 250;
+
+	/** The part of the time to learn of a leaving replica for which changes gather. */
+	private static final double REPLICAS_GATHER_SHARE = 0.25;
+
 	/** How long the balancer takes to send no new connections. */
 	private static final long LEAVE_ROTATION_MILLIS = 2_500;
 
@@ -73,6 +79,8 @@
 
 	private final RulesFreshness freshness;
 
+	private final RulesPace rulesPace;
+
 	private final ReplicaDirectory directory = new ReplicaDirectory(LAPSE_GRACE_NANOS);
 
 	private final GatewayMetrics metrics = new GatewayMetrics();
@@ -91,6 +99,7 @@
 	public GatewayServer(GatewaySettings settings, GatewayAdapter.Factory adapters) {
 		this.settings = settings;
 		this.freshness = new RulesFreshness((long) (FRESH_SHARE * settings.bounds().revocationMillis()));
+		this.rulesPace = new RulesPace(this.freshness, System.nanoTime());
 		this.vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1)
 			.setWorkerPoolSize(1)
 			.setInternalBlockingPoolSize(1)
@@ -123,7 +132,8 @@
 				this.rules, this.freshness, this.directory, loads, monitor, this.adapter.control(),
 				new ReplicaConnections(this.vertx), new PathSearch(this.settings.dataCentre(), loads, random), budget,
 				random, this.metrics);
-		GatewayFront front = new GatewayFront(context, this.underWay, () -> this.stopping, () -> this.refusing);
+		GatewayFront front = new GatewayFront(context, this.underWay, this.rulesPace, () -> this.stopping,
+				() -> this.refusing);
 		PlacementLease lease = new PlacementLease(this.adapter.store(), this.settings.vmName());
 		PlacementLoop placement = new PlacementLoop(this.rules, this.directory, this.adapter.control(), lease);
 		LoadSharing sharing = new LoadSharing(this.vertx, this.settings.peerAddress(),
@@ -159,11 +169,13 @@
 
 	private void follow() {
 		new StoreFollower(this.vertx, this.adapter.feed(), this.adapter.objects().rulesKind(),
-				this.freshness.waitMillis(),
+				() -> this.rulesPace.waitMillis(System.nanoTime()), RULES_GATHER_MILLIS,
 				StoreFollower.Listener.ofObjects(this::rulesRead, this.freshness::confirmed))
 			.start();
 		new StoreFollower(this.vertx, this.adapter.feed(), this.adapter.objects().replicasKind(),
-				this.settings.bounds().contactMillis(), new DirectoryListener(this.adapter.objects(), this.directory))
+				this.settings.bounds()::contactMillis,
+				(long) (REPLICAS_GATHER_SHARE * this.settings.bounds().drainMillis()),
+				new DirectoryListener(this.adapter.objects(), this.directory))
 			.start();
 	}
 
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/GatewaySettings.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/GatewaySettings.java
@@ -36,6 +36,7 @@
 	 * immutable.
 	 *
 	 * @param revocationMillis after which time a removed key must not be accepted
+	 * @param drainMillis after which time a leaving replica must get no requests
 	 * @param graceMillis how long a process may take to stop
 	 * @param contactMillis how long a VM counts as disturbed after a disturbance
 	 * @param retryRatio the repeats a request
@@ -43,8 +44,8 @@
 	 * @param retryExtra the repeats of the fleet in a window beside the ratio
 	 * @param stallMillis how long an engine waits for another one of a path
 	 */
-	public record Bounds(long revocationMillis, long graceMillis, long contactMillis, double retryRatio,
-			long retryWindowMillis, int retryExtra, long stallMillis) {
+	public record Bounds(long revocationMillis, long drainMillis, long graceMillis, long contactMillis,
+			double retryRatio, long retryWindowMillis, int retryExtra, long stallMillis) {
 
 	}
 
--- /dev/null
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/ReplicaHealth.java
@@ -0,0 +1,69 @@
+package org.burdocktray.process.serve.gateway;
+
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+import org.burdocktray.model.NetworkAddress;
+import org.burdocktray.process.directory.Replica;
+import org.burdocktray.request.forward.AttemptOutcome;
+
+/**
+ * Concludes from the ends of attempts which replicas get no requests for a while. Thread
+ * safety: none, confined to one event loop.
+ */
+final class ReplicaHealth {
+
+	/** Failures in a row after which a replica gets no requests for a while. */
+	private static final int FAILURES_TO_AVOID = 3;
+
+	private static final long AVOID_NANOS = TimeUnit.SECONDS.toNanos(2);
+
+	private final GatewayContext context;
+
+	ReplicaHealth(GatewayContext context) {
+		this.context = context;
+	}
+
+	/**
+	 * Takes in an attempt without an answer to deliver.
+	 * @param replica where the request was sent
+	 * @param outcome what became of it
+	 * @param faultAddress the engine at fault, where another one reports it
+	 * @return whether the replica itself failed, so that the request goes elsewhere
+	 */
+	boolean failed(Replica replica, AttemptOutcome outcome, Optional<NetworkAddress> faultAddress) {
+		long nowNanos = System.nanoTime();
+		Optional<Replica> atFault = faultAddress.flatMap(this.context.directory()::at);
+		if (atFault.isPresent()) {
+			this.context.loads().rejected(atFault.get(), nowNanos);
+			this.context.monitor().ask(atFault.get()).subscribe();
+			return false;
+		}
+		if (outcome == AttemptOutcome.REJECTED) {
+			this.context.loads().rejected(replica, nowNanos);
+			return false;
+		}
+		if (outcome == AttemptOutcome.NOT_SENT) {
+			this.context.loads().avoid(replica, nowNanos + AVOID_NANOS);
+			return true;
+		}
+		answered(replica, true);
+		return true;
+	}
+
+	/**
+	 * Takes in an answer.
+	 * @param replica who answered
+	 * @param isFailure whether it is a failure of the replica's
+	 */
+	void answered(Replica replica, boolean isFailure) {
+		if (!isFailure) {
+			this.context.loads().succeeded(replica);
+			return;
+		}
+		if (this.context.loads().failed(replica) >= FAILURES_TO_AVOID) {
+			this.context.loads().avoid(replica, System.nanoTime() + AVOID_NANOS);
+		}
+	}
+
+}
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/RequestEvents.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/RequestEvents.java
@@ -1,11 +1,13 @@
 package org.burdocktray.process.serve.gateway;
 
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.stream.Collectors;
 
 import org.burdocktray.model.NetworkAddress;
 import org.burdocktray.model.Verdict;
 import org.burdocktray.process.directory.Replica;
+import org.burdocktray.request.forward.AnswerTiming;
 import org.burdocktray.request.forward.AttemptOutcome;
 import org.burdocktray.request.forward.ForwardState;
 import org.burdocktray.request.path.LayerPath;
@@ -43,11 +45,19 @@
 				answer);
 	}
 
-	static void ended(Admitted admitted, int status, Verdict verdict, String cause, long startNanos) {
-		LOGGER.infof("Request ended: request=%s route=%s organisation=%s rules=%d status=%d ran=%s millis=%d cause=%s",
+	static void ended(Admitted admitted, int status, Verdict verdict, String cause, AnswerTiming timing) {
+		LOGGER.infof(
+				"Request ended: request=%s route=%s organisation=%s rules=%d status=%d ran=%s millis=%d "
+						+ "firstEventMillis=%s longestPauseMillis=%d cause=%s",
 				id(admitted), admitted.route().name(), admitted.request().organisation().orElse(""),
-				admitted.rulesVersion(), status, verdict.wireName(), (System.nanoTime() - startNanos) / NANOS_PER_MILLI,
-				cause);
+				admitted.rulesVersion(), status, verdict.wireName(),
+				(System.nanoTime() - timing.startNanos()) / NANOS_PER_MILLI, firstEventMillis(timing),
+				timing.longestPauseNanos() / NANOS_PER_MILLI, cause);
+	}
+
+	private static String firstEventMillis(AnswerTiming timing) {
+		OptionalLong firstNanos = timing.firstEventNanos();
+		return firstNanos.isPresent() ? String.valueOf(firstNanos.getAsLong() / NANOS_PER_MILLI) : "";
 	}
 
 	static void turnedAway(Optional<String> requestId, int status, String cause) {
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/StoreFollower.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/StoreFollower.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 
 import io.vavr.control.Either;
 import io.vertx.core.Vertx;
@@ -26,16 +27,15 @@
 
 	private static final long MAX_PAUSE_MILLIS = 800;
 
-	/** How long further changes gather, so that one call tells of many. */
-	private static final long GATHER_MILLIS = 250;
-
 	private final Vertx vertx;
 
 	private final ChangeFeed feed;
 
 	private final String kind;
 
-	private final long waitMillis;
+	private final LongSupplier waitMillis;
+
+	private final long gatherMillis;
 
 	private final Listener listener;
 
@@ -47,11 +47,23 @@
 
 	private boolean stopped;
 
-	StoreFollower(Vertx vertx, ChangeFeed feed, String kind, long waitMillis, Listener listener) {
+	/**
+	 * Creates a follower that does not follow yet.
+	 * @param vertx the timers
+	 * @param feed the store
+	 * @param kind the kind of the objects
+	 * @param waitMillis how long the next call waits for a change
+	 * @param gatherMillis how long further changes gather after one, so that one call
+	 * tells of many
+	 * @param listener takes what it hears
+	 */
+	StoreFollower(Vertx vertx, ChangeFeed feed, String kind, LongSupplier waitMillis, long gatherMillis,
+			Listener listener) {
 		this.vertx = vertx;
 		this.feed = feed;
 		this.kind = kind;
 		this.waitMillis = waitMillis;
+		this.gatherMillis = gatherMillis;
 		this.listener = listener;
 	}
 
@@ -72,7 +84,8 @@
 			this.feed.listing(this.kind).subscribe((answer) -> listed(answer, sent));
 			return;
 		}
-		this.feed.changes(this.kind, this.revision.get(), this.waitMillis).subscribe((answer) -> changed(answer, sent));
+		this.feed.changes(this.kind, this.revision.get(), this.waitMillis.getAsLong())
+			.subscribe((answer) -> changed(answer, sent));
 	}
 
 	private void listed(Either<StoreError, ObjectListing> answer, Moment sent) {
@@ -97,7 +110,7 @@
 		}
 		this.revision = Optional.of(answer.get().revision());
 		boolean isQuiet = answer.get().changes().isEmpty();
-		succeeded(() -> this.listener.changed(answer.get(), sent), isQuiet ? 0 : GATHER_MILLIS);
+		succeeded(() -> this.listener.changed(answer.get(), sent), isQuiet ? 0 : this.gatherMillis);
 	}
 
 	private void succeeded(Runnable notification, long thenMillis) {
--- a/router/src/test/java/org/burdocktray/process/freshness/RulesFreshnessTests.java
+++ b/router/src/test/java/org/burdocktray/process/freshness/RulesFreshnessTests.java
@@ -50,9 +50,9 @@
 	void rulesStayFreshOverTwoWaitsOfWhichTheSecondIsOverdue() {
 		long overdueMillis = 800;
 		this.freshness.confirmed(at(0, 0));
-		long nextAnswer = 2 * this.freshness.waitMillis() + overdueMillis;
+		long nextAnswer = 2 * this.freshness.longestWaitMillis() + overdueMillis;
 		assertThat(this.freshness.isFresh(at(nextAnswer, nextAnswer))).isTrue();
-		assertThat(this.freshness.waitMillis()).isGreaterThan(1_000);
+		assertThat(this.freshness.longestWaitMillis()).isGreaterThan(1_000);
 	}
 
 	private static Moment at(long monotonicMillis, long epochMillis) {
