Search paths over what each engine offers, worked out once

A search of a path asked for the room and the cost of each engine once for each layer at which a part may begin, with lookups and optionals inside. Each tick also listed all engines, hashed each against each VM, and made a key for each start.

Now each engine's room and cost are worked out once a search; whose duty an engine's report is, once a list of VMs; new engines are noted when the directory changes.

Same paths (PathSearchTests, SharedEnginesTests).

--- a/router/src/main/java/org/burdocktray/process/directory/ReportDuty.java
+++ b/router/src/main/java/org/burdocktray/process/directory/ReportDuty.java
@@ -32,6 +32,9 @@
 
 	private final Map<String, Long> knownNanos = new HashMap<>();
 
+	/** Which engines this VM asks, until the VMs change. */
+	private final Map<String, Boolean> mine = new HashMap<>();
+
 	private List<String> vms;
 
 	/**
@@ -55,6 +58,7 @@
 			all.add(this.vmName);
 		}
 		this.vms = List.copyOf(all);
+		this.mine.clear();
 	}
 
 	/**
@@ -73,7 +77,13 @@
 	 * @return those whose report is due from this VM
 	 */
 	public List<Replica> due(List<Replica> engines, long nowNanos) {
-		return engines.stream().filter((engine) -> isDue(engine, nowNanos)).toList();
+		List<Replica> due = new ArrayList<>();
+		for (Replica engine : engines) {
+			if (isDue(engine, nowNanos)) {
+				due.add(engine);
+			}
+		}
+		return due;
 	}
 
 	private boolean isDue(Replica engine, long nowNanos) {
@@ -92,6 +102,10 @@
 	}
 
 	private boolean isMine(Replica engine) {
+		return this.mine.computeIfAbsent(engine.id(), (id) -> hasHighestHash(engine));
+	}
+
+	private boolean hasHighestHash(Replica engine) {
 		int own = hash(this.vmName, engine.id());
 		for (String vm : this.vms) {
 			int other = hash(vm, engine.id());
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/PlacementLoop.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/PlacementLoop.java
@@ -1,8 +1,10 @@
 package org.burdocktray.process.serve.gateway;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
 
@@ -15,7 +17,6 @@
 import org.burdocktray.process.placement.LayerPlacement;
 import org.burdocktray.process.placement.OrderLedger;
 import org.burdocktray.version.rules.EngineProfile;
-import org.burdocktray.version.rules.RoutingRules;
 import org.burdocktray.version.rules.RulesGate;
 import org.burdocktray.version.rules.ServiceRule;
 import org.jboss.logging.Logger;
@@ -47,6 +48,8 @@
 
 	private final Map<String, Long> firstSeenNanos = new HashMap<>();
 
+	private Map<String, List<Replica>> lastListed = Map.of();
+
 	private long lastNewNanos;
 
 	PlacementLoop(RulesGate rules, ReplicaDirectory directory, ReplicaControl control, PlacementLease lease) {
@@ -59,24 +62,30 @@
 	void tick(long nowNanos) {
 		this.lease.tick(nowNanos);
 		this.rules.current().ifPresent((current) -> {
-			noteNewEngines(current, nowNanos);
+			noteNewEngines(nowNanos);
 			if (this.lease.mayOrder(nowNanos)) {
 				current.services().values().forEach((service) -> place(service, nowNanos));
 			}
 		});
 	}
 
-	private void noteNewEngines(RoutingRules current, long nowNanos) {
-		for (ServiceRule service : current.services().values()) {
-			if (service.engine().isEmpty()) {
-				continue;
-			}
-			for (Replica engine : this.directory.usable(service.name())) {
-				if (this.firstSeenNanos.putIfAbsent(engine.id() + engine.bornMillis(), nowNanos) == null) {
+	private void noteNewEngines(long nowNanos) {
+		Map<String, List<Replica>> listed = this.directory.usable();
+		if (listed == this.lastListed) {
+			return;
+		}
+		this.lastListed = listed;
+		Set<String> starts = new HashSet<>();
+		for (List<Replica> replicas : listed.values()) {
+			for (Replica replica : replicas) {
+				String start = replica.id() + replica.bornMillis();
+				starts.add(start);
+				if (this.firstSeenNanos.putIfAbsent(start, nowNanos) == null && replica.acceleratorKind().isPresent()) {
 					this.lastNewNanos = nowNanos;
 				}
 			}
 		}
+		this.firstSeenNanos.keySet().retainAll(starts);
 	}
 
 	private void place(ServiceRule service, long nowNanos) {
--- a/router/src/main/java/org/burdocktray/request/path/PathSearch.java
+++ b/router/src/main/java/org/burdocktray/request/path/PathSearch.java
@@ -61,20 +61,20 @@
 	 * @return the path, or empty when the engines with room do not hold all layers
 	 */
 	public Optional<LayerPath> find(List<Replica> engines, PathDemand demand, EngineProfile profile) {
-		List<Replica> fitting = engines.stream().filter((engine) -> isKnown(engine, profile)).toList();
-		Map<DataCentre, List<Replica>> byDataCentre = new HashMap<>();
-		fitting.forEach(
-				(engine) -> byDataCentre.computeIfAbsent(engine.dataCentre(), (any) -> new ArrayList<>()).add(engine));
-		Optional<Step> best = Optional.empty();
-		for (Map.Entry<DataCentre, List<Replica>> local : byDataCentre.entrySet()) {
+		List<Candidate> all = candidates(engines, demand, profile);
+		Map<DataCentre, List<Candidate>> byDataCentre = new HashMap<>();
+		all.forEach(
+				(candidate) -> byDataCentre.computeIfAbsent(candidate.engine().dataCentre(), (any) -> new ArrayList<>())
+					.add(candidate));
+		Step best = null;
+		for (Map.Entry<DataCentre, List<Candidate>> local : byDataCentre.entrySet()) {
 			double surcharge = local.getKey().equals(this.here) ? 0 : OTHER_DATA_CENTRE_MILLIS;
-			Optional<Step> found = search(0, local.getValue(), demand, profile, surcharge);
-			best = cheaper(best, found);
+			best = cheaper(best, search(0, local.getValue(), demand, profile, surcharge));
 		}
-		if (best.isEmpty()) {
-			best = search(0, fitting, demand, profile, 0);
+		if (best == null) {
+			best = search(0, all, demand, profile, 0);
 		}
-		return best.map((step) -> new LayerPath(step.parts()));
+		return Optional.ofNullable(best).map((step) -> new LayerPath(step.parts()));
 	}
 
 	/**
@@ -87,97 +87,124 @@
 	 */
 	public Optional<LayerPath> findBehind(PathPart first, List<Replica> engines, PathDemand demand,
 			EngineProfile profile) {
-		List<Replica> others = engines.stream()
-			.filter((engine) -> !engine.id().equals(first.replica().id()))
-			.filter((engine) -> isKnown(engine, profile))
-			.toList();
-		List<Replica> local = others.stream()
-			.filter((engine) -> engine.dataCentre().equals(first.replica().dataCentre()))
+		Replica head = first.replica();
+		List<Candidate> others = candidates(
+				engines.stream().filter((engine) -> !engine.id().equals(head.id())).toList(), demand, profile);
+		List<Candidate> local = others.stream()
+			.filter((candidate) -> candidate.engine().dataCentre().equals(head.dataCentre()))
 			.toList();
 		int layer = first.layers().to();
-		return search(layer, local, demand, profile, 0).or(() -> search(layer, others, demand, profile, 0))
-			.map((rest) -> new LayerPath(rest.behind(first, 0).parts()));
+		Step rest = search(layer, local, demand, profile, 0);
+		if (rest == null) {
+			rest = search(layer, others, demand, profile, 0);
+		}
+		return Optional.ofNullable(rest).map((step) -> new LayerPath(new Step(0, first, step).parts()));
 	}
 
-	private Optional<Step> search(int layer, List<Replica> engines, PathDemand demand, EngineProfile profile,
+	private static Step search(int layer, List<Candidate> candidates, PathDemand demand, EngineProfile profile,
 			double surcharge) {
-		Map<String, Double> variation = new HashMap<>();
-		engines.forEach((engine) -> variation.put(engine.id(), 1 + RANDOM_SHARE * (this.random.nextDouble() - 0.5)));
-		Map<Integer, Optional<Step>> known = new HashMap<>();
-		known.put(profile.layers(), Optional.of(new Step(surcharge, List.of())));
-		return from(layer, engines, demand, profile, variation, known);
+		Step[] known = new Step[profile.layers() + 1];
+		known[profile.layers()] = new Step(surcharge, null, null);
+		return from(layer, candidates, demand, known, new boolean[profile.layers() + 1]);
 	}
 
-	private Optional<Step> from(int layer, List<Replica> engines, PathDemand demand, EngineProfile profile,
-			Map<String, Double> variation, Map<Integer, Optional<Step>> known) {
-		if (known.containsKey(layer)) {
-			return known.get(layer);
+	// Finds the best parts from a layer on, each layer's once; null when there are none.
+	private static Step from(int layer, List<Candidate> candidates, PathDemand demand, Step[] known, boolean[] isDone) {
+		if (known[layer] != null || isDone[layer]) {
+			return known[layer];
 		}
-		Optional<Step> best = Optional.empty();
-		for (Replica engine : engines) {
-			LayerRange held = engine.layers().orElseThrow();
-			if (!held.contains(layer)) {
+		isDone[layer] = true;
+		Step best = null;
+		for (Candidate candidate : candidates) {
+			if (!candidate.canRunFrom(layer, demand)) {
 				continue;
 			}
-			PathPart part = new PathPart(engine, new LayerRange(layer, held.to()));
-			if (!hasRoom(part, demand, profile)) {
+			Step rest = from(candidate.held().to(), candidates, demand, known, isDone);
+			if (rest == null) {
 				continue;
 			}
-			Optional<Step> rest = from(held.to(), engines, demand, profile, variation, known);
-			double cost = cost(part, demand, profile) * variation.get(engine.id());
-			best = cheaper(best, rest.map((step) -> step.behind(part, cost + border(part, step))));
+			double cost = rest.costMillis() + candidate.costMillis(layer) + border(candidate, rest);
+			if (best == null || cost < best.costMillis()) {
+				best = new Step(cost, candidate.partFrom(layer), rest);
+			}
 		}
-		known.put(layer, best);
+		known[layer] = best;
 		return best;
 	}
 
-	private static Optional<Step> cheaper(Optional<Step> one, Optional<Step> other) {
-		if (one.isEmpty()) {
+	private static Step cheaper(Step one, Step other) {
+		if (one == null) {
 			return other;
 		}
-		return (other.isPresent() && other.get().costMillis() < one.get().costMillis()) ? other : one;
+		return (other != null && other.costMillis() < one.costMillis()) ? other : one;
 	}
 
-	private static double border(PathPart part, Step rest) {
-		boolean crosses = !rest.parts().isEmpty()
-				&& !rest.parts().get(0).replica().dataCentre().equals(part.replica().dataCentre());
+	private static double border(Candidate candidate, Step rest) {
+		boolean crosses = rest.part() != null
+				&& !rest.part().replica().dataCentre().equals(candidate.engine().dataCentre());
 		return crosses ? BORDER_MILLIS : 0;
 	}
 
-	private static boolean isKnown(Replica engine, EngineProfile profile) {
-		return engine.layers().isPresent() && engine.acceleratorKind().flatMap(profile::kind).isPresent();
-	}
-
-	private boolean hasRoom(PathPart part, PathDemand demand, EngineProfile profile) {
-		AcceleratorKind kind = part.replica().acceleratorKind().flatMap(profile::kind).orElseThrow();
-		int held = part.replica().layers().orElseThrow().size();
-		double room = profile.kvTokenLayers(kind, held) * demand.kvShare();
-		return room - this.loads.kvUsed(part.replica()) >= (double) demand.tokens() * part.layers().size();
+	private List<Candidate> candidates(List<Replica> engines, PathDemand demand, EngineProfile profile) {
+		List<Candidate> result = new ArrayList<>(engines.size());
+		for (Replica engine : engines) {
+			Optional<AcceleratorKind> kind = engine.acceleratorKind().flatMap(profile::kind);
+			if (kind.isPresent() && engine.layers().isPresent()) {
+				result.add(candidate(engine, kind.get(), demand, profile));
+			}
+		}
+		return result;
 	}
 
 	// Estimates how long an engine keeps a request, from its queue to its last token.
-	private double cost(PathPart part, PathDemand demand, EngineProfile profile) {
-		AcceleratorKind kind = part.replica().acceleratorKind().flatMap(profile::kind).orElseThrow();
-		double share = part.layers().size() / (double) profile.layers();
-		double slowness = this.loads.slowness(part.replica());
-		int sequences = this.loads.sequences(part.replica());
+	private Candidate candidate(Replica engine, AcceleratorKind kind, PathDemand demand, EngineProfile profile) {
+		LayerRange held = engine.layers().orElseThrow();
+		double capacity = profile.kvTokenLayers(kind, held.size());
+		long used = this.loads.kvUsed(engine);
+		int sequences = this.loads.sequences(engine);
 		double context = sequences * profile.usualTokens() / TOKENS_PER_CONTEXT_UNIT;
 		double step = profile.stepMillis() + profile.sequenceMillis() * (sequences + 1)
 				+ profile.contextMillis() * context;
 		double prefill = MILLIS_PER_SECOND * demand.promptTokens() / profile.prefillTokensPerSecond();
-		double pressure = 1 + this.loads.kvUsed(part.replica())
-				/ Math.max(1, profile.kvTokenLayers(kind, part.replica().layers().orElseThrow().size()));
-		return slowness * share * pressure
+		double pressure = 1 + used / Math.max(1, capacity);
+		double variation = 1 + RANDOM_SHARE * (this.random.nextDouble() - 0.5);
+		double millis = this.loads.slowness(engine) * pressure * variation
 				* (kind.prefillFactor() * prefill + kind.stepFactor() * step * demand.answerTokens());
+		return new Candidate(engine, held, capacity * demand.kvShare() - used, millis / profile.layers());
 	}
 
-	private record Step(double costMillis, List<PathPart> parts) {
+	/**
+	 * An engine with what a request would meet there. Thread safety: immutable.
+	 */
+	private record Candidate(Replica engine, LayerRange held, double roomTokenLayers, double millisPerLayer) {
 
-		Step behind(PathPart part, double cost) {
-			List<PathPart> longer = new ArrayList<>();
-			longer.add(part);
-			longer.addAll(this.parts);
-			return new Step(this.costMillis + cost, longer);
+		boolean canRunFrom(int layer, PathDemand demand) {
+			return this.held.contains(layer)
+					&& this.roomTokenLayers >= (double) demand.tokens() * (this.held.to() - layer);
+		}
+
+		double costMillis(int layer) {
+			return this.millisPerLayer * (this.held.to() - layer);
+		}
+
+		PathPart partFrom(int layer) {
+			return new PathPart(this.engine, new LayerRange(layer, this.held.to()));
+		}
+
+	}
+
+	/**
+	 * The parts from a layer on; those behind the last layer have no part. Thread safety:
+	 * immutable.
+	 */
+	private record Step(double costMillis, PathPart part, Step rest) {
+
+		List<PathPart> parts() {
+			List<PathPart> result = new ArrayList<>();
+			for (Step step = this; step.part != null; step = step.rest) {
+				result.add(step.part);
+			}
+			return result;
 		}
 
 	}
