Give the training run the drain bound, and end it when it fails

Cause: the build hung.

Now the settings have the bound, and a failed training ends with status 1, so that the build says so.

--- a/standins/src/main/java/org/burdocktray/standins/gateway/PlainReplicaStandIn.java
+++ b/standins/src/main/java/org/burdocktray/standins/gateway/PlainReplicaStandIn.java
@@ -73,6 +73,9 @@
 		}
 		String requestId = context.request().getHeader("X-Burdocktray-Request-Id");
 		this.ran.add(requestId);
+		if (this.behaviour == Behaviour.KEEP_SILENT) {
+			return;
+		}
 		if (this.behaviour == Behaviour.LOSE_ANSWER) {
 			drop(context);
 			return;
@@ -99,6 +102,9 @@
 		/** It is run, and the connection is closed without an answer. */
 		LOSE_ANSWER,
 
+		/** It is run and never answered; the connection stays open. */
+		KEEP_SILENT,
+
 		/** It is run, and the answer to another request is sent. */
 		ANSWER_ANOTHER
 
--- a/standins/src/main/java/org/burdocktray/standins/gateway/TrainingFleet.java
+++ b/standins/src/main/java/org/burdocktray/standins/gateway/TrainingFleet.java
@@ -27,6 +27,8 @@
 
 	private static final long READY_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(30);
 
+	private static final System.Logger LOGGER = System.getLogger(TrainingFleet.class.getName());
+
 	private static final long POLL_MILLIS = 100;
 
 	private static final int REQUESTS = 40;
@@ -39,15 +41,21 @@
 	}
 
 	/**
-	 * Runs the training.
+	 * Runs the training, then ends the process: with status 1 when it failed, since the
+	 * stand-ins' threads would keep the process alive.
 	 * @param arguments the path of the settings file to write
-	 * @throws IOException when the file can't be written or a call fails
-	 * @throws InterruptedException when the wait is interrupted
 	 */
-	public static void main(String[] arguments) throws IOException, InterruptedException {
+	public static void main(String[] arguments) {
 		System.setProperty("jdk.httpclient.allowRestrictedHeaders", "host");
-		new TrainingFleet().run(Path.of(arguments[0]));
-		System.exit(0);
+		int status = 0;
+		try {
+			new TrainingFleet().run(Path.of(arguments[0]));
+		}
+		catch (IOException | InterruptedException | IllegalStateException ex) {
+			LOGGER.log(System.Logger.Level.ERROR, "Training run failed", ex);
+			status = 1;
+		}
+		System.exit(status);
 	}
 
 	private void run(Path settingsFile) throws IOException, InterruptedException {
@@ -123,6 +131,7 @@
 					new JsonObject().put("front", "127.0.0.1:" + callerPort).put("ready", "127.0.0.1:" + readinessPort))
 			.put("bounds",
 					new JsonObject().put("revokeMs", 5_000)
+						.put("drainMs", 2_000)
 						.put("graceS", 8)
 						.put("contactMs", 3_000)
 						.put("retryBudgetRatio", 0.2)
