Avoid plain replicas that fail or keep silent, whatever their health says

Cause: a replica that takes requests and fails them all, or never answers, while its health check is good, kept its share of the calls: one failure was forgiven until there were three in a row, and a call that met its deadline without any answer counted as none. Calls to plain services come seldom on each of many VMs, so three in a row take long.

Engines, which others cannot simply replace, are avoided after three failures as before.

Tests: ReplicaHealthTests; GatewayTests.replicaThatKeepsSilentIsAvoided.

--- a/router/src/main/java/org/burdocktray/process/serve/gateway/Attempt.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/Attempt.java
@@ -31,6 +31,8 @@
 
 	private boolean sent;
 
+	private long sentNanos;
+
 	private boolean streaming;
 
 	private boolean ended;
@@ -71,6 +73,10 @@
 		return this.sent;
 	}
 
+	long sentNanos() {
+		return this.sentNanos;
+	}
+
 	boolean isOnEngines() {
 		return this.sent && this.target.path().isPresent();
 	}
@@ -110,6 +116,7 @@
 			.onSuccess(this::answered)
 			.onFailure((cause) -> fail(AttemptOutcome.LOST, cause.toString(), Optional.empty()));
 		this.sent = true;
+		this.sentNanos = System.nanoTime();
 		if (this.request.body().length() > 0) {
 			opened.end(this.request.body());
 		}
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/ForwardExchange.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/ForwardExchange.java
@@ -36,6 +36,9 @@
 	/** The part of a caller's patience that a stream which broke off waits for room. */
 	private static final double NEXT_WAIT_SHARE = 0.85;
 
+	/** The part of a caller's patience after which a replica's silence is a failure. */
+	private static final double SILENT_SHARE = 0.5;
+
 	private static final double ENGINE_RETRY_AFTER_SECONDS = 1;
 
 	private static final double SERVICE_RETRY_AFTER_SECONDS = 0.1;
@@ -71,6 +74,8 @@
 
 	private boolean ended;
 
+	private long allowedMillis;
+
 	private long endTimer;
 
 	private String lastCause = "";
@@ -90,8 +95,8 @@
 		this.underWay.add(this);
 		this.context.retryBudget().first(this.admitted.service().name(), System.nanoTime());
 		this.answer.onCallerGone(this::callerGone);
-		long leftMillis = Math.max(1, this.admitted.request().remainingMillis());
-		this.endTimer = this.context.vertx().setTimer(leftMillis, (timer) -> timeIsUp());
+		this.allowedMillis = Math.max(1, this.admitted.request().remainingMillis());
+		this.endTimer = this.context.vertx().setTimer(this.allowedMillis, (timer) -> timeIsUp());
 		dispatch();
 	}
 
@@ -321,6 +326,7 @@
 		if (this.ended) {
 			return;
 		}
+		noteSilence();
 		cancelAttempt();
 		if (this.answer.isBegun()) {
 			breakOff("time is up");
@@ -334,11 +340,24 @@
 		if (this.ended) {
 			return;
 		}
+		noteSilence();
 		this.attempt.ifPresent(Attempt::cancel);
 		finish();
 		RequestEvents.ended(this.admitted, 0, Verdict.MAY_HAVE_RUN, "caller went away", this.timing);
 	}
 
+	// A replica that keeps a request without any answer for that long has failed,
+	// whatever
+	// its health check says.
+	private void noteSilence() {
+		long patienceMillis = Math.min(this.allowedMillis, this.admitted.route().patienceMillis());
+		double silentNanos = SILENT_SHARE * patienceMillis * NANOS_PER_MILLI;
+		this.attempt.filter(Attempt::isSent)
+			.filter((running) -> !this.answer.isBegun())
+			.filter((running) -> System.nanoTime() - running.sentNanos() >= silentNanos)
+			.ifPresent((running) -> this.health.answered(running.target().replica(), true));
+	}
+
 	private void giveUp(String cause) {
 		giveUp(cause, serviceRetryAfterSeconds());
 	}
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/ReplicaHealth.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/ReplicaHealth.java
@@ -13,11 +13,20 @@
  */
 final class ReplicaHealth {
 
-	/** Failures in a row after which a replica gets no requests for a while. */
-	private static final int FAILURES_TO_AVOID = 3;
+	/**
+	 * Failures in a row after which an engine, which others cannot replace, is avoided.
+	 */
+	private static final int ENGINE_FAILURES = 3;
 
 	private static final long AVOID_NANOS = TimeUnit.SECONDS.toNanos(2);
 
+	/**
+	 * How long a plain replica is avoided after its first failure; twice after the next.
+	 */
+	private static final long FIRST_AVOID_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
+	private static final int MAX_DOUBLINGS = 4;
+
 	private final GatewayContext context;
 
 	ReplicaHealth(GatewayContext context) {
@@ -61,8 +70,15 @@
 			this.context.loads().succeeded(replica);
 			return;
 		}
-		if (this.context.loads().failed(replica) >= FAILURES_TO_AVOID) {
-			this.context.loads().avoid(replica, System.nanoTime() + AVOID_NANOS);
+		long nowNanos = System.nanoTime();
+		int failures = this.context.loads().failed(replica);
+		if (replica.acceleratorKind().isEmpty()) {
+			int doublings = Math.min(failures - 1, MAX_DOUBLINGS);
+			this.context.loads().avoid(replica, nowNanos + (FIRST_AVOID_NANOS << doublings));
+			return;
+		}
+		if (failures >= ENGINE_FAILURES) {
+			this.context.loads().avoid(replica, nowNanos + AVOID_NANOS);
 		}
 	}
 
