--- a/router/src/main/java/org/burdocktray/process/serve/gateway/RequestEvents.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/RequestEvents.java
@@ -27,10 +27,9 @@
 	}
 
 	static void sending(Admitted admitted, Target target, ForwardState state) {
-		if (LOGGER.isDebugEnabled() || state.verdict() != Verdict.NOT_RUN) {
-			LOGGER.infof("Request sent: request=%s route=%s replica=%s path=%s ranBefore=%s", id(admitted),
-					admitted.route().name(), target.replica().id(), path(target.path()), state.verdict().wireName());
-		}
+		LOGGER.infof("Request sent: request=%s route=%s rules=%d replica=%s path=%s ranBefore=%s", id(admitted),
+				admitted.route().name(), admitted.rulesVersion(), target.replica().id(), path(target.path()),
+				state.verdict().wireName());
 	}
 
 	static void attemptFailed(Admitted admitted, Target target, AttemptOutcome outcome, String cause,
