Leave an engine that gives no reason for its silence

Cause: a first engine that keeps streams without events, while it answers questions on its load and names no engine that it waits for, kept them until their callers went away.

Test: GatewayTests.streamIsResumedElsewhereWhenItsFirstEngineFallsMute (without this the stream ends when its caller's time is up: not run on the old code).

--- a/router/src/main/java/org/burdocktray/process/serve/gateway/StreamRecovery.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/StreamRecovery.java
@@ -22,6 +22,9 @@
 	/** The silence after which a stream through a dead engine takes another path. */
 	private static final long SILENCE_BEHIND_DEAD_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
 
+	/** Answers of a first engine without a reason after which the stream leaves it. */
+	private static final int UNEXPLAINED_ANSWERS = 2;
+
 	private static final long AVOID_DEAD_NANOS = TimeUnit.SECONDS.toNanos(2);
 
 	private final GatewayContext context;
@@ -38,6 +41,8 @@
 
 	private boolean changingPath;
 
+	private int unexplained;
+
 	StreamRecovery(GatewayContext context, Admitted admitted, TargetChoice choice, Owner owner) {
 		this.context = context;
 		this.admitted = admitted;
@@ -52,6 +57,7 @@
 	void sending(boolean isResumed) {
 		this.askedNanos = System.nanoTime();
 		this.changingPath = false;
+		this.unexplained = 0;
 		if (!isResumed) {
 			this.progressNanos = this.askedNanos;
 		}
@@ -60,6 +66,7 @@
 	/** Notes that bytes of the stream came. */
 	void progressed() {
 		this.progressNanos = System.nanoTime();
+		this.unexplained = 0;
 	}
 
 	long progressNanos() {
@@ -100,16 +107,32 @@
 			this.owner.leave(asked, "first engine is silent: " + answer.getLeft());
 			return;
 		}
-		answer.get()
+		Optional<LoadReport.StalledRequest> found = answer.get()
 			.stalled()
 			.stream()
 			.filter((stalled) -> this.admitted.head().requestId().equals(Optional.of(stalled.requestId())))
-			.findFirst()
-			.flatMap((stalled) -> this.context.directory().at(stalled.waitsFor()))
-			.ifPresent((engine) -> {
-				this.context.loads().avoid(engine, System.nanoTime() + AVOID_DEAD_NANOS);
-				this.owner.engineFound(engine);
-			});
+			.findFirst();
+		if (found.isEmpty()) {
+			notStalled(asked, answer.get());
+			return;
+		}
+		this.context.directory().at(found.get().waitsFor()).ifPresent((engine) -> {
+			this.context.loads().avoid(engine, System.nanoTime() + AVOID_DEAD_NANOS);
+			this.owner.engineFound(engine);
+		});
+	}
+
+	// An engine with nothing in its queue that waits for no other one has no reason to be
+	// silent, whatever it reports.
+	private void notStalled(Attempt asked, LoadReport report) {
+		if (report.queued() > 0) {
+			this.unexplained = 0;
+			return;
+		}
+		this.unexplained++;
+		if (this.unexplained >= UNEXPLAINED_ANSWERS) {
+			this.owner.leave(asked, "first engine reports no reason for its silence");
+		}
 	}
 
 	private void pathChanged(Attempt stuck, Target next, Replica engine, ReplicaControl.OrderAnswer result) {
--- a/standins/src/main/java/org/burdocktray/standins/gateway/LayeredEngineStandIn.java
+++ b/standins/src/main/java/org/burdocktray/standins/gateway/LayeredEngineStandIn.java
@@ -43,6 +43,8 @@
 
 	private volatile boolean dead;
 
+	private volatile boolean mute;
+
 	private int sequence;
 
 	/**
@@ -82,6 +84,11 @@
 		this.dead = true;
 	}
 
+	/** Makes no more events, though it reports and takes requests as if it did. */
+	public void fallMute() {
+		this.mute = true;
+	}
+
 	/**
 	 * Returns how often a request's event passed through this engine.
 	 * @param requestId the request
@@ -199,7 +206,7 @@
 
 	private void step(HttpServerResponse response, String requestId, int event) {
 		List<Part> path = this.paths.get(requestId);
-		if (response.closed() || this.dead || path == null) {
+		if (response.closed() || this.dead || this.mute || path == null) {
 			return;
 		}
 		if (event > this.events) {
