Give room first to requests that can still be answered on time

Now, within a rank, answers that have begun come first, then requests younger than 0.8 of their target, then the late ones. Late ones are not served before on-time ones, and are refused at 0.8 of their callers' patience as before.

--- a/router/src/main/java/org/burdocktray/process/serve/gateway/ForwardExchange.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/ForwardExchange.java
@@ -11,6 +11,7 @@
 import org.burdocktray.request.forward.AttemptOutcome;
 import org.burdocktray.request.forward.EventFramer;
 import org.burdocktray.request.forward.ForwardState;
+import org.burdocktray.request.forward.WaitingRequest;
 import org.burdocktray.version.rules.RequestKind;
 
 /**
@@ -111,12 +112,9 @@
 		return this.waiting;
 	}
 
-	int priority() {
-		return this.admitted.priority();
-	}
-
-	long startNanos() {
-		return this.timing.startNanos();
+	WaitingRequest turn() {
+		return new WaitingRequest(this.admitted.priority(), this.answer.isBegun(), this.timing.startNanos(),
+				this.admitted.route().targetLatencyMillis() * NANOS_PER_MILLI);
 	}
 
 	private void dispatch() {
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/RequestsUnderWay.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/RequestsUnderWay.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 
 import org.burdocktray.process.directory.Replica;
+import org.burdocktray.request.forward.WaitingRequest;
 
 /**
  * The requests of this VM without their final answer. Thread safety: none, confined to
@@ -31,7 +32,7 @@
 		List.copyOf(this.exchanges).forEach((exchange) -> exchange.checkProgress(nowNanos));
 		this.exchanges.stream()
 			.filter(ForwardExchange::isWaiting)
-			.sorted(Comparator.comparingInt(ForwardExchange::priority).thenComparingLong(ForwardExchange::startNanos))
+			.sorted(Comparator.comparing(ForwardExchange::turn, WaitingRequest.order(nowNanos)))
 			.toList()
 			.forEach(ForwardExchange::dispatchWaiting);
 	}
