Give a new engine at once the layers of the one that it replaces

Where slow engines hold the same layers, the run of layers that the fewest hold is no longer the one that was left.

Now Vacancies remembers what engines held that left (also those that start again under their id). A new engine of the same kind and data centre is given just those layers, without a wait. An engine is moved to layers that nobody holds only after they were missing for 2.5 s.

--- a/router/src/main/java/org/burdocktray/process/placement/LayerPlacement.java
+++ b/router/src/main/java/org/burdocktray/process/placement/LayerPlacement.java
@@ -37,13 +37,11 @@
 	 * Decides the layers.
 	 * @param engines the engines of one data centre that are not leaving
 	 * @param profile how they behave
-	 * @param isSettled tells which engines have been there long enough to get layers that
-	 * all others hold equally often; a new engine may be there to replace one that leaves
-	 * soon
+	 * @param replacement what is known of engines that left and came
 	 * @return the layers by id of the engines that must change
 	 */
 	public static Map<String, LayerRange> changes(List<Replica> engines, EngineProfile profile,
-			Predicate<Replica> isSettled) {
+			Replacement replacement) {
 		List<Replica> known = engines.stream()
 			.filter((engine) -> engine.acceleratorKind().flatMap(profile::kind).isPresent())
 			.sorted(Comparator.comparing(Replica::id))
@@ -60,13 +58,44 @@
 			range.ifPresentOrElse((layers) -> held.add(engine.withLayers(Optional.of(layers))),
 					() -> spare.add(engine));
 		}
-		changes.putAll(fill(held, spare, profile, isSettled));
-		if (spare.isEmpty()) {
+		changes.putAll(succeed(held, spare, replacement.left()));
+		changes.putAll(fill(held, spare, profile, replacement.isSettled()));
+		if (spare.isEmpty() && replacement.mayMove()) {
 			changes.putAll(repair(held, profile));
 		}
 		return changes;
 	}
 
+	/**
+	 * Tells whether nobody holds some layer.
+	 * @param engines the engines of one data centre that are not leaving
+	 * @param profile how they behave
+	 * @return whether no path of them runs all layers
+	 */
+	public static boolean isBroken(List<Replica> engines, EngineProfile profile) {
+		List<Replica> held = engines.stream().filter((engine) -> engine.layers().isPresent()).toList();
+		return Arrays.stream(holders(held, profile)).anyMatch((count) -> count == 0);
+	}
+
+	// Gives engines without layers those of engines of their kind that left, first those
+	// that they held themselves before a restart.
+	private static Map<String, LayerRange> succeed(List<Replica> held, List<Replica> spare, List<Replica> left) {
+		Map<String, LayerRange> result = new LinkedHashMap<>();
+		List<Replica> open = new ArrayList<>(left);
+		for (Replica engine : List.copyOf(spare)) {
+			Optional<Replica> predecessor = open.stream()
+				.filter((gone) -> gone.acceleratorKind().equals(engine.acceleratorKind()))
+				.min(Comparator.comparing((Replica gone) -> !gone.id().equals(engine.id())));
+			predecessor.ifPresent((gone) -> {
+				open.remove(gone);
+				spare.remove(engine);
+				held.add(engine.withLayers(gone.layers()));
+				result.put(engine.id(), gone.layers().orElseThrow());
+			});
+		}
+		return result;
+	}
+
 	// Gives each engine without layers those for which there is the least room.
 	private static Map<String, LayerRange> fill(List<Replica> held, List<Replica> spare, EngineProfile profile,
 			Predicate<Replica> isSettled) {
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/PlacementLoop.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/PlacementLoop.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
@@ -16,6 +17,8 @@
 import org.burdocktray.process.directory.ReplicaDirectory;
 import org.burdocktray.process.placement.LayerPlacement;
 import org.burdocktray.process.placement.OrderLedger;
+import org.burdocktray.process.placement.Replacement;
+import org.burdocktray.process.placement.Vacancies;
 import org.burdocktray.version.rules.EngineProfile;
 import org.burdocktray.version.rules.RulesGate;
 import org.burdocktray.version.rules.ServiceRule;
@@ -46,8 +49,12 @@
 
 	private final OrderLedger ledger = new OrderLedger();
 
+	private final Vacancies vacancies = new Vacancies();
+
 	private final Map<String, Long> firstSeenNanos = new HashMap<>();
 
+	private final Map<DataCentre, Long> brokenSinceNanos = new HashMap<>();
+
 	private Map<String, List<Replica>> lastListed = Map.of();
 
 	private long lastNewNanos;
@@ -86,6 +93,11 @@
 			}
 		}
 		this.firstSeenNanos.keySet().retainAll(starts);
+		this.vacancies.observe(listed.values()
+			.stream()
+			.flatMap(List::stream)
+			.filter((replica) -> replica.acceleratorKind().isPresent())
+			.toList(), nowNanos);
 	}
 
 	private void place(ServiceRule service, long nowNanos) {
@@ -98,12 +110,27 @@
 			.map((engine) -> this.ledger.withExpectedLayers(engine, nowNanos))
 			.collect(Collectors.groupingBy(Replica::dataCentre));
 		byDataCentre.values().removeIf((engines) -> isFilling(engines, nowNanos));
-		byDataCentre.forEach((dataCentre, engines) -> LayerPlacement
-			.changes(engines, profile, (engine) -> isSettled(engine, nowNanos))
-			.forEach((id, layers) -> engines.stream()
-				.filter((engine) -> engine.id().equals(id))
-				.findFirst()
-				.ifPresent((engine) -> order(engine, layers, nowNanos))));
+		byDataCentre.forEach((dataCentre, engines) -> place(dataCentre, engines, profile, nowNanos));
+	}
+
+	private void place(DataCentre dataCentre, List<Replica> engines, EngineProfile profile, long nowNanos) {
+		Replacement replacement = new Replacement(this.vacancies.left(dataCentre),
+				(engine) -> isSettled(engine, nowNanos), isLongBroken(dataCentre, engines, profile, nowNanos));
+		Map<String, LayerRange> changes = LayerPlacement.changes(engines, profile, replacement);
+		for (Replica engine : engines) {
+			LayerRange layers = changes.get(engine.id());
+			if (layers != null) {
+				order(engine, layers, nowNanos);
+			}
+		}
+	}
+
+	private boolean isLongBroken(DataCentre dataCentre, List<Replica> engines, EngineProfile profile, long nowNanos) {
+		if (!LayerPlacement.isBroken(engines, profile)) {
+			this.brokenSinceNanos.remove(dataCentre);
+			return false;
+		}
+		return nowNanos - this.brokenSinceNanos.computeIfAbsent(dataCentre, (any) -> nowNanos) > REPLACE_NANOS;
 	}
 
 	private boolean isSettled(Replica engine, long nowNanos) {
@@ -141,6 +168,9 @@
 			.subscribe((result) -> {
 				LOGGER.infof("Order answered: replica=%s layers=%d-%d expectedSequence=%d answer=%s", engine.id(),
 						layers.from(), layers.to(), report.orderSequence(), result);
+				if (result == ReplicaControl.OrderAnswer.ACCEPTED) {
+					this.vacancies.filled(engine.withLayers(Optional.of(layers)));
+				}
 				this.ledger.answered(engine, result != ReplicaControl.OrderAnswer.REFUSED,
 						result == ReplicaControl.OrderAnswer.UNRESOLVED, System.nanoTime());
 			});
--- a/router/src/test/java/org/burdocktray/process/placement/LayerPlacementTests.java
+++ b/router/src/test/java/org/burdocktray/process/placement/LayerPlacementTests.java
@@ -109,8 +109,10 @@
 	void newEngineWaitsForTheOneThatItMayReplace() {
 		List<Replica> engines = List.of(TestReplicas.engine("a", "ghent", "fast", 0, 5),
 				TestReplicas.engine("b", "ghent", "fast", 5, 10), empty("new", "fast"));
-		assertThat(LayerPlacement.changes(engines, TestReplicas.PROFILE, (engine) -> false)).isEmpty();
-		assertThat(LayerPlacement.changes(engines, TestReplicas.PROFILE, (engine) -> true)).containsOnlyKeys("new");
+		assertThat(LayerPlacement.changes(engines, TestReplicas.PROFILE, replacement(List.of(), false, true)))
+			.isEmpty();
+		assertThat(LayerPlacement.changes(engines, TestReplicas.PROFILE, replacement(List.of(), true, true)))
+			.containsOnlyKeys("new");
 	}
 
 	@Test
@@ -121,8 +123,44 @@
 		assertThat(changes(engines, TestReplicas.PROFILE)).isEmpty();
 	}
 
+	/** A release: the new engine comes first, the old one leaves a second later. */
+	@Test
+	void newEngineTakesTheLayersOfTheOneThatLeft() {
+		List<Replica> engines = List.of(TestReplicas.engine("a", "ghent", "fast", 0, 5),
+				TestReplicas.engine("c", "ghent", "slow", 0, 3), TestReplicas.engine("d", "ghent", "slow", 3, 6),
+				TestReplicas.engine("e", "ghent", "slow", 6, 8), TestReplicas.engine("f", "ghent", "slow", 7, 10),
+				empty("new", "fast"));
+		List<Replica> left = List.of(TestReplicas.engine("s", "ghent", "slow", 0, 2),
+				TestReplicas.engine("b", "ghent", "fast", 5, 10));
+		assertThat(LayerPlacement.changes(engines, TestReplicas.PROFILE, replacement(left, false, false)))
+			.containsOnly(Map.entry("new", new LayerRange(5, 10)));
+	}
+
+	@Test
+	void restartedEngineTakesItsOwnLayersAgain() {
+		List<Replica> left = List.of(TestReplicas.engine("a", "ghent", "fast", 0, 5),
+				TestReplicas.engine("b", "ghent", "fast", 5, 10));
+		List<Replica> engines = List.of(TestReplicas.engine("c", "ghent", "fast", 0, 6), empty("b", "fast"));
+		assertThat(LayerPlacement.changes(engines, TestReplicas.PROFILE, replacement(left, false, false)))
+			.containsOnly(Map.entry("b", new LayerRange(5, 10)));
+	}
+
+	/** An engine that restarts is back sooner than another one has moved. */
+	@Test
+	void engineIsNotMovedWhileALostOneMayBeBack() {
+		List<Replica> engines = List.of(TestReplicas.engine("a", "ghent", "fast", 0, 5),
+				TestReplicas.engine("b", "ghent", "fast", 0, 5));
+		assertThat(LayerPlacement.changes(engines, TestReplicas.PROFILE, replacement(List.of(), true, false)))
+			.isEmpty();
+		assertThat(LayerPlacement.isBroken(engines, TestReplicas.PROFILE)).isTrue();
+	}
+
+	private static Replacement replacement(List<Replica> left, boolean isSettled, boolean mayMove) {
+		return new Replacement(left, (engine) -> isSettled, mayMove);
+	}
+
 	private static Map<String, LayerRange> changes(List<Replica> engines, EngineProfile profile) {
-		return LayerPlacement.changes(engines, profile, (engine) -> true);
+		return LayerPlacement.changes(engines, profile, replacement(List.of(), true, true));
 	}
 
 	private static List<Replica> after(List<Replica> engines, EngineProfile profile) {
--- a/router/src/test/java/org/burdocktray/process/placement/PlacementThroughputTests.java
+++ b/router/src/test/java/org/burdocktray/process/placement/PlacementThroughputTests.java
@@ -35,6 +35,8 @@
 			190, 800, 200, 200, Map.of("fast", new AcceleratorKind("fast", 72_000, 2.4, 3), "medium",
 					new AcceleratorKind("medium", 43_000, 5.6, 3), "slow", new AcceleratorKind("slow", 21_500, 16, 8)));
 
+	private static final Replacement ALL_SETTLED = new Replacement(List.of(), (engine) -> true, true);
+
 	private static final PathDemand DEMAND = new PathDemand(800, 200, 1);
 
 	@Test
@@ -64,13 +66,13 @@
 				.add(engine("s" + index, "slow").withLayers(Optional.of(new LayerRange(7 * index, 7 * (index + 1)))));
 		}
 		engines.add(engine("new", "fast"));
-		LayerRange given = LayerPlacement.changes(engines, LARGE, (engine) -> true).get("new");
+		LayerRange given = LayerPlacement.changes(engines, LARGE, ALL_SETTLED).get("new");
 		assertThat(given.from()).isZero();
 		assertThat(given.to()).isBetween(20, 30);
 	}
 
 	private static void compare(List<Replica> engines) {
-		double placed = tokensPerSecond(after(engines, LayerPlacement.changes(engines, LARGE, (engine) -> true)));
+		double placed = tokensPerSecond(after(engines, LayerPlacement.changes(engines, LARGE, ALL_SETTLED)));
 		assertThat(placed).isGreaterThan(1.2 * tokensPerSecond(equalParts(engines)));
 		assertThat(placed).isGreaterThan(1.2 * tokensPerSecond(greedyByMemory(engines)));
 	}
