--- a/router/src/main/java/org/burdocktray/process/placement/Vacancies.java
+++ b/router/src/main/java/org/burdocktray/process/placement/Vacancies.java
@@ -48,13 +48,15 @@
 	}
 
 	/**
-	 * Returns the engines that left a data centre and were not replaced.
+	 * Returns the engines of a service that left a data centre and were not replaced.
+	 * @param service the service
 	 * @param dataCentre the data centre
 	 * @return the engines as they were, those that left first first
 	 */
-	public List<Replica> left(DataCentre dataCentre) {
+	public List<Replica> left(String service, DataCentre dataCentre) {
 		List<Vacancy> found = new ArrayList<>(this.vacancies.values());
-		found.removeIf((vacancy) -> !vacancy.engine().dataCentre().equals(dataCentre));
+		found.removeIf((vacancy) -> !vacancy.engine().service().equals(service)
+				|| !vacancy.engine().dataCentre().equals(dataCentre));
 		found.sort((one, other) -> Long.compare(one.sinceNanos(), other.sinceNanos()));
 		return found.stream().map(Vacancy::engine).toList();
 	}
@@ -67,7 +69,8 @@
 		Iterator<Vacancy> rest = this.vacancies.values().iterator();
 		while (rest.hasNext()) {
 			Replica gone = rest.next().engine();
-			if (gone.dataCentre().equals(engine.dataCentre()) && gone.layers().equals(engine.layers())) {
+			if (gone.service().equals(engine.service()) && gone.dataCentre().equals(engine.dataCentre())
+					&& gone.layers().equals(engine.layers())) {
 				rest.remove();
 				return;
 			}
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/PlacementLoop.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/PlacementLoop.java
@@ -53,7 +53,7 @@
 
 	private final Map<String, Long> firstSeenNanos = new HashMap<>();
 
-	private final Map<DataCentre, Long> brokenSinceNanos = new HashMap<>();
+	private final Map<Group, Long> brokenSinceNanos = new HashMap<>();
 
 	private Map<String, List<Replica>> lastListed = Map.of();
 
@@ -110,12 +110,13 @@
 			.map((engine) -> this.ledger.withExpectedLayers(engine, nowNanos))
 			.collect(Collectors.groupingBy(Replica::dataCentre));
 		byDataCentre.values().removeIf((engines) -> isFilling(engines, nowNanos));
-		byDataCentre.forEach((dataCentre, engines) -> place(dataCentre, engines, profile, nowNanos));
+		byDataCentre
+			.forEach((dataCentre, engines) -> place(new Group(service.name(), dataCentre), engines, profile, nowNanos));
 	}
 
-	private void place(DataCentre dataCentre, List<Replica> engines, EngineProfile profile, long nowNanos) {
-		Replacement replacement = new Replacement(this.vacancies.left(dataCentre),
-				(engine) -> isSettled(engine, nowNanos), isLongBroken(dataCentre, engines, profile, nowNanos));
+	private void place(Group group, List<Replica> engines, EngineProfile profile, long nowNanos) {
+		Replacement replacement = new Replacement(this.vacancies.left(group.service(), group.dataCentre()),
+				(engine) -> isSettled(engine, nowNanos), isLongBroken(group, engines, profile, nowNanos));
 		Map<String, LayerRange> changes = LayerPlacement.changes(engines, profile, replacement);
 		for (Replica engine : engines) {
 			LayerRange layers = changes.get(engine.id());
@@ -125,12 +126,12 @@
 		}
 	}
 
-	private boolean isLongBroken(DataCentre dataCentre, List<Replica> engines, EngineProfile profile, long nowNanos) {
+	private boolean isLongBroken(Group group, List<Replica> engines, EngineProfile profile, long nowNanos) {
 		if (!LayerPlacement.isBroken(engines, profile)) {
-			this.brokenSinceNanos.remove(dataCentre);
+			this.brokenSinceNanos.remove(group);
 			return false;
 		}
-		return nowNanos - this.brokenSinceNanos.computeIfAbsent(dataCentre, (any) -> nowNanos) > REPLACE_NANOS;
+		return nowNanos - this.brokenSinceNanos.computeIfAbsent(group, (any) -> nowNanos) > REPLACE_NANOS;
 	}
 
 	private boolean isSettled(Replica engine, long nowNanos) {
@@ -176,4 +177,8 @@
 			});
 	}
 
+	private record Group(String service, DataCentre dataCentre) {
+
+	}
+
 }
--- a/router/src/test/java/org/burdocktray/process/placement/VacanciesTests.java
+++ b/router/src/test/java/org/burdocktray/process/placement/VacanciesTests.java
@@ -26,8 +26,9 @@
 	void engineThatLeavesIsRememberedWithItsLayers() {
 		observe(0, this.one, this.two);
 		observe(1, this.one);
-		assertThat(this.vacancies.left(GHENT)).containsExactly(this.two);
-		assertThat(this.vacancies.left(new DataCentre("leuven"))).isEmpty();
+		assertThat(this.vacancies.left("s", GHENT)).containsExactly(this.two);
+		assertThat(this.vacancies.left("s", new DataCentre("leuven"))).isEmpty();
+		assertThat(this.vacancies.left("other", GHENT)).isEmpty();
 	}
 
 	@Test
@@ -35,7 +36,7 @@
 		observe(0, this.one, this.two);
 		observe(1, this.one);
 		observe(2);
-		assertThat(this.vacancies.left(GHENT)).containsExactly(this.two, this.one);
+		assertThat(this.vacancies.left("s", GHENT)).containsExactly(this.two, this.one);
 	}
 
 	@Test
@@ -43,7 +44,7 @@
 		observe(0, this.one, this.two);
 		observe(1);
 		observe(2, this.one);
-		assertThat(this.vacancies.left(GHENT)).containsExactly(this.two);
+		assertThat(this.vacancies.left("s", GHENT)).containsExactly(this.two);
 	}
 
 	@Test
@@ -51,7 +52,7 @@
 		observe(0, this.one);
 		observe(1, new Replica("one", 2, "s", this.one.address(), GHENT, 100, false, Optional.of("fast"),
 				Optional.empty()));
-		assertThat(this.vacancies.left(GHENT)).containsExactly(this.one);
+		assertThat(this.vacancies.left("s", GHENT)).containsExactly(this.one);
 	}
 
 	@Test
@@ -60,7 +61,7 @@
 		observe(1);
 		this.vacancies
 			.filled(TestReplicas.emptyEngine("new", "ghent", "fast").withLayers(Optional.of(new LayerRange(0, 5))));
-		assertThat(this.vacancies.left(GHENT)).containsExactly(this.two);
+		assertThat(this.vacancies.left("s", GHENT)).containsExactly(this.two);
 	}
 
 	@Test
@@ -68,7 +69,7 @@
 		observe(0, this.one);
 		observe(1);
 		observe(62);
-		assertThat(this.vacancies.left(GHENT)).isEmpty();
+		assertThat(this.vacancies.left("s", GHENT)).isEmpty();
 	}
 
 	private void observe(int second, Replica... engines) {
