A fault soak of gateways as real processes

Three gateways run as processes against the stand-ins of the store, the engines and the plain replicas. Between them stand loopback proxies that hold bytes back both ways or one way, delay or reset them. Gateways get SIGTERM, SIGKILL, SIGSTOP and SIGHUP; the store goes away, forgets its history, gets new rules; a key is taken away; replicas turn requests away, lose answers, answer another request, keep silent; engines die and come.

Not in it: clocks that jump, and requests that nobody answers while a gateway is paused.

--- /dev/null
+++ b/soak/src/main/java/org/burdocktray/soak/Callers.java
@@ -0,0 +1,70 @@
+package org.burdocktray.soak;
+
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.List;
+import java.util.Locale;
+import java.util.Queue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.atomic.AtomicLong;
+
+/**
+ * Sends calls to gateways over connections that are kept open, and notes how they end.
+ * Thread safety: all methods can be called from any thread.
+ */
+final class Callers {
+
+	private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
+
+	/** Longer than any gateway may keep a call. */
+	private static final long EXTRA_MILLIS = 4_000;
+
+	private final HttpClient client = HttpClient.newBuilder()
+		.version(HttpClient.Version.HTTP_1_1)
+		.connectTimeout(CONNECT_TIMEOUT)
+		.build();
+
+	private final Queue<Call> ended = new ConcurrentLinkedQueue<>();
+
+	private final Queue<CompletableFuture<Call>> open = new ConcurrentLinkedQueue<>();
+
+	private final AtomicLong count = new AtomicLong();
+
+	CompletableFuture<Call> send(String address, Call.Kind kind, String key) {
+		String id = kind.name().toLowerCase(Locale.ROOT) + "-" + this.count.incrementAndGet();
+		long sentNanos = System.nanoTime();
+		HttpRequest.BodyPublisher body = (kind == Call.Kind.CHECK) ? HttpRequest.BodyPublishers.noBody()
+				: HttpRequest.BodyPublishers.ofString("body of " + id);
+		HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + address + kind.path() + id))
+			.method(kind.method(), body)
+			.header("Host", "a.example")
+			.header("X-Burdocktray-Request-Id", id)
+			.header("X-Burdocktray-Deadline-Ms", String.valueOf(kind.deadlineMillis()))
+			.header("X-Burdocktray-Token-Count", "50,20")
+			.header("Authorization", "Bearer " + key)
+			.timeout(Duration.ofMillis(kind.deadlineMillis() + EXTRA_MILLIS))
+			.build();
+		CompletableFuture<Call> result = this.client.sendAsync(request, HttpResponse.BodyHandlers.ofString())
+			.handle((answer, failure) -> {
+				Call call = new Call(id, kind, key, sentNanos, System.nanoTime(), 0, "", "");
+				return (answer != null) ? call.answered(answer) : call;
+			})
+			.whenComplete((call, failure) -> this.ended.add(call));
+		this.open.add(result);
+		return result;
+	}
+
+	/**
+	 * Waits for all calls.
+	 * @return the calls
+	 */
+	List<Call> await() {
+		this.open.forEach(CompletableFuture::join);
+		return List.copyOf(this.ended);
+	}
+
+}
--- /dev/null
+++ b/soak/src/main/java/org/burdocktray/soak/GatewayProcess.java
@@ -0,0 +1,149 @@
+package org.burdocktray.soak;
+
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+
+/**
+ * A gateway that runs as a process of its own and is started again at the same addresses.
+ * Thread safety: none, used by the thread of the faults; addresses can be read by all.
+ */
+final class GatewayProcess implements AutoCloseable {
+
+	private static final List<String> OPTIONS = List.of("-Xmx96m", "-Xss256k", "-XX:+UseSerialGC",
+			"-XX:TieredStopAtLevel=1");
+
+	private final String name;
+
+	private final Path directory;
+
+	private final Path jar;
+
+	private final int callerPort = freePort();
+
+	private final int readinessPort = freePort();
+
+	private Process process;
+
+	private boolean paused;
+
+	private int starts;
+
+	GatewayProcess(String name, Path directory, Path jar, String storeAddress) throws IOException {
+		this.name = name;
+		this.directory = directory;
+		this.jar = jar;
+		Files.writeString(settingsFile(), settings(storeAddress));
+		start();
+	}
+
+	String callerAddress() {
+		return "127.0.0.1:" + this.callerPort;
+	}
+
+	String readinessAddress() {
+		return "127.0.0.1:" + this.readinessPort;
+	}
+
+	boolean isAlive() {
+		return this.process.isAlive();
+	}
+
+	void start() throws IOException {
+		this.starts++;
+		this.paused = false;
+		Path log = this.directory.resolve(this.name + "-" + this.starts + ".log");
+		List<String> command = new ArrayList<>(List.of("java"));
+		command.addAll(OPTIONS);
+		command.addAll(List.of("-jar", this.jar.toString(), "gateway"));
+		ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true).redirectOutput(log.toFile());
+		builder.environment().put("BURDOCKTRAY_NODE_FILE", settingsFile().toString());
+		this.process = builder.start();
+	}
+
+	void terminate() {
+		this.process.destroy();
+	}
+
+	void kill() {
+		this.process.destroyForcibly();
+	}
+
+	void pause() throws IOException, InterruptedException {
+		this.paused = true;
+		signal("STOP");
+	}
+
+	void resume() throws IOException, InterruptedException {
+		if (this.paused) {
+			this.paused = false;
+			signal("CONT");
+		}
+	}
+
+	void reload() throws IOException, InterruptedException {
+		signal("HUP");
+	}
+
+	boolean awaitExit(long millis) throws InterruptedException {
+		return this.process.waitFor(millis, TimeUnit.MILLISECONDS);
+	}
+
+	int exitCode() {
+		return this.process.exitValue();
+	}
+
+	@Override
+	public void close() throws IOException, InterruptedException {
+		resume();
+		kill();
+		this.process.waitFor();
+	}
+
+	private void signal(String signal) throws IOException, InterruptedException {
+		if (this.process.isAlive()) {
+			new ProcessBuilder("kill", "-" + signal, String.valueOf(this.process.pid())).start().waitFor();
+		}
+	}
+
+	private Path settingsFile() {
+		return this.directory.resolve(this.name + ".json");
+	}
+
+	private String settings(String storeAddress) {
+		int peerPort = freePort();
+		return new JsonObject().put("nodeName", this.name)
+			.put("zone", "ghent")
+			.put("ip", "127.0.0.1")
+			.put("internalPorts", new JsonArray().add(peerPort).add(peerPort))
+			.put("listen", new JsonObject().put("front", callerAddress()).put("ready", readinessAddress()))
+			.put("bounds",
+					new JsonObject().put("revokeMs", SoakRun.REVOCATION_MILLIS)
+						.put("drainMs", 2_000)
+						.put("graceS", 6)
+						.put("contactMs", 3_000)
+						.put("retryBudgetRatio", 0.2)
+						.put("budgetWindowS", 10)
+						.put("budgetExtra", 200)
+						.put("stall_ms", 3_000))
+			.put("platform", new JsonObject().put("address", storeAddress))
+			.encode();
+	}
+
+	private static int freePort() {
+		try (ServerSocket socket = new ServerSocket(0)) {
+			return socket.getLocalPort();
+		}
+		catch (IOException ex) {
+			throw new IllegalStateException("no free port", ex);
+		}
+	}
+
+}
--- /dev/null
+++ b/soak/src/main/java/org/burdocktray/soak/LoopbackProxy.java
@@ -0,0 +1,141 @@
+package org.burdocktray.soak;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Passes connections on to an address of this machine, and disturbs them when told.
+ * Thread safety: all methods can be called from any thread.
+ */
+final class LoopbackProxy implements AutoCloseable {
+
+	private static final int BUFFER_BYTES = 16_384;
+
+	private static final long POLL_MILLIS = 10;
+
+	private static final long DELAY_MILLIS = 150;
+
+	private final ServerSocket server;
+
+	private final int targetPort;
+
+	private final ExecutorService threads = Executors.newCachedThreadPool((task) -> {
+		Thread thread = new Thread(task, "proxy");
+		thread.setDaemon(true);
+		return thread;
+	});
+
+	private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
+
+	private volatile Mode mode = Mode.PASS;
+
+	LoopbackProxy(int targetPort) throws IOException {
+		this.targetPort = targetPort;
+		this.server = new ServerSocket(0, 0, InetAddress.getLoopbackAddress());
+		this.threads.execute(this::accept);
+	}
+
+	String address() {
+		return "127.0.0.1:" + this.server.getLocalPort();
+	}
+
+	void mode(Mode next) {
+		this.mode = next;
+	}
+
+	/** Resets all connections. */
+	void reset() {
+		this.sockets.forEach(LoopbackProxy::reset);
+	}
+
+	@Override
+	public void close() throws IOException {
+		this.server.close();
+		reset();
+		this.threads.shutdownNow();
+	}
+
+	private void accept() {
+		while (!this.server.isClosed()) {
+			try {
+				Socket caller = this.server.accept();
+				Socket target = new Socket(InetAddress.getLoopbackAddress(), this.targetPort);
+				this.sockets.add(caller);
+				this.sockets.add(target);
+				this.threads.execute(() -> pump(caller, target, Mode.SILENT_FORTH));
+				this.threads.execute(() -> pump(target, caller, Mode.SILENT_BACK));
+			}
+			catch (IOException ex) {
+				// The target is gone, or the proxy is closed; the caller sees a reset.
+				continue;
+			}
+		}
+	}
+
+	private void pump(Socket from, Socket to, Mode silencing) {
+		byte[] buffer = new byte[BUFFER_BYTES];
+		try (InputStream input = from.getInputStream(); OutputStream output = to.getOutputStream()) {
+			for (int count = input.read(buffer); count >= 0; count = input.read(buffer)) {
+				while (this.mode == Mode.SILENT || this.mode == silencing) {
+					TimeUnit.MILLISECONDS.sleep(POLL_MILLIS);
+				}
+				if (this.mode == Mode.SLOW) {
+					TimeUnit.MILLISECONDS.sleep(DELAY_MILLIS);
+				}
+				output.write(buffer, 0, count);
+			}
+		}
+		catch (IOException ex) {
+			reset(to);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+		finally {
+			this.sockets.remove(from);
+		}
+	}
+
+	private static void reset(Socket socket) {
+		try {
+			socket.setSoLinger(true, 0);
+			socket.close();
+		}
+		catch (IOException ex) {
+			// It is closed already.
+			return;
+		}
+	}
+
+	/**
+	 * What becomes of bytes.
+	 */
+	enum Mode {
+
+		/** They are passed on. */
+		PASS,
+
+		/** They are held back both ways; connections stay open. */
+		SILENT,
+
+		/** Those of callers are held back. */
+		SILENT_FORTH,
+
+		/** Those of the target are held back. */
+		SILENT_BACK,
+
+		/** They are passed on late. */
+		SLOW
+
+	}
+
+}
--- /dev/null
+++ b/soak/src/main/java/org/burdocktray/soak/SoakPlatform.java
@@ -0,0 +1,169 @@
+package org.burdocktray.soak;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.stream.Collectors;
+
+import org.burdocktray.standins.HttpStandIn;
+import org.burdocktray.standins.gateway.LayeredEngineStandIn;
+import org.burdocktray.standins.gateway.LayeredFleet;
+import org.burdocktray.standins.gateway.ObjectApiStandIn;
+import org.burdocktray.standins.gateway.PlainReplicaStandIn;
+import org.burdocktray.standins.gateway.PlainReplicaStandIn.Behaviour;
+
+/**
+ * The platform of one run: its store, engines, plain replicas behind proxies, and the
+ * rules. Thread safety: none, used by the thread of the faults; what replicas ran can be
+ * read by all.
+ */
+final class SoakPlatform implements AutoCloseable {
+
+	/** A key that stays. */
+	static final String KEY = "k1";
+
+	/** A key that is taken away in the middle of the run. */
+	static final String REVOKED_KEY = "k2";
+
+	static final int EVENTS = 40;
+
+	private static final int REPLICAS = 3;
+
+	private static final String RULES = """
+			{"version":%d,"routes":[
+			{"name":"draft","host":"a.example","pathPrefix":"/draft/","kind":"streaming","timeoutMs":8000,
+			"targetLatencyMs":500,"priority":1,"service":"llm","maxAttempts":3,"resumable":true,"gapAimMs":200},
+			{"name":"book","host":"a.example","pathPrefix":"/book/","kind":"non_idempotent","timeoutMs":2000,
+			"service":"desk","maxAttempts":2},
+			{"name":"check","host":"a.example","pathPrefix":"/check/","kind":"idempotent","timeoutMs":2000,
+			"service":"desk","maxAttempts":2}],
+			"services":[{"name":"desk","maxConnections":50},{"name":"llm","maxConnections":50,"engine":{"slots":64,
+			"tokenKvBytes":1000,"models":[{"name":"m1"}],"step_ms":1.0,"read_per_s":100000.0,"layers":10,
+			"layerMb":100.0,"kinds":[{"name":"fast","mb":700.0,"pace":1.0,"readX":1.0}],
+			"usual":{"prompt":50,"answer":20}}}],
+			"limits":{"maxHeaderBytes":16384,"maxBodyBytes":1000,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
+			"tenants":[{"name":"acme","apiKeys":[%s],"priority":1}]}""";
+
+	final ObjectApiStandIn store = new ObjectApiStandIn();
+
+	private final LayeredFleet fleet = new LayeredFleet();
+
+	private final List<PlainReplicaStandIn> replicas = new ArrayList<>();
+
+	private final List<LoopbackProxy> replicaProxies = new ArrayList<>();
+
+	private final Map<String, LayeredEngineStandIn> engines = new HashMap<>();
+
+	private final List<HttpStandIn> standIns = new ArrayList<>();
+
+	private final Map<String, String> entries = new HashMap<>();
+
+	private int version;
+
+	private int engineCount;
+
+	SoakPlatform() throws IOException {
+		this.store.start(0);
+		this.standIns.add(this.store);
+		rules(true);
+		for (int index = 0; index < REPLICAS; index++) {
+			PlainReplicaStandIn replica = new PlainReplicaStandIn("desk-" + index);
+			replica.start(0);
+			LoopbackProxy proxy = new LoopbackProxy(replica.port());
+			this.replicas.add(replica);
+			this.replicaProxies.add(proxy);
+			this.standIns.add(replica);
+			this.store.put("servers", "desk-" + index,
+					replica.entry("desk", "ghent", "ready").replace(replica.address(), proxy.address()));
+		}
+		for (int index = 0; index < 4; index++) {
+			addEngine();
+		}
+	}
+
+	/**
+	 * Writes the next version of the rules.
+	 * @param holdsRevokedKey whether it holds the key that is taken away
+	 */
+	void rules(boolean holdsRevokedKey) {
+		String keys = "\"" + KEY + "\"" + (holdsRevokedKey ? ",\"" + REVOKED_KEY + "\"" : "");
+		this.store.put("config", "main", RULES.formatted(++this.version, keys));
+	}
+
+	/** Starts an engine without layers. */
+	void addEngine() {
+		String id = "engine-" + this.engineCount++;
+		LayeredEngineStandIn engine = new LayeredEngineStandIn(id, this.fleet, EVENTS).join();
+		this.engines.put(id, engine);
+		this.standIns.add(engine);
+		heartbeat();
+	}
+
+	/**
+	 * Ends an engine's work without closing its connections; its entry lapses.
+	 * @param index chooses the engine
+	 */
+	void loseEngine(int index) {
+		String id = List.copyOf(new TreeSet<>(this.engines.keySet())).get(index % this.engines.size());
+		this.engines.remove(id).die();
+		this.entries.remove(id);
+		this.store.remove("servers", id);
+	}
+
+	/** Writes the entries of engines that have changed. */
+	void heartbeat() {
+		this.engines.forEach((id, engine) -> {
+			String entry = engine.entry("llm", "ghent", "fast");
+			if (!entry.equals(this.entries.put(id, entry))) {
+				this.store.put("servers", id, entry);
+			}
+		});
+	}
+
+	void behave(int index, Behaviour behaviour) {
+		this.replicas.get(index % REPLICAS).behave(behaviour);
+	}
+
+	LoopbackProxy replicaProxy(int index) {
+		return this.replicaProxies.get(index % REPLICAS);
+	}
+
+	/** Ends all faults of the platform's. */
+	void heal() {
+		this.store.setAway(false);
+		this.store.setLosingWrites(false);
+		this.replicas.forEach((replica) -> replica.behave(Behaviour.ANSWER));
+		this.replicaProxies.forEach((proxy) -> proxy.mode(LoopbackProxy.Mode.PASS));
+	}
+
+	/**
+	 * Returns the plain requests that ran.
+	 * @return how often each did, by id
+	 */
+	Map<String, Long> ran() {
+		return this.replicas.stream()
+			.flatMap((replica) -> List.copyOf(replica.ran()).stream())
+			.collect(Collectors.groupingBy((id) -> id, Collectors.counting()));
+	}
+
+	/**
+	 * Returns the ids of the plain replicas.
+	 * @return the ids
+	 */
+	Set<String> replicaIds() {
+		return Set.of("desk-0", "desk-1", "desk-2");
+	}
+
+	@Override
+	public void close() throws IOException {
+		for (LoopbackProxy proxy : this.replicaProxies) {
+			proxy.close();
+		}
+		this.standIns.forEach(HttpStandIn::stop);
+	}
+
+}
--- /dev/null
+++ b/soak/src/test/java/org/burdocktray/soak/LoopbackProxyTests.java
@@ -0,0 +1,82 @@
+package org.burdocktray.soak;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatExceptionOfType;
+
+class LoopbackProxyTests {
+
+	private static final int SHORT_MILLIS = 100;
+
+	private static final int LONG_MILLIS = 10_000;
+
+	private ServerSocket target;
+
+	private LoopbackProxy proxy;
+
+	private Socket caller;
+
+	private Socket accepted;
+
+	@BeforeEach
+	void connect() throws IOException {
+		this.target = new ServerSocket(0, 0, InetAddress.getLoopbackAddress());
+		this.proxy = new LoopbackProxy(this.target.getLocalPort());
+		String address = this.proxy.address();
+		this.caller = new Socket("127.0.0.1", Integer.parseInt(address.substring(address.indexOf(':') + 1)));
+		this.accepted = this.target.accept();
+	}
+
+	@AfterEach
+	void close() throws IOException {
+		this.caller.close();
+		this.accepted.close();
+		this.proxy.close();
+		this.target.close();
+	}
+
+	@Test
+	void passesBytesBothWays() throws IOException {
+		assertPasses(this.caller, this.accepted);
+		assertPasses(this.accepted, this.caller);
+	}
+
+	@Test
+	void holdsBytesOfOneWayBackUntilItIsHealed() throws IOException {
+		this.proxy.mode(LoopbackProxy.Mode.SILENT_FORTH);
+		assertPasses(this.accepted, this.caller);
+		this.caller.getOutputStream().write(1);
+		this.accepted.setSoTimeout(SHORT_MILLIS);
+		assertThatExceptionOfType(SocketTimeoutException.class).isThrownBy(() -> this.accepted.getInputStream().read());
+		this.proxy.mode(LoopbackProxy.Mode.PASS);
+		this.accepted.setSoTimeout(LONG_MILLIS);
+		assertThat(this.accepted.getInputStream().read()).isEqualTo(1);
+	}
+
+	@Test
+	void resetsConnections() {
+		this.proxy.reset();
+		assertThatExceptionOfType(IOException.class).isThrownBy(() -> {
+			this.caller.setSoTimeout(LONG_MILLIS);
+			while (this.caller.getInputStream().read() < 0) {
+				throw new IOException("end of stream");
+			}
+		});
+	}
+
+	private static void assertPasses(Socket from, Socket to) throws IOException {
+		from.getOutputStream().write(7);
+		to.setSoTimeout(LONG_MILLIS);
+		assertThat(to.getInputStream().read()).isEqualTo(7);
+	}
+
+}
