--- a/soak/src/main/java/org/burdocktray/soak/SoakRun.java
+++ b/soak/src/main/java/org/burdocktray/soak/SoakRun.java
@@ -56,6 +56,8 @@
 			this.storeProxies.add(proxy);
 			this.gateways.add(new GatewayProcess("vm-" + index, directory, jar, proxy.address()));
 		}
+		// No gateway outlives a soak that is stopped.
+		Runtime.getRuntime().addShutdownHook(new Thread(() -> this.gateways.forEach(GatewayProcess::kill)));
 	}
 
 	/**
