--- /dev/null
+++ b/soak/src/main/java/org/burdocktray/soak/GatewayCost.java
@@ -0,0 +1,77 @@
+package org.burdocktray.soak;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Measures the processor time of one gateway: until it has started, idle, and for each
+ * event of a stream. Thread safety: runs once in a process.
+ */
+public final class GatewayCost {
+
+	private static final long WARM_UP_MILLIS = 5_000;
+
+	private static final long IDLE_MILLIS = 30_000;
+
+	private static final int ROUNDS = 40;
+
+	private static final int STREAMS_IN_ROUND = 16;
+
+	private static final double NANOS_PER_MICRO = 1_000;
+
+	private GatewayCost() {
+	}
+
+	/**
+	 * Prints the figures.
+	 * @param arguments the program
+	 * @throws IOException when the process can't be started
+	 * @throws InterruptedException when the run is interrupted
+	 */
+	public static void main(String[] arguments) throws IOException, InterruptedException {
+		System.setProperty("jdk.httpclient.allowRestrictedHeaders", "host");
+		PrintStream out = System.out;
+		SoakPlatform platform = new SoakPlatform();
+		Path directory = Files.createTempDirectory("gateway-cost-");
+		try (platform;
+				GatewayProcess gateway = new GatewayProcess("vm-0", directory, Path.of(arguments[0]),
+						platform.store.address())) {
+			Callers callers = new Callers();
+			while (callers.send(gateway.callerAddress(), Call.Kind.DRAFT, SoakPlatform.KEY).join().status() != 200) {
+				platform.heartbeat();
+				TimeUnit.MILLISECONDS.sleep(100);
+			}
+			out.printf("until the first stream was served: %d ms of processor time%n", gateway.cpu().toMillis());
+			TimeUnit.MILLISECONDS.sleep(WARM_UP_MILLIS);
+			Duration before = gateway.cpu();
+			TimeUnit.MILLISECONDS.sleep(IDLE_MILLIS);
+			out.printf("idle: %.4f of a core%n", gateway.cpu().minus(before).toMillis() / (double) IDLE_MILLIS);
+			stream(gateway, callers);
+			Duration warm = gateway.cpu();
+			stream(gateway, callers);
+			double nanos = gateway.cpu().minus(warm).toNanos();
+			double events = (double) ROUNDS * STREAMS_IN_ROUND * SoakPlatform.EVENTS;
+			out.printf("%.0f events in streams of %d: %.0f us each, their requests among them%n", events,
+					SoakPlatform.EVENTS, nanos / NANOS_PER_MICRO / events);
+		}
+		System.exit(0);
+	}
+
+	private static void stream(GatewayProcess gateway, Callers callers) {
+		for (int round = 0; round < ROUNDS; round++) {
+			List<CompletableFuture<Call>> calls = new ArrayList<>();
+			for (int stream = 0; stream < STREAMS_IN_ROUND; stream++) {
+				calls.add(callers.send(gateway.callerAddress(), Call.Kind.DRAFT, SoakPlatform.KEY));
+			}
+			calls.forEach(CompletableFuture::join);
+		}
+	}
+
+}
--- a/soak/src/main/java/org/burdocktray/soak/GatewayProcess.java
+++ b/soak/src/main/java/org/burdocktray/soak/GatewayProcess.java
@@ -4,6 +4,7 @@
 import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -62,6 +63,10 @@
 		Path log = this.directory.resolve(this.name + "-" + this.starts + ".log");
 		List<String> command = new ArrayList<>(List.of("java"));
 		command.addAll(OPTIONS);
+		Path archive = Path.of(this.jar.toString().replace(".jar", ".jsa"));
+		if (Files.exists(archive)) {
+			command.add("-XX:SharedArchiveFile=" + archive);
+		}
 		command.addAll(List.of("-jar", this.jar.toString(), "gateway"));
 		ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true).redirectOutput(log.toFile());
 		builder.environment().put("BURDOCKTRAY_NODE_FILE", settingsFile().toString());
@@ -96,6 +101,14 @@
 		return this.process.waitFor(millis, TimeUnit.MILLISECONDS);
 	}
 
+	/**
+	 * Returns the processor time since the last start.
+	 * @return the time of all threads
+	 */
+	Duration cpu() {
+		return this.process.info().totalCpuDuration().orElse(Duration.ZERO);
+	}
+
 	int exitCode() {
 		return this.process.exitValue();
 	}
