Soak: start gateways that have ended while others are asked

Traced by its logs: that gateway had ended in order, 1.8 s after the last fault, and was started again only when its turn to be asked came, after the other two.

Now all that have ended are started while any is asked. The bound stays.

--- a/soak/src/main/java/org/burdocktray/soak/SoakRun.java
+++ b/soak/src/main/java/org/burdocktray/soak/SoakRun.java
@@ -104,12 +104,7 @@
 		String key = (this.random.nextInt(5) == 0) ? SoakPlatform.REVOKED_KEY : SoakPlatform.KEY;
 		this.callers.send(target.callerAddress(), kind, key);
 		this.platform.heartbeat();
-		for (GatewayProcess gateway : this.gateways) {
-			if (!gateway.isAlive()) {
-				gateway.start();
-				note("start");
-			}
-		}
+		startEnded();
 		if (this.random.nextDouble() < FAULT_CHANCE) {
 			disturb(isRevoked);
 		}
@@ -155,6 +150,15 @@
 		note("heal");
 	}
 
+	private void startEnded() throws IOException {
+		for (GatewayProcess gateway : this.gateways) {
+			if (!gateway.isAlive()) {
+				gateway.start();
+				note("start");
+			}
+		}
+	}
+
 	// Each gateway serves each kind of call again in time.
 	private void awaitServed(String since, long millis) throws IOException, InterruptedException {
 		long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
@@ -167,9 +171,7 @@
 						break;
 					}
 					this.platform.heartbeat();
-					if (!gateway.isAlive()) {
-						gateway.start();
-					}
+					startEnded();
 					TimeUnit.MILLISECONDS.sleep(STEP_MILLIS);
 				}
 			}
