--- a/soak/src/main/java/org/burdocktray/soak/Call.java
+++ b/soak/src/main/java/org/burdocktray/soak/Call.java
@@ -4,6 +4,8 @@
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 
+import org.burdocktray.standins.gateway.WireHeaders;
+
 /**
  * One call and how it ended. Thread safety: immutable.
  *
@@ -21,7 +23,7 @@
 
 	Call answered(HttpResponse<String> answer) {
 		return new Call(this.id, this.kind, this.key, this.sentNanos, this.endedNanos, answer.statusCode(),
-				answer.body(), answer.headers().firstValue("X-Burdocktray-Response-Signature").orElse(""));
+				answer.body(), answer.headers().firstValue(WireHeaders.SIGNATURE).orElse(""));
 	}
 
 	/** Whether the answer says that the request has not run. */
--- a/soak/src/main/java/org/burdocktray/soak/Callers.java
+++ b/soak/src/main/java/org/burdocktray/soak/Callers.java
@@ -12,6 +12,8 @@
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicLong;
 
+import org.burdocktray.standins.gateway.WireHeaders;
+
 /**
  * Sends calls to gateways over connections that are kept open, and notes how they end.
  * Thread safety: all methods can be called from any thread.
@@ -42,9 +44,9 @@
 		HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + address + kind.path() + id))
 			.method(kind.method(), body)
 			.header("Host", "a.example")
-			.header("X-Burdocktray-Request-Id", id)
-			.header("X-Burdocktray-Deadline-Ms", String.valueOf(kind.deadlineMillis()))
-			.header("X-Burdocktray-Token-Count", "50,20")
+			.header(WireHeaders.REQUEST_ID, id)
+			.header(WireHeaders.DEADLINE_MILLIS, String.valueOf(kind.deadlineMillis()))
+			.header(WireHeaders.TOKEN_COUNT, "50,20")
 			.header("Authorization", "Bearer " + key)
 			.timeout(Duration.ofMillis(kind.deadlineMillis() + EXTRA_MILLIS))
 			.build();
