Soak: a gateway that was told to stop ends before a planned stop is checked

Traced by its logs: that gateway had got SIGTERM 0.5 s before the end of the faults, served the calls of the check in its first 2.5 s, and took no more when the stream came, which no log of it names. The fault was in the check.

Seen on the way, not mended here: at the end of a stop one tick asks an engine over the closed client, which logs "Unhandled exception".

--- a/soak/src/main/java/org/burdocktray/soak/GatewayProcess.java
+++ b/soak/src/main/java/org/burdocktray/soak/GatewayProcess.java
@@ -35,6 +35,8 @@
 
 	private boolean paused;
 
+	private boolean stopping;
+
 	private int starts;
 
 	GatewayProcess(String name, Path directory, Path jar, String storeAddress) throws IOException {
@@ -60,6 +62,7 @@
 	void start() throws IOException {
 		this.starts++;
 		this.paused = false;
+		this.stopping = false;
 		Path log = this.directory.resolve(this.name + "-" + this.starts + ".log");
 		List<String> command = new ArrayList<>(List.of("java"));
 		command.addAll(OPTIONS);
@@ -73,7 +76,12 @@
 		this.process = builder.start();
 	}
 
+	boolean isStopping() {
+		return this.stopping;
+	}
+
 	void terminate() {
+		this.stopping = true;
 		this.process.destroy();
 	}
 
--- a/soak/src/main/java/org/burdocktray/soak/SoakRun.java
+++ b/soak/src/main/java/org/burdocktray/soak/SoakRun.java
@@ -80,6 +80,7 @@
 				TimeUnit.MILLISECONDS.sleep(STEP_MILLIS);
 			}
 			heal();
+			endStops();
 			awaitServed("the end of the faults", RECOVERY_MILLIS);
 			stopOne();
 			List<Call> calls = this.callers.await();
@@ -150,6 +151,15 @@
 		note("heal");
 	}
 
+	// Gateways that were told to stop before end first.
+	private void endStops() throws InterruptedException {
+		for (GatewayProcess gateway : this.gateways) {
+			if (gateway.isStopping() && !gateway.awaitExit(RECOVERY_MILLIS)) {
+				this.broken.add("a planned stop did not end in " + RECOVERY_MILLIS + " ms");
+			}
+		}
+	}
+
 	private void startEnded() throws IOException {
 		for (GatewayProcess gateway : this.gateways) {
 			if (!gateway.isAlive()) {
