Gateway: logs and metrics tell who ended a run, and after how long a silence

'stream broken off: CAUSE' says the same whether a replica ended the run or this VM did. Now 'Run given up' says that this VM did, and for how long nothing had come; 'Request ended' has silentMillis; answers that could not be written when a connection was closed have a line; two counters. No decision changes.

--- a/router/src/main/java/org/burdocktray/process/serve/gateway/CallerResponse.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/CallerResponse.java
@@ -122,11 +122,13 @@
 		if (closesConnection && !this.response.headWritten()) {
 			this.response.putHeader(HttpHeaders.CONNECTION, HttpHeaders.CLOSE);
 		}
-		this.response.end(body).onComplete((written) -> {
-			if (closesConnection) {
-				this.request.connection().close();
-			}
-		});
+		this.response.end(body)
+			.onFailure((cause) -> RequestEventLog.logResponseNotWritten(this.response.getStatusCode(), cause))
+			.onComplete((written) -> {
+				if (closesConnection) {
+					this.request.connection().close();
+				}
+			});
 	}
 
 	private void handleDisconnect(Runnable action) {
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/FinalResponse.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/FinalResponse.java
@@ -73,6 +73,7 @@
 	}
 
 	void abortStream(String cause) {
+		this.metrics.recordBrokenOffResponse();
 		this.callerResponse.abort();
 		log(0, Verdict.MAY_HAVE_RUN, "stream broken off: " + cause);
 	}
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/ForwardExchange.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/ForwardExchange.java
@@ -200,6 +200,7 @@
 		long timeoutMillis = (long) (ATTEMPT_TIMEOUT_SHARE * this.admitted.request().remainingMillis());
 		this.context.vertx().setTimer(Math.max(1, timeoutMillis), (timer) -> {
 			if (isCurrent(timedAttempt) && this.state.canAbandonAttempt()) {
+				logRunGivenUp(timedAttempt, "no answer in time");
 				timedAttempt.cancel();
 				onFailure(timedAttempt.isSent() ? AttemptOutcome.LOST : AttemptOutcome.NOT_SENT, "no answer in time",
 						Optional.empty());
@@ -340,11 +341,19 @@
 	@Override
 	public void abandonAttempt(Attempt running, String cause) {
 		if (this.state.canRetry()) {
+			logRunGivenUp(running, cause);
 			running.cancel();
 			onFailure(AttemptOutcome.LOST, cause, Optional.empty());
 		}
 	}
 
+	private void logRunGivenUp(Attempt running, String cause) {
+		long lastProgressNanos = Math.max(running.sentNanos(), this.streamRecovery.progressNanos());
+		this.context.metrics().recordRunGivenUp();
+		RequestEventLog.logRunGivenUp(this.admitted, running.target(), cause, System.nanoTime() - lastProgressNanos,
+				this.callerResponse.isStarted());
+	}
+
 	@Override
 	public Single<StreamRecovery.PathChange> preparePathChange(Attempt running, Replica failedEngine, Target next) {
 		return this.runGuard.recordLoss(List.of(failedEngine))
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayMetrics.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayMetrics.java
@@ -36,6 +36,16 @@
 		.labelNames("outcome")
 		.register(this.registry);
 
+	private final Counter runsGivenUp = Counter.builder()
+		.name("burdocktray_gateway_runs_given_up_total")
+		.help("Runs on silent replicas that this VM ended to send the request elsewhere")
+		.register(this.registry);
+
+	private final Counter brokenOffResponses = Counter.builder()
+		.name("burdocktray_gateway_broken_off_responses_total")
+		.help("Responses that this VM broke off after their start")
+		.register(this.registry);
+
 	private final Counter replicaCrashes = Counter.builder()
 		.name("burdocktray_gateway_replica_crashes_total")
 		.help("Replicas that crashed under requests of this VM")
@@ -71,6 +81,14 @@
 		this.attempts.labelValues(outcome).inc();
 	}
 
+	void recordRunGivenUp() {
+		this.runsGivenUp.inc();
+	}
+
+	void recordBrokenOffResponse() {
+		this.brokenOffResponses.inc();
+	}
+
 	void recordReplicaCrash() {
 		this.replicaCrashes.inc();
 	}
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayServer.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayServer.java
@@ -282,6 +282,8 @@
 				boolean isIdle = this.rejecting && this.requestsInProgress.count() == 0;
 				if (isIdle || elapsedMillis > this.settings.bounds().graceMillis() - STOP_MARGIN_MILLIS) {
 					this.vertx.cancelTimer(timer);
+					LOGGER.infof("Gateway closes its connections: vm=%s inProgress=%d elapsedMillis=%d",
+							this.settings.vmName(), this.requestsInProgress.count(), elapsedMillis);
 					this.requestsInProgress.stopAll();
 					this.vertx.close().onComplete(stopped);
 				}
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/RequestEventLog.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/RequestEventLog.java
@@ -39,6 +39,17 @@
 				faultAddress.map(NetworkAddress::toString).orElse(""));
 	}
 
+	static void logRunGivenUp(AdmittedRequest admitted, Target target, String cause, long silentNanos,
+			boolean isResponseStarted) {
+		LOGGER.infof("Run given up: request=%s replica=%s path=%s silentMillis=%d responseStarted=%b cause=%s",
+				requestId(admitted), target.replica().id(), formatPath(target.path()), silentNanos / NANOS_PER_MILLI,
+				isResponseStarted, cause);
+	}
+
+	static void logResponseNotWritten(int status, Throwable cause) {
+		LOGGER.infof("Response not written: status=%d cause=%s", status, cause);
+	}
+
 	static void logPathChanged(AdmittedRequest admitted, Target next, Replica failed,
 			EngineControl.OrderResult result) {
 		LOGGER.infof("Path changed: request=%s dead=%s path=%s answer=%s", requestId(admitted), failed.id(),
@@ -48,16 +59,20 @@
 	static void logEnded(AdmittedRequest admitted, int status, Verdict verdict, String cause, ResponseTiming timing) {
 		LOGGER.infof(
 				"Request ended: request=%s route=%s organisation=%s rules=%d status=%d ran=%s millis=%d "
-						+ "firstEventMillis=%s longestPauseMillis=%d cause=%s",
+						+ "firstEventMillis=%s longestPauseMillis=%d silentMillis=%s cause=%s",
 				requestId(admitted), admitted.route().name(), admitted.request().organisation().orElse(""),
 				admitted.rulesVersion(), status, verdict.wireName(),
 				(System.nanoTime() - timing.startNanos()) / NANOS_PER_MILLI, firstEventMillis(timing),
-				timing.longestPauseNanos() / NANOS_PER_MILLI, cause);
+				timing.longestPauseNanos() / NANOS_PER_MILLI, formatMillis(timing.silentNanos(System.nanoTime())),
+				cause);
 	}
 
 	private static String firstEventMillis(ResponseTiming timing) {
-		OptionalLong firstNanos = timing.firstEventNanos();
-		return firstNanos.isPresent() ? String.valueOf(firstNanos.getAsLong() / NANOS_PER_MILLI) : "";
+		return formatMillis(timing.firstEventNanos());
+	}
+
+	private static String formatMillis(OptionalLong nanos) {
+		return nanos.isPresent() ? String.valueOf(nanos.getAsLong() / NANOS_PER_MILLI) : "";
 	}
 
 	static void logRejected(Optional<String> requestId, int status, String cause) {
--- a/router/src/main/java/org/burdocktray/request/forward/ResponseTiming.java
+++ b/router/src/main/java/org/burdocktray/request/forward/ResponseTiming.java
@@ -59,4 +59,13 @@
 		return this.longestPauseNanos;
 	}
 
+	/**
+	 * Returns the time since the last events arrived.
+	 * @param nowNanos the current time
+	 * @return nanoseconds, empty before the first event
+	 */
+	public OptionalLong silentNanos(long nowNanos) {
+		return this.firstNanos.isPresent() ? OptionalLong.of(nowNanos - this.lastNanos) : OptionalLong.empty();
+	}
+
 }
