Gateway: a silent run is kept until its successor responds

Callers saw their connection closed in the middle of an answer, with no error and no refusal, while the replica that wrote it was sound and had been silent for half a second to two.

Cause: StreamRecovery takes 0.5 to 1 s of silence for a failure, and abandonAttempt reset the run first and asked afterwards for what its successor needs: whether the request may run again (asked before the loss was counted, so the last allowed run was given up too, and streams that can't be resumed at the first silence), a target, the quarantine's permission, a retry of the budget. Any no closed the caller's connection. The timer of idempotent calls did the same and ended in a 502.

Now RunHandover starts a successor beside the silent run, once RunPreparation has secured what it needs; the one that responds first goes on and the other is cancelled. Where nothing is to be had the silent run is kept. So no run is given up for a promise. RunPreparation also prepares first runs and retries, and StreamDelivery holds what reaches the caller, so that the order of the checks stands once.

--- a/router/src/main/java/org/burdocktray/process/limits/FleetRetryBudget.java
+++ b/router/src/main/java/org/burdocktray/process/limits/FleetRetryBudget.java
@@ -78,16 +78,26 @@
 	 * @return whether the request may be sent again
 	 */
 	public boolean tryAcquireRetry(String service, long nowNanos) {
-		Service attempts = service(service);
-		removeOutsideWindow(attempts.firstAttemptTimes, nowNanos);
-		removeOutsideWindow(attempts.retryTimes, nowNanos);
-		if (attempts.retryTimes.size() + 1 > allowedRetries(attempts, nowNanos)) {
+		if (!hasRetry(service, nowNanos)) {
 			return false;
 		}
-		attempts.retryTimes.addLast(nowNanos);
+		service(service).retryTimes.addLast(nowNanos);
 		return true;
 	}
 
+	/**
+	 * Returns whether the budget allows a retry now, without acquiring it.
+	 * @param service the name of the service
+	 * @param nowNanos the time
+	 * @return whether {@link #tryAcquireRetry} would succeed
+	 */
+	public boolean hasRetry(String service, long nowNanos) {
+		Service attempts = service(service);
+		removeOutsideWindow(attempts.firstAttemptTimes, nowNanos);
+		removeOutsideWindow(attempts.retryTimes, nowNanos);
+		return attempts.retryTimes.size() + 1 <= allowedRetries(attempts, nowNanos);
+	}
+
 	private double allowedRetries(Service attempts, long nowNanos) {
 		double secondsSinceStart = (nowNanos - this.startNanos) / NANOS_PER_SECOND;
 		double windowSeconds = this.windowNanos / NANOS_PER_SECOND;
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/Attempt.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/Attempt.java
@@ -21,7 +21,7 @@
 
 	private final ForwardedRequest request;
 
-	private final Listener listener;
+	private Listener listener;
 
 	private Target target;
 
@@ -69,6 +69,14 @@
 		this.target.recordSend(this.context.loads());
 	}
 
+	/**
+	 * Sets who receives the results from now on.
+	 * @param next the listener
+	 */
+	void setListener(Listener next) {
+		this.listener = next;
+	}
+
 	boolean isSent() {
 		return this.sent;
 	}
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/ForwardExchange.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/ForwardExchange.java
@@ -8,9 +8,7 @@
 import io.vertx.core.http.HttpClientResponse;
 import org.burdocktray.model.NetworkAddress;
 import org.burdocktray.process.directory.Replica;
-import org.burdocktray.process.quarantine.QuarantineDecision;
 import org.burdocktray.request.forward.AttemptOutcome;
-import org.burdocktray.request.forward.EventFramer;
 import org.burdocktray.request.forward.ForwardState;
 import org.burdocktray.request.forward.ResponseTiming;
 import org.burdocktray.request.forward.WaitingRequest;
@@ -22,7 +20,7 @@
  * refused as not run, and is sent again only if it is repeatable. Thread safety: confined
  * to one event loop.
  */
-final class ForwardExchange implements Attempt.Listener, StreamRecovery.Owner {
+final class ForwardExchange implements Attempt.Listener, StreamRecovery.Owner, RunHandover.Owner {
 
 	private static final long NANOS_PER_MILLI = 1_000_000;
 
@@ -46,9 +44,10 @@
 	private static final double UNRESPONSIVE_SHARE = 0.5;
 
 	/**
-	 * The share of the remaining time that one attempt of an idempotent call may take.
+	 * The share of the remaining time after which an attempt of an idempotent call counts
+	 * as silent.
 	 */
-	private static final double ATTEMPT_TIMEOUT_SHARE = 0.45;
+	private static final double SILENT_ATTEMPT_SHARE = 0.45;
 
 	private final GatewayContext context;
 
@@ -68,16 +67,18 @@
 
 	private final RunGuard runGuard;
 
-	private final FinalResponse finalResponse;
+	private final RunPreparation preparation;
+
+	private final RunHandover handover;
+
+	private final StreamDelivery stream;
 
-	private final EventFramer framer = new EventFramer();
+	private final FinalResponse finalResponse;
 
 	private final ResponseTiming timing = new ResponseTiming(System.nanoTime());
 
 	private Optional<Attempt> attempt = Optional.empty();
 
-	private Optional<HttpClientResponse> streamHead = Optional.empty();
-
 	private boolean waiting;
 
 	private boolean ended;
@@ -97,6 +98,10 @@
 		this.health = new ReplicaHealth(context);
 		this.streamRecovery = new StreamRecovery(context, admitted, this.targetSelector, this);
 		this.runGuard = new RunGuard(context.crashes(), admitted);
+		this.preparation = new RunPreparation(context, admitted.service().name(), this.runGuard, this.health);
+		this.handover = new RunHandover(context, admitted, this.state, this.targetSelector, this.preparation,
+				this.runGuard, this.health, this);
+		this.stream = new StreamDelivery(context.metrics(), callerResponse, this.timing);
 		this.finalResponse = new FinalResponse(context.metrics(), admitted, callerResponse, this.state, this.timing);
 	}
 
@@ -126,47 +131,35 @@
 	}
 
 	private void dispatch() {
-		QuarantineDecision decision = this.runGuard.check();
-		if (decision instanceof QuarantineDecision.Refuse refuse) {
-			finish();
-			this.finalResponse.refuseQuarantined(refuse.untilNanos() - System.nanoTime());
-			return;
-		}
-		if (this.runGuard.isCheckingLostRun()) {
-			this.waiting = true;
-			return;
-		}
-		if (decision instanceof QuarantineDecision.Wait) {
-			waitOrGiveUp("another run of the request is in progress", true);
-			return;
-		}
-		Optional<Target> target = this.targetSelector.select(decision.excludedUpstreams());
-		if (target.isEmpty()) {
-			waitOrGiveUp("no replica can take the request",
-					this.callerResponse.isStarted() || this.targetSelector.canWait());
-			return;
-		}
 		this.waiting = false;
-		this.runGuard.findUnresponsive(target.get())
-			.subscribe((unresponsive) -> onTargetProbed(target.get(), unresponsive));
+		this.preparation.prepare(this.targetSelector::select, this.state.isRetry(), () -> !this.ended)
+			.subscribe(this::onPrepared);
 	}
 
-	private void onTargetProbed(Target target, List<Replica> unresponsive) {
-		if (this.ended) {
-			return;
+	private void onPrepared(RunPreparation.Result result) {
+		if (result instanceof RunPreparation.Result.Ready ready) {
+			send(ready.target());
 		}
-		if (!unresponsive.isEmpty()) {
-			this.health.avoidUnresponsive(unresponsive);
-			unresponsive.forEach(this.targetSelector::exclude);
-			this.waiting = true;
-			return;
+		else if (result instanceof RunPreparation.Result.Quarantined quarantined) {
+			finish();
+			this.finalResponse.refuseQuarantined(quarantined.untilNanos() - System.nanoTime());
 		}
-		if (this.state.isRetry()
-				&& !this.context.retryBudget().tryAcquireRetry(this.admitted.service().name(), System.nanoTime())) {
-			giveUp("retry budget is spent");
-			return;
+		else if (result instanceof RunPreparation.Result.Blocked blocked) {
+			onBlocked(blocked.obstacle());
+		}
+	}
+
+	private void onBlocked(RunPreparation.Obstacle obstacle) {
+		switch (obstacle) {
+			case NOT_NEEDED -> {
+				return;
+			}
+			case LOST_RUN_UNEXPLAINED -> this.waiting = true;
+			case OTHER_RUN, TARGET_UNRESPONSIVE -> waitOrGiveUp(obstacle.text(), true);
+			case BUDGET_SPENT -> giveUp(obstacle.text());
+			case NO_TARGET ->
+				waitOrGiveUp(obstacle.text(), this.callerResponse.isStarted() || this.targetSelector.canWait());
 		}
-		send(target);
 	}
 
 	private void waitOrGiveUp(String cause, boolean isWorthWaiting) {
@@ -183,112 +176,121 @@
 
 	private void send(Target target) {
 		this.state.recordSend();
-		this.framer.reset();
+		this.stream.startRun(Optional.empty());
 		this.streamRecovery.onAttemptStart(this.callerResponse.isStarted());
-		Optional<String> lastEventId = this.framer.lastEventId().or(this.admitted.head()::lastEventId);
-		Attempt next = new Attempt(this.context, this.admitted.request().resumingAfter(lastEventId), target, this);
+		Attempt next = new Attempt(this.context, nextRequest(), target, this);
 		this.attempt = Optional.of(next);
 		RequestEventLog.logSent(this.admitted, target, this.state);
 		next.start();
-		startAttemptTimer(next);
 	}
 
-	private void startAttemptTimer(Attempt timedAttempt) {
-		if (this.admitted.route().kind() != RequestKind.IDEMPOTENT || this.ended) {
-			return;
-		}
-		long timeoutMillis = (long) (ATTEMPT_TIMEOUT_SHARE * this.admitted.request().remainingMillis());
-		this.context.vertx().setTimer(Math.max(1, timeoutMillis), (timer) -> {
-			if (isCurrent(timedAttempt) && this.state.canAbandonAttempt()) {
-				logRunGivenUp(timedAttempt, "no answer in time");
-				timedAttempt.cancel();
-				onFailure(timedAttempt.isSent() ? AttemptOutcome.LOST : AttemptOutcome.NOT_SENT, "no answer in time",
-						Optional.empty());
-			}
-		});
+	@Override
+	public ForwardedRequest nextRequest() {
+		return this.admitted.request().resumingAfter(this.stream.lastEventId().or(this.admitted.head()::lastEventId));
 	}
 
 	@Override
 	public void onSend() {
 		this.runGuard.startRun(currentAttempt().target());
+		if (this.admitted.route().kind() == RequestKind.IDEMPOTENT) {
+			startSilenceTimer(currentAttempt());
+		}
+	}
+
+	private void startSilenceTimer(Attempt timedAttempt) {
+		long timeoutMillis = (long) (SILENT_ATTEMPT_SHARE * this.admitted.request().remainingMillis());
+		this.context.vertx()
+			.setTimer(Math.max(1, timeoutMillis), (timer) -> succeedRun(timedAttempt, "no response in time"));
 	}
 
 	@Override
 	public void onResponse(HttpClientResponse head, Buffer body) {
-		Replica replica = currentAttempt().target().replica();
-		boolean isFailure = head.statusCode() >= FIRST_SERVER_ERROR;
 		this.context.crashes().recordSignOfLife();
-		this.health.recordResponse(replica, isFailure);
-		if (!isFailure) {
-			this.runGuard.recordSuccess();
-		}
-		if (isFailure && retryAfterFailure(replica)) {
+		if (this.callerResponse.isStarted()) {
+			finish();
+			this.finalResponse.abortStream("replica answered a resumed stream with status " + head.statusCode());
 			return;
 		}
-		finish();
-		if (this.streamHead.isPresent()) {
-			this.finalResponse.abortStream("replica answered a resumed stream with status " + head.statusCode());
+		Replica replica = currentAttempt().target().replica();
+		boolean isFailure = head.statusCode() >= FIRST_SERVER_ERROR;
+		this.health.recordResponse(replica, isFailure);
+		if (isFailure) {
+			retryAfterFailure(head, body, replica);
 			return;
 		}
-		this.finalResponse.deliver(head, body, replica);
+		endSilence();
+		this.runGuard.recordSuccess();
+		deliver(head, body, replica);
 	}
 
-	private boolean retryAfterFailure(Replica replica) {
-		this.runGuard.end();
+	private void retryAfterFailure(HttpClientResponse head, Buffer body, Replica replica) {
 		this.state.recordOutcome(AttemptOutcome.FAILED);
 		this.targetSelector.exclude(replica);
-		QuarantineDecision decision = this.runGuard.check();
-		if (!decision.mayRun() || !this.state.canRetry() || this.streamHead.isPresent()
-				|| !this.context.retryBudget().tryAcquireRetry(this.admitted.service().name(), System.nanoTime())) {
-			return false;
+		this.attempt = Optional.empty();
+		if (continueWithSuccessor()) {
+			return;
 		}
-		Optional<Target> nextTarget = this.targetSelector.select(decision.excludedUpstreams());
-		nextTarget.ifPresent(this::send);
-		return nextTarget.isPresent();
+		this.runGuard.end();
+		if (!this.state.canRetry()) {
+			deliver(head, body, replica);
+			return;
+		}
+		this.preparation.prepare(this.targetSelector::select, true, () -> !this.ended).subscribe((result) -> {
+			if (result instanceof RunPreparation.Result.Ready ready) {
+				send(ready.target());
+			}
+			else if (!this.ended) {
+				deliver(head, body, replica);
+			}
+		});
+	}
+
+	private void deliver(HttpClientResponse head, Buffer body, Replica replica) {
+		finish();
+		this.finalResponse.deliver(head, body, replica);
 	}
 
 	@Override
 	public void onStreamStart(HttpClientResponse head) {
-		if (this.streamHead.isEmpty()) {
-			this.streamHead = Optional.of(head);
-			return;
+		this.stream.setHead(head);
+		if (this.callerResponse.isStarted()) {
+			this.streamRecovery.recordProgress();
 		}
-		this.streamRecovery.recordProgress();
 	}
 
 	@Override
 	public void onStreamData(Buffer bytes) {
 		this.streamRecovery.recordProgress();
 		this.context.crashes().recordSignOfLife();
-		byte[] events = this.framer.accept(bytes.getBytes());
-		if (events.length == 0) {
+		endSilence();
+		boolean isFirst = !this.callerResponse.isStarted();
+		if (!this.stream.deliver(bytes, currentAttempt())) {
 			return;
 		}
-		long nowNanos = System.nanoTime();
-		this.timing.recordEvents(nowNanos);
-		this.runGuard.recordOutput(nowNanos);
-		if (!this.callerResponse.isStarted()) {
-			this.context.metrics().recordFirstByte(System.nanoTime() - this.timing.startNanos());
+		this.runGuard.recordOutput(System.nanoTime());
+		if (isFirst) {
 			currentAttempt().target().replicas().forEach(this.context.loads()::recordSuccess);
-			this.callerResponse.startStream(this.streamHead.orElseThrow());
-		}
-		Attempt source = currentAttempt();
-		if (!this.callerResponse.write(Buffer.buffer(events), source::resume)) {
-			source.pause();
 		}
 	}
 
+	// The present run responds, so it needs no successor.
+	private void endSilence() {
+		this.handover.cancel();
+		this.runGuard.resumeRun(currentAttempt().target());
+	}
+
 	@Override
 	public void onStreamEnd() {
 		Replica replica = currentAttempt().target().replica();
-		if (this.framer.hasPartialEvent()) {
+		if (this.stream.hasPartialEvent()) {
 			onFailure(AttemptOutcome.LOST, "stream ended within an event", Optional.empty());
 			return;
 		}
 		this.health.recordResponse(replica, false);
+		endSilence();
 		this.runGuard.recordSuccess();
 		finish();
-		this.finalResponse.completeStream(this.streamHead.orElseThrow(), replica);
+		this.finalResponse.completeStream(this.stream.head(), replica);
 	}
 
 	@Override
@@ -305,11 +307,11 @@
 		if (this.health.recordFailedAttempt(target.replica(), outcome, faultAddress)) {
 			this.targetSelector.exclude(target.replica());
 		}
-		this.runGuard.recordFailure(failed, outcome, faultAddress.flatMap(this.context.directory()::findByAddress));
 		this.attempt = Optional.empty();
-		if (!this.callerResponse.isStarted()) {
-			this.streamHead = Optional.empty();
+		if (continueWithSuccessor()) {
+			return;
 		}
+		this.runGuard.recordFailure(failed, outcome, faultAddress.flatMap(this.context.directory()::findByAddress));
 		if (!this.state.canRetry()) {
 			giveUp(cause);
 			return;
@@ -322,9 +324,11 @@
 	 * @param nowNanos the monotonic time
 	 */
 	void checkProgress(long nowNanos) {
-		if (!this.ended) {
-			this.attempt.ifPresent((running) -> this.streamRecovery.check(running, nowNanos));
+		if (this.handover.isInProgress()) {
+			this.handover.checkProgress(nowNanos);
+			return;
 		}
+		this.attempt.ifPresent((running) -> this.streamRecovery.check(running, nowNanos));
 	}
 
 	/**
@@ -333,25 +337,58 @@
 	 * @param engine the engine that does not respond
 	 */
 	void onEngineFailure(Replica engine) {
-		if (!this.ended) {
-			this.attempt.ifPresent((running) -> this.streamRecovery.onEngineFailure(running, engine));
+		if (this.handover.isInProgress()) {
+			this.handover.onEngineFailure(engine);
+			return;
 		}
+		this.attempt.ifPresent((running) -> this.streamRecovery.onEngineFailure(running, engine));
 	}
 
 	@Override
-	public void abandonAttempt(Attempt running, String cause) {
-		if (this.state.canRetry()) {
-			logRunGivenUp(running, cause);
-			running.cancel();
-			onFailure(AttemptOutcome.LOST, cause, Optional.empty());
+	public void succeedRun(Attempt silent, String cause) {
+		if (isCurrent(silent)) {
+			this.handover.begin(silent, cause);
 		}
 	}
 
-	private void logRunGivenUp(Attempt running, String cause) {
-		long lastProgressNanos = Math.max(running.sentNanos(), this.streamRecovery.progressNanos());
-		this.context.metrics().recordRunGivenUp();
-		RequestEventLog.logRunGivenUp(this.admitted, running.target(), cause, System.nanoTime() - lastProgressNanos,
-				this.callerResponse.isStarted());
+	@Override
+	public long silentNanos(Attempt running) {
+		return System.nanoTime() - Math.max(running.sentNanos(), this.streamRecovery.progressNanos());
+	}
+
+	@Override
+	public Attempt.Listener takeOver(RunHandover.Successor successor) {
+		Attempt silent = currentAttempt();
+		RequestEventLog.logRunSucceeded(this.admitted, silent.target(), successor.attempt().target(),
+				silentNanos(silent));
+		this.state.recordOutcome(AttemptOutcome.LOST);
+		this.context.metrics().recordAttempt(AttemptOutcome.LOST.name());
+		if (this.health.recordFailedAttempt(silent.target().replica(), AttemptOutcome.LOST, Optional.empty())) {
+			this.targetSelector.exclude(silent.target().replica());
+		}
+		silent.cancel();
+		continueWith(successor);
+		return this;
+	}
+
+	@Override
+	public void onSuccessorFailure(String cause) {
+		this.finalResponse.setLastCause(cause);
+		this.attempt.ifPresent((silent) -> succeedRun(silent, cause));
+	}
+
+	// Returns false if the request has no successor.
+	private boolean continueWithSuccessor() {
+		Optional<RunHandover.Successor> successor = this.handover.take();
+		successor.ifPresent(this::continueWith);
+		return successor.isPresent();
+	}
+
+	private void continueWith(RunHandover.Successor successor) {
+		this.attempt = Optional.of(successor.attempt());
+		successor.attempt().setListener(this);
+		this.stream.startRun(successor.streamHead());
+		this.streamRecovery.onAttemptStart(this.callerResponse.isStarted());
 	}
 
 	@Override
@@ -427,6 +464,7 @@
 		long timeoutMillis = Math.min(this.timeLimitMillis, this.admitted.route().callerTimeoutMillis());
 		double unresponsiveNanos = UNRESPONSIVE_SHARE * timeoutMillis * NANOS_PER_MILLI;
 		this.attempt.filter(Attempt::isSent)
+			.filter((running) -> !this.handover.isInProgress())
 			.filter((running) -> !this.callerResponse.isStarted())
 			.filter((running) -> System.nanoTime() - running.sentNanos() >= unresponsiveNanos)
 			.ifPresent((running) -> {
@@ -443,6 +481,7 @@
 	private void finish() {
 		this.ended = true;
 		this.waiting = false;
+		this.handover.cancel();
 		this.runGuard.close();
 		this.attempt = Optional.empty();
 		this.context.vertx().cancelTimer(this.deadlineTimer);
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayMetrics.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayMetrics.java
@@ -36,9 +36,9 @@
 		.labelNames("outcome")
 		.register(this.registry);
 
-	private final Counter runsGivenUp = Counter.builder()
-		.name("burdocktray_gateway_runs_given_up_total")
-		.help("Runs on silent replicas that this VM ended to send the request elsewhere")
+	private final Counter successors = Counter.builder()
+		.name("burdocktray_gateway_successors_total")
+		.help("Runs started beside a silent run of the same request")
 		.register(this.registry);
 
 	private final Counter brokenOffResponses = Counter.builder()
@@ -81,8 +81,8 @@
 		this.attempts.labelValues(outcome).inc();
 	}
 
-	void recordRunGivenUp() {
-		this.runsGivenUp.inc();
+	void recordSuccessorStarted() {
+		this.successors.inc();
 	}
 
 	void recordBrokenOffResponse() {
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/RequestEventLog.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/RequestEventLog.java
@@ -39,11 +39,22 @@
 				faultAddress.map(NetworkAddress::toString).orElse(""));
 	}
 
-	static void logRunGivenUp(AdmittedRequest admitted, Target target, String cause, long silentNanos,
-			boolean isResponseStarted) {
-		LOGGER.infof("Run given up: request=%s replica=%s path=%s silentMillis=%d responseStarted=%b cause=%s",
-				requestId(admitted), target.replica().id(), formatPath(target.path()), silentNanos / NANOS_PER_MILLI,
-				isResponseStarted, cause);
+	static void logSuccessorSent(AdmittedRequest admitted, Target silent, Target successor, String cause,
+			long silentNanos) {
+		LOGGER.infof("Successor sent: request=%s replica=%s path=%s silent=%s silentMillis=%d cause=%s",
+				requestId(admitted), successor.replica().id(), formatPath(successor.path()), silent.replica().id(),
+				silentNanos / NANOS_PER_MILLI, cause);
+	}
+
+	static void logRunKept(AdmittedRequest admitted, Target silent, String obstacle, long silentNanos) {
+		LOGGER.infof("Silent run kept: request=%s replica=%s path=%s silentMillis=%d cause=%s", requestId(admitted),
+				silent.replica().id(), formatPath(silent.path()), silentNanos / NANOS_PER_MILLI, obstacle);
+	}
+
+	static void logRunSucceeded(AdmittedRequest admitted, Target silent, Target successor, long silentNanos) {
+		LOGGER.infof("Run handed over: request=%s replica=%s path=%s silent=%s silentMillis=%d", requestId(admitted),
+				successor.replica().id(), formatPath(successor.path()), silent.replica().id(),
+				silentNanos / NANOS_PER_MILLI);
 	}
 
 	static void logResponseNotWritten(int status, Throwable cause) {
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/RunGuard.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/RunGuard.java
@@ -97,6 +97,21 @@
 				: Single.just(List.of());
 	}
 
+	/**
+	 * Records that a run goes on that was recorded as lost because it was silent. Does
+	 * nothing if a run is in progress or harmless.
+	 * @param target where it runs
+	 */
+	void resumeRun(Target target) {
+		if (this.runId.isEmpty() && !this.harmless) {
+			startRun(target);
+		}
+	}
+
+	/**
+	 * Records that a run begins.
+	 * @param target where it runs
+	 */
 	void startRun(Target target) {
 		end();
 		this.firstOutputNanos = OptionalLong.empty();
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/StreamRecovery.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/StreamRecovery.java
@@ -101,7 +101,7 @@
 		Optional<Target> newTarget = this.targetSelector.selectBehindHead(attempt.target());
 		Optional<String> requestId = this.admitted.head().requestId();
 		if (newTarget.isEmpty() || requestId.isEmpty()) {
-			this.owner.abandonAttempt(attempt, "engine " + engine.id() + " is silent");
+			this.owner.succeedRun(attempt, "engine " + engine.id() + " is silent");
 			return;
 		}
 		this.pathChangePending = true;
@@ -124,7 +124,7 @@
 			onEngineFailure(attempt, engine);
 			return;
 		}
-		this.owner.abandonAttempt(attempt, "engine " + engine.id() + " is silent");
+		this.owner.succeedRun(attempt, "engine " + engine.id() + " is silent");
 	}
 
 	private void onHeadReport(Attempt attempt, Either<String, LoadReport> report) {
@@ -132,7 +132,7 @@
 			return;
 		}
 		if (report.isLeft()) {
-			this.owner.abandonAttempt(attempt, "first engine is silent: " + report.getLeft());
+			this.owner.succeedRun(attempt, "first engine is silent: " + report.getLeft());
 			return;
 		}
 		Optional<LoadReport.StalledRequest> stalledRequest = report.get()
@@ -159,7 +159,7 @@
 		}
 		this.unexplainedReports++;
 		if (this.unexplainedReports >= UNEXPLAINED_REPORT_THRESHOLD) {
-			this.owner.abandonAttempt(attempt, "first engine reports no reason for its silence");
+			this.owner.succeedRun(attempt, "first engine reports no reason for its silence");
 		}
 	}
 
@@ -174,7 +174,7 @@
 			attempt.switchTarget(next);
 			return;
 		}
-		this.owner.abandonAttempt(attempt, "path could not be changed: " + result);
+		this.owner.succeedRun(attempt, "path could not be changed: " + result);
 	}
 
 	/**
@@ -200,11 +200,12 @@
 		Single<PathChange> preparePathChange(Attempt attempt, Replica failedEngine, Target next);
 
 		/**
-		 * Abandons an attempt and sends the request elsewhere, if it may be sent again.
-		 * @param attempt the attempt
-		 * @param cause the reason, for logs and the response to the caller
+		 * Starts a run elsewhere that succeeds a stalled one as soon as it responds, if
+		 * the request may run a second time. The stalled run is kept until then.
+		 * @param stalled the attempt that has stalled
+		 * @param cause the reason, for logs
 		 */
-		void abandonAttempt(Attempt attempt, String cause);
+		void succeedRun(Attempt stalled, String cause);
 
 		/**
 		 * Handles the detection of an engine that blocks streams.
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/TargetSelector.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/TargetSelector.java
@@ -62,6 +62,21 @@
 		return selectAny();
 	}
 
+	/**
+	 * Selects a target for a second run beside a silent one.
+	 * @param silent the replica to which the silent run was sent
+	 * @param suspectUpstreams the names of replicas that run such requests
+	 * @return a target that starts at another replica, empty when there is none now
+	 */
+	Optional<Target> selectInsteadOf(Replica silent, Set<String> suspectUpstreams) {
+		boolean wasAdded = this.excludedIds.add(silent.id());
+		Optional<Target> target = select(suspectUpstreams);
+		if (wasAdded) {
+			this.excludedIds.remove(silent.id());
+		}
+		return target;
+	}
+
 	private Optional<Target> selectAny() {
 		if (this.service.engine().isPresent()) {
 			return selectEngines(this.service.engine().get());
--- a/router/src/main/java/org/burdocktray/request/forward/ForwardState.java
+++ b/router/src/main/java/org/burdocktray/request/forward/ForwardState.java
@@ -38,7 +38,7 @@
 	}
 
 	/**
-	 * Records the outcome of the last attempt.
+	 * Records the outcome of an attempt.
 	 * @param outcome the outcome
 	 */
 	public void recordOutcome(AttemptOutcome outcome) {
@@ -54,19 +54,23 @@
 	 * @return true if another run is safe and within the limits
 	 */
 	public boolean canRetry() {
-		if (this.sends >= MAX_SENDS || this.runs >= this.route.maxAttempts()) {
+		if (!maySendAgain() || this.runs >= this.route.maxAttempts()) {
 			return false;
 		}
 		return this.verdict == Verdict.NOT_RUN || this.route.isRepeatable();
 	}
 
 	/**
-	 * Returns whether the request could be sent again if the current attempt were
-	 * abandoned.
-	 * @return true if another attempt would be allowed
+	 * Returns whether a second run may be started while one is in progress, which counts
+	 * as a run even if it never responds.
+	 * @return true if another run is safe and within the limits
 	 */
-	public boolean canAbandonAttempt() {
-		return this.sends < MAX_SENDS && this.runs + 1 < this.route.maxAttempts() && this.route.isRepeatable();
+	public boolean canStartSecondRun() {
+		return maySendAgain() && this.runs + 1 < this.route.maxAttempts() && this.route.isRepeatable();
+	}
+
+	private boolean maySendAgain() {
+		return this.sends < MAX_SENDS;
 	}
 
 	/**
--- a/router/src/test/java/org/burdocktray/request/forward/ForwardStateTests.java
+++ b/router/src/test/java/org/burdocktray/request/forward/ForwardStateTests.java
@@ -56,13 +56,20 @@
 	}
 
 	@Test
-	void lastAllowedAttemptCannotBeAbandoned() {
+	void lastAllowedRunHasNoSecondRunBesideIt() {
 		ForwardState state = stateAfterAttempt(RequestKind.IDEMPOTENT, AttemptOutcome.REJECTED);
 		state.recordSend();
-		assertThat(state.canAbandonAttempt()).isTrue();
+		assertThat(state.canStartSecondRun()).isTrue();
 		state.recordOutcome(AttemptOutcome.LOST);
 		state.recordSend();
-		assertThat(state.canAbandonAttempt()).isFalse();
+		assertThat(state.canStartSecondRun()).isFalse();
+	}
+
+	@Test
+	void requestThatIsNotRepeatableHasNoSecondRun() {
+		ForwardState state = stateAfterAttempt(RequestKind.NON_IDEMPOTENT, AttemptOutcome.REJECTED);
+		state.recordSend();
+		assertThat(state.canStartSecondRun()).isFalse();
 	}
 
 	/** A new VM has no retries, and refused requests whose replica was leaving. */
