Gateway: a started stream waits for a replica, a retry or a connection

Callers saw a stream broken off after its replica had ended, although others could have gone on with it a moment later: a rejection by each replica with a full queue and each connection that could not be opened counted against the limit of four sends, and a spent retry budget ended the stream at once.

Now nothing that was not sent counts as a send; once the caller has a part of the response only runs and the caller's timeout limit the attempts; a stream waits for the budget as it waits for room. ForwardStateTests fails without it (fourth attempt refused). Requests whose response has not begun are refused at once, as before.

--- a/router/src/main/java/org/burdocktray/process/serve/gateway/ForwardExchange.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/ForwardExchange.java
@@ -156,7 +156,7 @@
 			}
 			case LOST_RUN_UNEXPLAINED -> this.waiting = true;
 			case OTHER_RUN, TARGET_UNRESPONSIVE -> waitOrGiveUp(obstacle.text(), true);
-			case BUDGET_SPENT -> giveUp(obstacle.text());
+			case BUDGET_SPENT -> waitOrGiveUp(obstacle.text(), this.callerResponse.isStarted());
 			case NO_TARGET ->
 				waitOrGiveUp(obstacle.text(), this.callerResponse.isStarted() || this.targetSelector.canWait());
 		}
@@ -270,6 +270,7 @@
 		this.runGuard.recordOutput(System.nanoTime());
 		if (isFirst) {
 			currentAttempt().target().replicas().forEach(this.context.loads()::recordSuccess);
+			this.state.recordResponseStart();
 		}
 	}
 
--- a/router/src/main/java/org/burdocktray/request/forward/ForwardState.java
+++ b/router/src/main/java/org/burdocktray/request/forward/ForwardState.java
@@ -24,6 +24,8 @@
 
 	private boolean mayHaveArrived;
 
+	private boolean responseStarted;
+
 	/**
 	 * Creates the state of a request that was not sent yet.
 	 * @param route the route of the request
@@ -37,13 +39,26 @@
 		this.sends++;
 	}
 
+	/**
+	 * Records that the caller has received a part of the response. From then on only runs
+	 * and the caller's timeout limit the attempts: a rejection is no reason to break the
+	 * response off.
+	 */
+	public void recordResponseStart() {
+		this.responseStarted = true;
+	}
+
 	/**
 	 * Records the outcome of an attempt.
 	 * @param outcome the outcome
 	 */
 	public void recordOutcome(AttemptOutcome outcome) {
+		if (outcome == AttemptOutcome.NOT_SENT) {
+			this.sends--;
+			return;
+		}
 		this.verdict = this.verdict.combine(outcome.verdict());
-		this.mayHaveArrived |= outcome != AttemptOutcome.NOT_SENT;
+		this.mayHaveArrived = true;
 		if (outcome.verdict() != Verdict.NOT_RUN) {
 			this.runs++;
 		}
@@ -70,7 +85,7 @@
 	}
 
 	private boolean maySendAgain() {
-		return this.sends < MAX_SENDS;
+		return this.responseStarted || this.sends < MAX_SENDS;
 	}
 
 	/**
--- a/router/src/test/java/org/burdocktray/request/forward/ForwardStateTests.java
+++ b/router/src/test/java/org/burdocktray/request/forward/ForwardStateTests.java
@@ -65,6 +65,33 @@
 		assertThat(state.canStartSecondRun()).isFalse();
 	}
 
+	/**
+	 * Guards against streams that were broken off because no replica had room at once.
+	 */
+	@Test
+	void rejectionsDoNotLimitAttemptsOfStartedResponse() {
+		ForwardState state = stateAfterAttempt(RequestKind.IDEMPOTENT, AttemptOutcome.LOST);
+		state.recordResponseStart();
+		for (int attempt = 0; attempt < 10; attempt++) {
+			assertThat(state.canRetry()).isTrue();
+			state.recordSend();
+			state.recordOutcome(AttemptOutcome.REJECTED);
+		}
+	}
+
+	/**
+	 * Guards against requests that were given up because replicas accepted no connection.
+	 */
+	@Test
+	void attemptsThatWereNotSentDoNotLimitAttempts() {
+		ForwardState state = stateAfterAttempt(RequestKind.IDEMPOTENT, AttemptOutcome.NOT_SENT);
+		for (int attempt = 0; attempt < 10; attempt++) {
+			assertThat(state.canRetry()).isTrue();
+			state.recordSend();
+			state.recordOutcome(AttemptOutcome.NOT_SENT);
+		}
+	}
+
 	@Test
 	void requestThatIsNotRepeatableHasNoSecondRun() {
 		ForwardState state = stateAfterAttempt(RequestKind.NON_IDEMPOTENT, AttemptOutcome.REJECTED);
