Gateway: a resumed stream that gets an error status goes on elsewhere

Callers saw a stream broken off when the replica that was to resume it answered with an error, for example 500: the answer can't be delivered behind events, and the stream was given up although the route allowed another run. It is a failed attempt like any other now.

--- a/router/src/main/java/org/burdocktray/process/serve/gateway/ForwardExchange.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/ForwardExchange.java
@@ -207,8 +207,7 @@
 	public void onResponse(HttpClientResponse head, Buffer body) {
 		this.context.crashes().recordSignOfLife();
 		if (this.callerResponse.isStarted()) {
-			finish();
-			this.finalResponse.abortStream("replica answered a resumed stream with status " + head.statusCode());
+			onFailure(AttemptOutcome.FAILED, "resumed stream got status " + head.statusCode(), Optional.empty());
 			return;
 		}
 		Replica replica = currentAttempt().target().replica();
