Gateway: a caller that reads slowly is no silence of its replica

While a caller does not read, the gateway reads nothing from the replica, and after a second took the missing data for a silent replica: it ran the request again elsewhere, and used up an attempt of its route. Time in which the run is paused no longer counts as silence.

--- a/router/src/main/java/org/burdocktray/process/serve/gateway/Attempt.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/Attempt.java
@@ -35,6 +35,8 @@
 
 	private boolean streaming;
 
+	private boolean paused;
+
 	private boolean ended;
 
 	Attempt(GatewayContext context, ForwardedRequest request, Target target, Listener listener) {
@@ -97,13 +99,24 @@
 	}
 
 	void pause() {
+		this.paused = true;
 		this.replicaResponse.ifPresent(HttpClientResponse::pause);
 	}
 
 	void resume() {
+		this.paused = false;
 		this.replicaResponse.ifPresent(HttpClientResponse::resume);
 	}
 
+	/**
+	 * Returns whether this VM reads nothing from the replica at present, because the
+	 * caller does not read either.
+	 * @return true between {@link #pause} and {@link #resume}
+	 */
+	boolean isPaused() {
+		return this.paused;
+	}
+
 	private void onConnected(HttpClientRequest clientRequest) {
 		this.replicaRequest = Optional.of(clientRequest);
 		if (this.ended) {
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/StreamRecovery.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/StreamRecovery.java
@@ -83,7 +83,7 @@
 
 	void check(Attempt attempt, long nowNanos) {
 		boolean isStalled = nowNanos - this.progressNanos > STALL_NANOS && nowNanos - this.lastCheckNanos > STALL_NANOS;
-		if (!isStalled || this.pathChangePending || !attempt.isRunningOnEngines()) {
+		if (!isStalled || this.pathChangePending || !attempt.isRunningOnEngines() || isPaused(attempt)) {
 			return;
 		}
 		this.lastCheckNanos = nowNanos;
@@ -94,7 +94,7 @@
 
 	void onEngineFailure(Attempt attempt, Replica engine) {
 		boolean isStalled = System.nanoTime() - this.progressNanos > FAILED_ENGINE_STALL_NANOS;
-		if (!isStalled || this.pathChangePending || !attempt.isRunningOnEngines()
+		if (!isStalled || this.pathChangePending || !attempt.isRunningOnEngines() || isPaused(attempt)
 				|| !attempt.target().contains(engine)) {
 			return;
 		}
@@ -109,6 +109,14 @@
 			.subscribe((prepared) -> onPathChangePrepared(attempt, newTarget.get(), engine, prepared));
 	}
 
+	// Time in which the caller does not read is no silence of the replica.
+	private boolean isPaused(Attempt attempt) {
+		if (attempt.isPaused()) {
+			recordProgress();
+		}
+		return attempt.isPaused();
+	}
+
 	private void onPathChangePrepared(Attempt attempt, Target next, Replica engine, PathChange prepared) {
 		if (!this.owner.isCurrent(attempt)) {
 			return;
