--- a/standins/src/main/java/org/burdocktray/standins/gateway/LayeredEngineStandIn.java
+++ b/standins/src/main/java/org/burdocktray/standins/gateway/LayeredEngineStandIn.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
 
 import io.vertx.core.http.HttpServerResponse;
 import io.vertx.core.json.JsonArray;
@@ -32,6 +33,8 @@
 
 	private static final int MISDIRECTED_REQUEST = 421;
 
+	private static final int INTERNAL_SERVER_ERROR = 500;
+
 	private static final int SERVICE_UNAVAILABLE = 503;
 
 	private final EngineNetwork network;
@@ -42,12 +45,16 @@
 
 	private final Map<String, Integer> eventCounts = new ConcurrentHashMap<>();
 
+	private final AtomicInteger acceptedRequests = new AtomicInteger();
+
 	private volatile int fromLayer;
 
 	private volatile int toLayer;
 
 	private volatile boolean processingStopped;
 
+	private volatile boolean failingResumedRequests;
+
 	private int sequence;
 
 	/**
@@ -95,6 +102,19 @@
 		this.processingStopped = true;
 	}
 
+	/**
+	 * Returns how many requests this engine accepted as the first engine of their path.
+	 * @return the count, with requests to which it responded with an error
+	 */
+	public int acceptedRequestCount() {
+		return this.acceptedRequests.get();
+	}
+
+	/** Responds to requests that resume a stream with an error from now on. */
+	public void failResumedRequests() {
+		this.failingResumedRequests = true;
+	}
+
 	/**
 	 * Returns how often this engine processed an event of a request.
 	 * @param requestId the id of the request
@@ -195,12 +215,17 @@
 		}
 		String requestId = context.request().getHeader("X-Burdocktray-Request-Id");
 		String lastEventId = context.request().getHeader("Last-Event-Id");
+		this.acceptedRequests.incrementAndGet();
 		this.paths.put(requestId, path);
 		response.closeHandler((closed) -> this.paths.remove(requestId));
 		response.putHeader("X-Burdocktray-Request-Id", requestId)
 			.putHeader("X-Burdocktray-Response-Signature", "signed-by-" + id())
 			.putHeader("Content-Type", "text/event-stream")
 			.setChunked(true);
+		if (this.failingResumedRequests && lastEventId != null) {
+			response.setStatusCode(INTERNAL_SERVER_ERROR).end();
+			return;
+		}
 		int firstEvent = (lastEventId != null) ? Integer.parseInt(lastEventId) + 1 : 1;
 		if (isEnding(context)) {
 			endOneStage(response, requestId);
