Gateway: a stop cuts no request that has been read, and no answer before its last byte

What callers saw: a VM that stopped closed their connections 2.5 s after SIGTERM although their request's body was still coming, or the end of their answer was not written yet (a slow reader got the first part of it and a close). A caller whose body never came got a close in place of a refusal. A caller that was refused while it still sent its body got a reset, since the connection was closed with unread bytes.

Cause: a request counted as in progress only from the end of its body to the moment when its answer was handed to the HTTP server. vertx.close() closes channels without writing what they hold.

Mended: a request is in progress from its head until its answer is written or its connection closed. 400 ms before the end of the grace period all that is left is refused or aborted; connections are closed when nothing is left, at the latest 150 ms before the end. A connection with a complete answer is closed after the request has been read.

--- a/router/src/main/java/org/burdocktray/process/serve/gateway/CallerResponse.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/CallerResponse.java
@@ -12,9 +12,11 @@
 import org.burdocktray.model.Verdict;
 
 /**
- * The HTTP response to one caller. Invariant: a caller can tell an incomplete response
- * from a complete one, because an aborted stream ends with the close of its connection.
- * Thread safety: confined to one event loop.
+ * The HTTP response to one caller. Invariants: a caller can tell an incomplete response
+ * from a complete one, because an aborted stream ends with the close of its connection; a
+ * connection is closed only after all that was written to it has been sent, and after a
+ * complete response only when the request has been read to its end. Thread safety:
+ * confined to one event loop.
  */
 final class CallerResponse {
 
@@ -24,6 +26,8 @@
 	 */
 	static final double OTHER_VM_RETRY_AFTER_SECONDS = 0.02;
 
+	private static final int SERVICE_UNAVAILABLE = 503;
+
 	private final HttpServerRequest request;
 
 	private final HttpServerResponse response;
@@ -34,6 +38,12 @@
 
 	private final BooleanSupplier stopping;
 
+	private Runnable disconnectListener = () -> {
+	};
+
+	private Runnable closeListener = () -> {
+	};
+
 	private boolean started;
 
 	private boolean ended;
@@ -44,11 +54,28 @@
 		this.headers = headers;
 		this.metrics = metrics;
 		this.stopping = stopping;
+		this.response.exceptionHandler((cause) -> handleDisconnect());
+		this.response.closeHandler((closed) -> {
+			handleDisconnect();
+			this.closeListener.run();
+		});
 	}
 
+	/**
+	 * Sets the action for a caller that goes away before its response has ended.
+	 * @param action the action
+	 */
 	void onDisconnect(Runnable action) {
-		this.response.exceptionHandler((cause) -> handleDisconnect(action));
-		this.response.closeHandler((closed) -> handleDisconnect(action));
+		this.disconnectListener = action;
+	}
+
+	/**
+	 * Sets the action for the end of the response: it is sent to its last byte, or the
+	 * connection is closed.
+	 * @param action the action, which may run more than once
+	 */
+	void onClosed(Runnable action) {
+		this.closeListener = action;
 	}
 
 	boolean isStarted() {
@@ -101,10 +128,19 @@
 		end(problem.toBuffer());
 	}
 
+	/**
+	 * Refuses the request because the process stops, if its body is still being read.
+	 */
+	void refuseUnread() {
+		if (!this.started && !this.ended) {
+			refuse(SERVICE_UNAVAILABLE, Verdict.NOT_RUN, "VM is stopping", OTHER_VM_RETRY_AFTER_SECONDS);
+		}
+	}
+
 	void abort() {
 		this.ended = true;
 		this.metrics.recordRequest(this.response.getStatusCode(), Verdict.MAY_HAVE_RUN.wireName());
-		this.request.connection().close();
+		close();
 	}
 
 	private void start(HttpClientResponse head) {
@@ -126,15 +162,31 @@
 			.onFailure((cause) -> RequestEventLog.logResponseNotWritten(this.response.getStatusCode(), cause))
 			.onComplete((written) -> {
 				if (closesConnection) {
-					this.request.connection().close();
+					closeAfterRequest();
+					return;
 				}
+				this.closeListener.run();
 			});
 	}
 
-	private void handleDisconnect(Runnable action) {
+	// Closing a connection with unread bytes resets it, and the caller loses the
+	// response.
+	private void closeAfterRequest() {
+		if (this.request.isEnded()) {
+			close();
+			return;
+		}
+		this.request.endHandler((end) -> close());
+	}
+
+	private void close() {
+		this.request.connection().close().onComplete((closed) -> this.closeListener.run());
+	}
+
+	private void handleDisconnect() {
 		if (!this.ended) {
 			this.ended = true;
-			action.run();
+			this.disconnectListener.run();
 		}
 	}
 
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayRequestHandler.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayRequestHandler.java
@@ -58,6 +58,7 @@
 		RequestHead head = this.context.headers().readRequest(request.headers());
 		CallerResponse response = new CallerResponse(request, this.context.headers(), this.context.metrics(),
 				this.stopping);
+		this.requestsInProgress.add(response);
 		Optional<RoutingRules> rules = this.context.rules().current();
 		if (this.rejecting.getAsBoolean()) {
 			reject(head, response, SERVICE_UNAVAILABLE, "VM is stopping", CallerResponse.OTHER_VM_RETRY_AFTER_SECONDS);
@@ -109,7 +110,7 @@
 			}
 		});
 		request.endHandler((end) -> {
-			if (!collector.isTooLarge()) {
+			if (!collector.isTooLarge() && !response.isStarted()) {
 				onComplete.accept(collector.body());
 			}
 		});
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayServer.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayServer.java
@@ -72,9 +72,17 @@
 	/** How long the load balancer takes to stop sending new connections. */
 	private static final long ROTATION_EXIT_MILLIS = 2_500;
 
-	/** The part of the grace period that is left when the process ends. */
+	/**
+	 * The part of the grace period that is left when the requests in progress are ended.
+	 */
 	private static final long STOP_MARGIN_MILLIS = 400;
 
+	/**
+	 * The part of the grace period that is left when connections are closed to which not
+	 * all has been written.
+	 */
+	private static final long CLOSE_MARGIN_MILLIS = 150;
+
 	private final GatewaySettings settings;
 
 	private final GatewayAdapter adapter;
@@ -267,7 +275,8 @@
 
 	/**
 	 * Stops gracefully: leaves the load balancer's rotation, lets requests in progress
-	 * finish, and closes all connections within the grace period.
+	 * finish, and closes all connections within the grace period, after what was written
+	 * to them has been sent.
 	 * @return completes when the process can exit
 	 */
 	public Future<Void> stop() {
@@ -278,13 +287,10 @@
 			long startNanos = System.nanoTime();
 			this.vertx.setPeriodic(TICK_MILLIS, (timer) -> {
 				long elapsedMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
-				this.rejecting = elapsedMillis > ROTATION_EXIT_MILLIS;
-				boolean isIdle = this.rejecting && this.requestsInProgress.count() == 0;
-				if (isIdle || elapsedMillis > this.settings.bounds().graceMillis() - STOP_MARGIN_MILLIS) {
+				if (advanceStop(elapsedMillis)) {
 					this.vertx.cancelTimer(timer);
 					LOGGER.infof("Gateway closes its connections: vm=%s inProgress=%d elapsedMillis=%d",
 							this.settings.vmName(), this.requestsInProgress.count(), elapsedMillis);
-					this.requestsInProgress.stopAll();
 					this.vertx.close().onComplete(stopped);
 				}
 			});
@@ -292,4 +298,20 @@
 		return stopped.future();
 	}
 
+	/**
+	 * Continues to stop.
+	 * @param elapsedMillis the time since the stop began
+	 * @return whether the connections can be closed
+	 */
+	private boolean advanceStop(long elapsedMillis) {
+		long remainingMillis = this.settings.bounds().graceMillis() - elapsedMillis;
+		boolean isGraceOver = remainingMillis < STOP_MARGIN_MILLIS;
+		this.rejecting = elapsedMillis > ROTATION_EXIT_MILLIS || isGraceOver;
+		if (isGraceOver) {
+			this.requestsInProgress.stopAll();
+		}
+		boolean isIdle = this.rejecting && this.requestsInProgress.count() == 0;
+		return isIdle || remainingMillis < CLOSE_MARGIN_MILLIS;
+	}
+
 }
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/RequestsInProgress.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/RequestsInProgress.java
@@ -9,13 +9,25 @@
 import org.burdocktray.request.forward.WaitingRequest;
 
 /**
- * The requests of this VM that have no final response yet. Thread safety: none, confined
- * to one event loop.
+ * The requests of this VM. Invariant: a request is in progress from the moment at which
+ * its head has been read until its response is written to the caller's connection, or the
+ * connection is closed. Thread safety: none, confined to one event loop.
  */
 final class RequestsInProgress {
 
 	private final Set<ForwardExchange> exchanges = new LinkedHashSet<>();
 
+	private final Set<CallerResponse> responses = new LinkedHashSet<>();
+
+	/**
+	 * Adds a request whose head has been read.
+	 * @param response the response to its caller, which removes itself
+	 */
+	void add(CallerResponse response) {
+		this.responses.add(response);
+		response.onClosed(() -> this.responses.remove(response));
+	}
+
 	void add(ForwardExchange exchange) {
 		this.exchanges.add(exchange);
 	}
@@ -25,7 +37,7 @@
 	}
 
 	int count() {
-		return this.exchanges.size();
+		return this.responses.size();
 	}
 
 	void tick(long nowNanos) {
@@ -37,8 +49,10 @@
 			.forEach(ForwardExchange::dispatchWaiting);
 	}
 
+	/** Ends all requests that have no final response yet. */
 	void stopAll() {
 		List.copyOf(this.exchanges).forEach(ForwardExchange::stop);
+		List.copyOf(this.responses).forEach(CallerResponse::refuseUnread);
 	}
 
 	void onEngineFailure(Replica engine) {
--- a/standins/src/main/java/org/burdocktray/standins/gateway/PlainReplicaStandIn.java
+++ b/standins/src/main/java/org/burdocktray/standins/gateway/PlainReplicaStandIn.java
@@ -18,6 +18,8 @@
 
 	private volatile long workMillis;
 
+	private volatile int paddingBytes;
+
 	/**
 	 * Creates a replica.
 	 * @param id the id of the replica
@@ -42,6 +44,14 @@
 		this.workMillis = millis;
 	}
 
+	/**
+	 * Sets by how much the bodies of the replica's responses are longer than their text.
+	 * @param bytes the number of bytes that follow the text
+	 */
+	public void setPaddingBytes(int bytes) {
+		this.paddingBytes = bytes;
+	}
+
 	/**
 	 * Returns the ids of the requests that the replica executed.
 	 * @return the ids in order of execution
@@ -103,7 +113,8 @@
 			.setStatusCode(200)
 			.putHeader("X-Burdocktray-Request-Id", responseId)
 			.putHeader("X-Burdocktray-Response-Signature", "signed-by-" + id())
-			.end("ran at " + id() + " for " + context.request().getHeader("X-Burdocktray-Tenant"));
+			.end("ran at " + id() + " for " + context.request().getHeader("X-Burdocktray-Tenant")
+					+ "x".repeat(this.paddingBytes));
 	}
 
 	/**
