Gateway: an unexpected exception ends one request, truthfully, and holds up no other

What callers saw: where the handler of a request threw an exception, Vert.x logged it and the caller was left hanging (nothing sets a time limit before the exchange has started); where the answer could not be written, the exchange was over, its deadline timer cancelled, and the caller waited until its own time limit. An exception in the tick of one request, or in the tick of another part, kept the rest of that tick from running.

Mended: before the exchange starts the caller is refused as not run; an answer that cannot be written closes the connection; each part and each request of a tick is guarded, and a request whose tick fails is ended by its verdict.

For the guard in the tick there is no test: no fault that can be injected through the adapter starves more than one tick.

--- a/router/src/main/java/org/burdocktray/process/serve/gateway/CallerResponse.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/CallerResponse.java
@@ -83,15 +83,19 @@
 	}
 
 	void send(HttpClientResponse head, Buffer body) {
-		start(head);
-		this.metrics.recordRequest(head.statusCode(), Verdict.RAN.wireName());
-		this.ended = true;
-		end(body);
+		closeOnFault(() -> {
+			start(head);
+			this.metrics.recordRequest(head.statusCode(), Verdict.RAN.wireName());
+			this.ended = true;
+			end(body);
+		});
 	}
 
 	void startStream(HttpClientResponse head) {
-		start(head);
-		this.response.setChunked(true);
+		closeOnFault(() -> {
+			start(head);
+			this.response.setChunked(true);
+		});
 	}
 
 	/**
@@ -143,6 +147,17 @@
 		close();
 	}
 
+	// A caller whose response cannot be written must not wait for it.
+	private void closeOnFault(Runnable write) {
+		try {
+			write.run();
+		}
+		catch (RuntimeException ex) {
+			RequestEventLog.logInternalFault(ex);
+			close();
+		}
+	}
+
 	private void start(HttpClientResponse head) {
 		this.started = true;
 		this.response.setStatusCode(head.statusCode());
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayRequestHandler.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayRequestHandler.java
@@ -55,10 +55,25 @@
 
 	void handle(HttpServerRequest request) {
 		long arrivedNanos = System.nanoTime();
-		RequestHead head = this.context.headers().readRequest(request.headers());
 		CallerResponse response = new CallerResponse(request, this.context.headers(), this.context.metrics(),
 				this.stopping);
 		this.requestsInProgress.add(response);
+		refuseOnFault(response, () -> admit(request, response, arrivedNanos));
+	}
+
+	// Nothing has been sent to a replica before the exchange starts.
+	private static void refuseOnFault(CallerResponse response, Runnable action) {
+		try {
+			action.run();
+		}
+		catch (RuntimeException ex) {
+			RequestEventLog.logInternalFault(ex);
+			response.refuse(SERVICE_UNAVAILABLE, Verdict.NOT_RUN, "internal fault", RETRY_AFTER_SECONDS);
+		}
+	}
+
+	private void admit(HttpServerRequest request, CallerResponse response, long arrivedNanos) {
+		RequestHead head = this.context.headers().readRequest(request.headers());
 		Optional<RoutingRules> rules = this.context.rules().current();
 		if (this.rejecting.getAsBoolean()) {
 			reject(head, response, SERVICE_UNAVAILABLE, "VM is stopping", CallerResponse.OTHER_VM_RETRY_AFTER_SECONDS);
@@ -96,7 +111,8 @@
 					body, arrivedNanos);
 			AdmittedRequest admittedRequest = new AdmittedRequest(rules.get().version(), head, route.get(),
 					service.get(), callerOrganisation, forwardedRequest, fingerprint(forwardedRequest));
-			new ForwardExchange(this.context, admittedRequest, response, this.requestsInProgress).start();
+			this.requestsInProgress
+				.start(new ForwardExchange(this.context, admittedRequest, response, this.requestsInProgress));
 		});
 	}
 
@@ -111,7 +127,7 @@
 		});
 		request.endHandler((end) -> {
 			if (!collector.isTooLarge() && !response.isStarted()) {
-				onComplete.accept(collector.body());
+				refuseOnFault(response, () -> onComplete.accept(collector.body()));
 			}
 		});
 	}
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayServer.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayServer.java
@@ -190,15 +190,24 @@
 		this.vertx.setPeriodic(LOAD_BROADCAST_MILLIS, (timer) -> loadBroadcaster.flush());
 		this.vertx.setPeriodic(TICK_MILLIS, (timer) -> {
 			long tickNanos = System.nanoTime();
-			this.directory.tick(tickNanos);
-			placementLoop.tick(tickNanos);
-			monitor.tick(usableEngines(), tickNanos);
-			this.requestsInProgress.tick(tickNanos);
+			runTick("directory", () -> this.directory.tick(tickNanos));
+			runTick("placement", () -> placementLoop.tick(tickNanos));
+			runTick("monitor", () -> monitor.tick(usableEngines(), tickNanos));
+			runTick("requests", () -> this.requestsInProgress.tick(tickNanos));
 			this.metrics.setInProgress(this.requestsInProgress.count());
 		});
 		return datagrams.start().compose((listening) -> listen(requestHandler));
 	}
 
+	private static void runTick(String part, Runnable action) {
+		try {
+			action.run();
+		}
+		catch (RuntimeException ex) {
+			LOGGER.errorf(ex, "Periodic work failed: part=%s", part);
+		}
+	}
+
 	private void startWatchers() {
 		new StoreWatcher(this.vertx, this.adapter.feed(), this.adapter.objects().rulesKind(),
 				() -> this.rulesPollInterval.nextWaitMillis(System.nanoTime()), RULES_BATCH_MILLIS,
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/RequestEventLog.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/RequestEventLog.java
@@ -50,6 +50,10 @@
 		LOGGER.infof("Response not written: status=%d cause=%s", status, cause);
 	}
 
+	static void logInternalFault(Throwable cause) {
+		LOGGER.error("Request failed by a fault of this program", cause);
+	}
+
 	static void logPathChanged(AdmittedRequest admitted, Target next, Replica failed,
 			EngineControl.OrderResult result) {
 		LOGGER.infof("Path changed: request=%s dead=%s path=%s answer=%s", requestId(admitted), failed.id(),
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/RequestsInProgress.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/RequestsInProgress.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.function.Consumer;
 
 import org.burdocktray.process.directory.Replica;
 import org.burdocktray.request.forward.WaitingRequest;
@@ -11,7 +12,8 @@
 /**
  * The requests of this VM. Invariant: a request is in progress from the moment at which
  * its head has been read until its response is written to the caller's connection, or the
- * connection is closed. Thread safety: none, confined to one event loop.
+ * connection is closed; an unexpected exception in one request does not keep the others
+ * from their progress. Thread safety: none, confined to one event loop.
  */
 final class RequestsInProgress {
 
@@ -40,23 +42,51 @@
 		return this.responses.size();
 	}
 
+	void start(ForwardExchange exchange) {
+		guard(exchange, ForwardExchange::start);
+	}
+
 	void tick(long nowNanos) {
-		List.copyOf(this.exchanges).forEach((exchange) -> exchange.checkProgress(nowNanos));
+		forEachExchange((exchange) -> exchange.checkProgress(nowNanos));
 		this.exchanges.stream()
 			.filter(ForwardExchange::isWaiting)
 			.sorted(Comparator.comparing(ForwardExchange::waitingRequest, WaitingRequest.order(nowNanos)))
 			.toList()
-			.forEach(ForwardExchange::dispatchWaiting);
+			.forEach((exchange) -> guard(exchange, ForwardExchange::dispatchWaiting));
 	}
 
 	/** Ends all requests that have no final response yet. */
 	void stopAll() {
-		List.copyOf(this.exchanges).forEach(ForwardExchange::stop);
+		forEachExchange(ForwardExchange::stop);
 		List.copyOf(this.responses).forEach(CallerResponse::refuseUnread);
 	}
 
 	void onEngineFailure(Replica engine) {
-		List.copyOf(this.exchanges).forEach((exchange) -> exchange.onEngineFailure(engine));
+		forEachExchange((exchange) -> exchange.onEngineFailure(engine));
+	}
+
+	private void forEachExchange(Consumer<ForwardExchange> action) {
+		List.copyOf(this.exchanges).forEach((exchange) -> guard(exchange, action));
+	}
+
+	private void guard(ForwardExchange exchange, Consumer<ForwardExchange> action) {
+		try {
+			action.accept(exchange);
+		}
+		catch (RuntimeException ex) {
+			RequestEventLog.logInternalFault(ex);
+			end(exchange);
+		}
+	}
+
+	private void end(ForwardExchange exchange) {
+		try {
+			exchange.stop();
+		}
+		catch (RuntimeException ex) {
+			RequestEventLog.logInternalFault(ex);
+			this.exchanges.remove(exchange);
+		}
 	}
 
 }
