--- a/router/src/main/java/org/burdocktray/process/serve/gateway/Attempt.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/Attempt.java
@@ -7,6 +7,7 @@
 import io.vertx.core.http.HttpClientResponse;
 import org.burdocktray.model.NetworkAddress;
 import org.burdocktray.request.forward.AttemptOutcome;
+import org.burdocktray.request.forward.EventTooLargeException;
 
 /**
  * One attempt to send a request to one replica. Invariants: an attempt ends exactly once,
@@ -159,7 +160,7 @@
 			return;
 		}
 		if (head.notExecuted() || response.statusCode() == MISDIRECTED) {
-			response.resume();
+			this.context.connections().responses().discard(response);
 			fail(AttemptOutcome.REJECTED, "status " + response.statusCode(), head.faultAddress());
 			return;
 		}
@@ -171,20 +172,18 @@
 	}
 
 	private void readResponse(HttpClientResponse response) {
-		response.exceptionHandler((cause) -> fail(AttemptOutcome.LOST, cause.toString(), Optional.empty()));
 		this.streaming = this.request.streaming() && response.statusCode() / 100 == 2;
 		if (!this.streaming) {
-			response.body()
+			this.context.connections()
+				.responses()
+				.readBody(response)
 				.onSuccess((body) -> completeResponse(response, body))
 				.onFailure((cause) -> fail(AttemptOutcome.LOST, cause.toString(), Optional.empty()));
 			return;
 		}
+		response.exceptionHandler((cause) -> fail(AttemptOutcome.LOST, cause.toString(), Optional.empty()));
 		this.listener.onStreamStart(response);
-		response.handler((bytes) -> {
-			if (!this.ended) {
-				this.listener.onStreamData(bytes);
-			}
-		});
+		response.handler((bytes) -> readStreamData(response, bytes));
 		response.endHandler((end) -> {
 			if (finish()) {
 				this.listener.onStreamEnd();
@@ -192,6 +191,19 @@
 		});
 	}
 
+	private void readStreamData(HttpClientResponse response, Buffer bytes) {
+		if (this.ended) {
+			return;
+		}
+		try {
+			this.listener.onStreamData(bytes);
+		}
+		catch (EventTooLargeException ex) {
+			this.context.connections().responses().giveUp(response.request(), ex.getMessage());
+			fail(AttemptOutcome.LOST, ex.getMessage(), Optional.empty());
+		}
+	}
+
 	private void completeResponse(HttpClientResponse response, Buffer body) {
 		if (finish()) {
 			this.listener.onResponse(response, body);
@@ -242,6 +254,7 @@
 		/**
 		 * Handles data of a stream.
 		 * @param bytes the next bytes, which may end within an event
+		 * @throws EventTooLargeException if the stream is not one of events
 		 */
 		void onStreamData(Buffer bytes);
 
