--- a/router/src/main/java/org/burdocktray/process/serve/gateway/ForwardExchange.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/ForwardExchange.java
@@ -154,7 +154,9 @@
 			case NOT_NEEDED -> {
 				return;
 			}
-			case LOST_RUN_UNEXPLAINED -> this.waiting = true;
+			case LOST_RUN_UNEXPLAINED -> {
+				this.waiting = true;
+			}
 			case OTHER_RUN, TARGET_UNRESPONSIVE -> waitOrGiveUp(obstacle.text(), true);
 			case BUDGET_SPENT -> waitOrGiveUp(obstacle.text(), this.callerResponse.isStarted());
 			case NO_TARGET ->
--- a/router/src/main/java/org/burdocktray/request/forward/EventFramer.java
+++ b/router/src/main/java/org/burdocktray/request/forward/EventFramer.java
@@ -21,7 +21,7 @@
 	 * The size of the largest event, with what precedes it after the last event that had
 	 * an id.
 	 */
-	private static final int MAX_EVENT_BYTES = 65_536;
+	private static final int MAX_EVENT_BYTES = 262_144;
 
 	private byte[] buffer = new byte[INITIAL_CAPACITY_BYTES];
 
