--- a/standins/src/main/java/org/burdocktray/standins/engine/EngineStandIn.java
+++ b/standins/src/main/java/org/burdocktray/standins/engine/EngineStandIn.java
@@ -13,6 +13,7 @@
 import io.vertx.core.Handler;
 import io.vertx.ext.web.Router;
 import io.vertx.ext.web.RoutingContext;
+import org.burdocktray.standins.FreezeGate;
 import org.burdocktray.standins.HttpStandIn;
 import org.burdocktray.standins.Problem;
 import org.burdocktray.standins.model.Tokens;
--- a/standins/src/main/java/org/burdocktray/standins/engine/StageRunner.java
+++ b/standins/src/main/java/org/burdocktray/standins/engine/StageRunner.java
@@ -6,6 +6,7 @@
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
+import org.burdocktray.standins.FreezeGate;
 import org.burdocktray.standins.model.Tokens;
 
 /**
--- a/standins/src/main/java/org/burdocktray/standins/gateway/EngineNetwork.java
+++ b/standins/src/main/java/org/burdocktray/standins/gateway/EngineNetwork.java
@@ -40,6 +40,11 @@
 		return engine == null || engine.hasFailed();
 	}
 
+	boolean isSilent(String address) {
+		LayeredEngineStandIn engine = this.engines.get(address);
+		return engine != null && engine.isSilent();
+	}
+
 	void recordEvent(String address, String requestId, int event) {
 		this.engines.get(address).recordEvent(requestId, event);
 	}
--- a/standins/src/main/java/org/burdocktray/standins/gateway/LayeredEngineStandIn.java
+++ b/standins/src/main/java/org/burdocktray/standins/gateway/LayeredEngineStandIn.java
@@ -16,12 +16,18 @@
 /**
  * A stand-in for an engine that holds a range of layers, executes orders and responds to
  * requests with a stream of events. A request is accepted only when every engine of its
- * path holds its layers and has not failed. While an engine of the path has failed, no
- * event is produced. Each engine of the path records each event. Thread safety: see
- * {@link ReplicaStandIn}.
+ * path holds its layers and has not failed. While an engine of the path has failed or is
+ * silent, no event is produced. Each engine of the path records each event. Thread
+ * safety: see {@link ReplicaStandIn}.
  */
 public final class LayeredEngineStandIn extends ReplicaStandIn {
 
+	/** The body of requests whose events are long. */
+	public static final String LONG_EVENTS_BODY = "has long events";
+
+	/** What each long event adds to its data. */
+	public static final String LONG_EVENT_TAIL = "-" + "x".repeat(64 * 1024);
+
 	private static final int EVENT_INTERVAL_MILLIS = 20;
 
 	private static final int MISDIRECTED_REQUEST = 421;
@@ -78,7 +84,7 @@
 
 	/** Stops all processing without closing connections, as a failed machine does. */
 	public void fail() {
-		beSilent();
+		setFailed();
 	}
 
 	/**
@@ -123,10 +129,6 @@
 		return this.fromLayer <= firstLayer && endLayer <= this.toLayer;
 	}
 
-	boolean hasFailed() {
-		return isSilent();
-	}
-
 	void recordEvent(String requestId, int event) {
 		this.eventCounts.merge(requestId + "/" + event, 1, Integer::sum);
 	}
@@ -140,7 +142,7 @@
 
 	private void handleReport(RoutingContext context) {
 		JsonArray stalled = new JsonArray();
-		this.paths.forEach((requestId, path) -> findFailedStage(path)
+		this.paths.forEach((requestId, path) -> findStallingStage(path)
 			.ifPresent((stage) -> stalled.add(new JsonObject().put("id", requestId).put("address", stage.address()))));
 		respondJson(context, 200,
 				new JsonObject().put("born", 1)
@@ -187,10 +189,13 @@
 				.end();
 			return;
 		}
+		HttpServerResponse response = context.response();
+		if (response.closed()) {
+			return;
+		}
 		String requestId = context.request().getHeader("X-Burdocktray-Request-Id");
 		String lastEventId = context.request().getHeader("Last-Event-Id");
 		this.paths.put(requestId, path);
-		HttpServerResponse response = context.response();
 		response.closeHandler((closed) -> this.paths.remove(requestId));
 		response.putHeader("X-Burdocktray-Request-Id", requestId)
 			.putHeader("X-Burdocktray-Response-Signature", "signed-by-" + id())
@@ -201,24 +206,25 @@
 			endOneStage(response, requestId);
 			return;
 		}
-		sendNextEvent(response, requestId, firstEvent);
+		String tail = LONG_EVENTS_BODY.equals(context.body().asString()) ? LONG_EVENT_TAIL : "";
+		sendNextEvent(response, requestId, firstEvent, tail);
 	}
 
 	// Ends one stage of the path, and after each change of the path one of the new path.
 	private void endOneStage(HttpServerResponse response, String requestId) {
 		List<PathStage> path = this.paths.get(requestId);
-		if (response.closed() || isSilent() || path == null) {
+		if (response.closed() || hasFailed() || path == null) {
 			return;
 		}
 		if (findFailedStage(path).isEmpty()) {
 			this.network.endOneOf(path.stream().map(PathStage::address).toList());
 		}
-		runAfter(EVENT_INTERVAL_MILLIS, () -> endOneStage(response, requestId));
+		continueAfter(EVENT_INTERVAL_MILLIS, () -> endOneStage(response, requestId));
 	}
 
-	private void sendNextEvent(HttpServerResponse response, String requestId, int event) {
+	private void sendNextEvent(HttpServerResponse response, String requestId, int event, String tail) {
 		List<PathStage> path = this.paths.get(requestId);
-		if (response.closed() || isSilent() || this.processingStopped || path == null) {
+		if (response.closed() || hasFailed() || this.processingStopped || path == null) {
 			return;
 		}
 		if (event > this.eventsPerResponse) {
@@ -226,18 +232,25 @@
 			response.end();
 			return;
 		}
-		boolean isStalled = findFailedStage(path).isPresent();
+		boolean isStalled = findStallingStage(path).isPresent();
 		if (!isStalled) {
 			path.forEach((stage) -> this.network.recordEvent(stage.address(), requestId, event));
-			response.write("id: " + event + "\ndata: " + requestId + "-" + event + "\n\n");
+			response.write("id: " + event + "\ndata: " + requestId + "-" + event + tail + "\n\n");
 		}
-		runAfter(EVENT_INTERVAL_MILLIS, () -> sendNextEvent(response, requestId, isStalled ? event : event + 1));
+		continueAfter(EVENT_INTERVAL_MILLIS,
+				() -> sendNextEvent(response, requestId, isStalled ? event : event + 1, tail));
 	}
 
 	private Optional<PathStage> findFailedStage(List<PathStage> path) {
 		return path.stream().filter((stage) -> this.network.hasFailed(stage.address())).findFirst();
 	}
 
+	private Optional<PathStage> findStallingStage(List<PathStage> path) {
+		return path.stream()
+			.filter((stage) -> this.network.hasFailed(stage.address()) || this.network.isSilent(stage.address()))
+			.findFirst();
+	}
+
 	private JsonObject layersJson() {
 		return (this.toLayer > this.fromLayer) ? new JsonObject().put("from", this.fromLayer).put("to", this.toLayer)
 				: null;
--- a/standins/src/main/java/org/burdocktray/standins/gateway/PlainReplicaStandIn.java
+++ b/standins/src/main/java/org/burdocktray/standins/gateway/PlainReplicaStandIn.java
@@ -91,11 +91,11 @@
 			closeConnection(context);
 			return;
 		}
-		runAfter(this.workMillis, () -> respond(context, requestId));
+		continueAfter(this.workMillis, () -> respond(context, requestId));
 	}
 
 	private void respond(RoutingContext context, String requestId) {
-		if (isSilent() || context.response().closed()) {
+		if (hasFailed() || context.response().closed()) {
 			return;
 		}
 		String responseId = (this.behaviour == Behaviour.WRONG_REQUEST_ID) ? "another" : requestId;
--- a/standins/src/main/java/org/burdocktray/standins/gateway/ReplicaStandIn.java
+++ b/standins/src/main/java/org/burdocktray/standins/gateway/ReplicaStandIn.java
@@ -1,16 +1,21 @@
 package org.burdocktray.standins.gateway;
 
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 
 import io.vertx.ext.web.Router;
 import io.vertx.ext.web.RoutingContext;
+import org.burdocktray.standins.FreezeGate;
 import org.burdocktray.standins.HttpStandIn;
 
 /**
  * A stand-in for a replica, which can end at any time, also because of a request: one
- * whose body is {@link #ENDING_BODY} ends each replica that begins to run it. Thread
- * safety: see {@link HttpStandIn}.
+ * whose body is {@link #ENDING_BODY} ends each replica that begins to run it. A sound
+ * replica can also fall silent for a while: it sends nothing and handles nothing that
+ * arrives, its connections stay open, and afterwards it goes on with all of that in
+ * order. Thread safety: see {@link HttpStandIn}; what ends or silences the replica may be
+ * called from any thread.
  */
 public abstract class ReplicaStandIn extends HttpStandIn {
 
@@ -23,7 +28,11 @@
 
 	private volatile Optional<Consumer<ReplicaStandIn>> endListener = Optional.empty();
 
-	private volatile boolean silent;
+	private final FreezeGate gate = new FreezeGate(this::hasFailed);
+
+	private final AtomicInteger silences = new AtomicInteger();
+
+	private volatile boolean failed;
 
 	ReplicaStandIn(String id) {
 		this.id = id;
@@ -46,27 +55,57 @@
 		}
 	}
 
-	/** Ends the replica for a reason of its own. May be called from any thread. */
+	/**
+	 * Lets the replica fall silent, and go on afterwards. Where silences overlap, it goes
+	 * on after the last one.
+	 * @param silenceMillis how long it is silent
+	 */
+	public final void fallSilentFor(long silenceMillis) {
+		this.silences.incrementAndGet();
+		vertx().runOnContext((now) -> {
+			this.gate.setFrozen(true);
+			vertx().setTimer(silenceMillis, (timer) -> this.gate.setFrozen(this.silences.decrementAndGet() > 0));
+		});
+	}
+
+	/**
+	 * Returns whether the replica is silent for a while.
+	 * @return false as well for a replica that has failed
+	 */
+	public final boolean isSilent() {
+		return this.silences.get() > 0 && !this.failed;
+	}
+
+	/** Ends the replica for a reason of its own. */
 	public final void end() {
-		this.silent = true;
+		this.failed = true;
 		if (this.howItEnds != ReplicaEnd.SILENCE) {
 			crash();
 		}
 	}
 
 	final void endBecauseOfRequest() {
-		if (!this.silent) {
+		if (!this.failed) {
 			end();
 			this.endListener.ifPresent((listener) -> listener.accept(this));
 		}
 	}
 
-	final boolean isSilent() {
-		return this.silent;
+	final boolean hasFailed() {
+		return this.failed;
+	}
+
+	final void setFailed() {
+		this.failed = true;
 	}
 
-	final void beSilent() {
-		this.silent = true;
+	/**
+	 * Runs an action after a delay, or when the replica goes on if it is silent then.
+	 * @param delayMillis the delay
+	 * @param action the action, dropped if the replica has failed
+	 */
+	final void continueAfter(long delayMillis, Runnable action) {
+		runAfter(delayMillis, () -> this.gate.submit(action));
 	}
 
 	static boolean isEnding(RoutingContext context) {
@@ -75,11 +114,7 @@
 
 	@Override
 	protected final void addRoutes(Router router) {
-		router.route().handler((context) -> {
-			if (!this.silent) {
-				context.next();
-			}
-		});
+		router.route().handler((context) -> this.gate.submit(context::next));
 		router.get("/health").handler((context) -> respondEmpty(context, 200));
 		addReplicaRoutes(router);
 	}
