--- a/standins/src/main/java/org/burdocktray/standins/gateway/LayeredEngineStandIn.java
+++ b/standins/src/main/java/org/burdocktray/standins/gateway/LayeredEngineStandIn.java
@@ -26,7 +26,7 @@
 	public static final String LONG_EVENTS_BODY = "has long events";
 
 	/** What each long event adds to its data. */
-	public static final String LONG_EVENT_TAIL = "-" + "x".repeat(64 * 1024);
+	public static final String LONG_EVENT_TAIL = "-" + "x".repeat(192 * 1024);
 
 	private static final int EVENT_INTERVAL_MILLIS = 20;
 
