--- a/soak/src/main/java/org/burdocktray/soak/Call.java
+++ b/soak/src/main/java/org/burdocktray/soak/Call.java
@@ -1,6 +1,10 @@
 package org.burdocktray.soak;
 
+import java.net.ConnectException;
+import java.net.http.HttpConnectTimeoutException;
 import java.net.http.HttpResponse;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 
@@ -14,18 +18,41 @@
  * @param key the caller's API key
  * @param sentNanos the time at which it was sent, from {@link System#nanoTime()}
  * @param endedNanos the time at which it ended, from {@link System#nanoTime()}
- * @param status the HTTP status code, 0 when the call ended without a complete response
+ * @param status the HTTP status code, 0 when the call ended without a complete response,
+ * {@link #NOT_TAKEN} when no connection could be opened
  * @param body the body of the response, empty without a complete response
  * @param signature the signature of the response, empty for none
  */
 record Call(String id, Kind kind, String key, long sentNanos, long endedNanos, int status, String body,
 		String signature) {
 
+	static final int NOT_TAKEN = -1;
+
+	private static final int NO_RESPONSE = 0;
+
 	Call withResponse(HttpResponse<String> response) {
 		return new Call(this.id, this.kind, this.key, this.sentNanos, this.endedNanos, response.statusCode(),
 				response.body(), response.headers().firstValue(WireHeaders.SIGNATURE).orElse(""));
 	}
 
+	Call withFailure(Throwable failure) {
+		Throwable cause = (failure instanceof CompletionException) ? failure.getCause() : failure;
+		boolean isTaken = !(cause instanceof ConnectException || cause instanceof HttpConnectTimeoutException);
+		return new Call(this.id, this.kind, this.key, this.sentNanos, this.endedNanos,
+				isTaken ? NO_RESPONSE : NOT_TAKEN, "", "");
+	}
+
+	/**
+	 * Returns whether the call ended before its deadline with no whole answer and no
+	 * refusal, although a gateway had taken it.
+	 * @return true if an answer is missing
+	 */
+	boolean isLost() {
+		long elapsedMillis = TimeUnit.NANOSECONDS.toMillis(this.endedNanos - this.sentNanos);
+		boolean isTimedOut = this.kind == Kind.DRAFT && elapsedMillis >= this.kind.deadlineMillis();
+		return this.status == NO_RESPONSE && !isTimedOut;
+	}
+
 	/** Returns whether the response says that the request has not run. */
 	boolean isRefused() {
 		return this.status == 503 || this.status == 429 || this.status == 408 || this.status == 421;
--- a/soak/src/main/java/org/burdocktray/soak/Callers.java
+++ b/soak/src/main/java/org/burdocktray/soak/Callers.java
@@ -71,7 +71,7 @@
 		CompletableFuture<Call> result = this.client.sendAsync(request, HttpResponse.BodyHandlers.ofString())
 			.handle((response, failure) -> {
 				Call call = new Call(id, kind, key, sentNanos, System.nanoTime(), 0, "", "");
-				return (response != null) ? call.withResponse(response) : call;
+				return (response != null) ? call.withResponse(response) : call.withFailure(failure);
 			})
 			.whenComplete((call, failure) -> this.endedCalls.add(call));
 		this.pendingCalls.add(result);
--- a/soak/src/main/java/org/burdocktray/soak/GatewayProcess.java
+++ b/soak/src/main/java/org/burdocktray/soak/GatewayProcess.java
@@ -22,6 +22,8 @@
 	private static final List<String> JVM_OPTIONS = List.of("-Xmx96m", "-Xss256k", "-XX:+UseSerialGC",
 			"-XX:TieredStopAtLevel=1");
 
+	private static final long ROTATION_EXIT_NANOS = TimeUnit.SECONDS.toNanos(1);
+
 	private final String name;
 
 	private final Path directory;
@@ -38,6 +40,8 @@
 
 	private boolean stopping;
 
+	private long stopNanos;
+
 	private int startCount;
 
 	GatewayProcess(String name, Path directory, Path jar, String storeAddress) throws IOException {
@@ -77,6 +81,18 @@
 		this.process = builder.start();
 	}
 
+	/**
+	 * Starts the gateway again if it has exited.
+	 * @return whether it had exited
+	 */
+	boolean startIfExited() throws IOException {
+		if (isAlive()) {
+			return false;
+		}
+		start();
+		return true;
+	}
+
 	int startCount() {
 		return this.startCount;
 	}
@@ -85,8 +101,17 @@
 		return this.stopping;
 	}
 
+	/**
+	 * Returns whether callers still open connections to the gateway.
+	 * @return false from a while after a planned stop has begun, until the next start
+	 */
+	boolean isInRotation() {
+		return !this.stopping || System.nanoTime() - this.stopNanos < ROTATION_EXIT_NANOS;
+	}
+
 	void terminate() {
 		this.stopping = true;
+		this.stopNanos = System.nanoTime();
 		this.process.destroy();
 	}
 
--- a/soak/src/main/java/org/burdocktray/soak/Guarantees.java
+++ b/soak/src/main/java/org/burdocktray/soak/Guarantees.java
@@ -15,6 +15,22 @@
 	private Guarantees() {
 	}
 
+	/**
+	 * Returns the calls that were lost while nothing failed.
+	 * @param calls the ended calls
+	 * @param calmFromNanos the begin of the time in which nothing failed, from
+	 * {@link System#nanoTime()}
+	 * @param calmToNanos its end
+	 * @return one message per lost call
+	 */
+	static List<String> findLostCalls(List<Call> calls, long calmFromNanos, long calmToNanos) {
+		return calls.stream()
+			.filter((call) -> call.sentNanos() - calmFromNanos >= 0 && calmToNanos - call.sentNanos() >= 0)
+			.filter(Call::isLost)
+			.map((call) -> call.id() + " ended without a whole answer and without a refusal, although nothing failed")
+			.toList();
+	}
+
 	/**
 	 * Returns the violations of the guarantees.
 	 * @param calls the ended calls
--- a/soak/src/main/java/org/burdocktray/soak/SoakPlatform.java
+++ b/soak/src/main/java/org/burdocktray/soak/SoakPlatform.java
@@ -6,6 +6,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Queue;
+import java.util.Random;
+import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.stream.Collectors;
@@ -37,6 +39,12 @@
 
 	private static final int REPLICA_COUNT = 3;
 
+	private static final int MIN_SILENCE_MILLIS = 500;
+
+	private static final int MAX_SILENCE_MILLIS = 2_000;
+
+	private static final int MAX_SILENCED_AT_ONCE = 3;
+
 	private static final String RULES = """
 			{"version":%d,"routes":[
 			{"name":"draft","host":"a.example","pathPrefix":"/draft/","kind":"streaming","timeoutMs":8000,
@@ -156,6 +164,25 @@
 		this.store.remove("servers", id);
 	}
 
+	/**
+	 * Lets sound engines and plain replicas fall silent, and go on.
+	 * @param random chooses which, and for how long
+	 */
+	void silenceSome(Random random) {
+		List<ReplicaStandIn> sound = new ArrayList<>(this.replicas);
+		sound.addAll(new TreeMap<>(this.engines).values());
+		int count = 1 + random.nextInt(MAX_SILENCED_AT_ONCE);
+		for (int index = 0; index < count; index++) {
+			long silenceMillis = MIN_SILENCE_MILLIS + random.nextInt(MAX_SILENCE_MILLIS - MIN_SILENCE_MILLIS);
+			sound.get(random.nextInt(sound.size())).fallSilentFor(silenceMillis);
+		}
+	}
+
+	boolean isAnySilent() {
+		return this.replicas.stream().anyMatch(ReplicaStandIn::isSilent)
+				|| this.engines.values().stream().anyMatch(ReplicaStandIn::isSilent);
+	}
+
 	/** Writes the entries of engines that have changed to the store. */
 	void publishEngineEntries() {
 		this.engines.forEach((id, engine) -> {
--- a/soak/src/main/java/org/burdocktray/soak/SoakRun.java
+++ b/soak/src/main/java/org/burdocktray/soak/SoakRun.java
@@ -34,6 +34,10 @@
 
 	private static final double ENDING_REQUEST_PROBABILITY = 0.1;
 
+	private static final double SILENCE_PROBABILITY = 0.03;
+
+	private static final long CALM_MILLIS = 6_000;
+
 	/** The most replicas that one process sends a request to that ends them. */
 	private static final int MAX_ENDED_BY_PROCESS = 2;
 
@@ -42,6 +46,9 @@
 	/** Separate, so that the other faults of a seed stay as they were. */
 	private final Random endingRequestRandom;
 
+	/** Separate for the same reason. */
+	private final Random silenceRandom;
+
 	private CompletableFuture<Call> endingRequest = CompletableFuture.completedFuture(null);
 
 	private int endedReplicas;
@@ -65,6 +72,7 @@
 	SoakRun(long seed, long runMillis, Path directory, Path jar) throws IOException {
 		this.random = new Random(seed);
 		this.endingRequestRandom = new Random(~seed);
+		this.silenceRandom = new Random(Long.reverse(seed));
 		this.runMillis = runMillis;
 		this.platform = new SoakPlatform();
 		for (int index = 0; index < GATEWAY_COUNT; index++) {
@@ -98,8 +106,16 @@
 			clearFaults();
 			awaitPlannedStops();
 			awaitServed("the end of the faults", RECOVERY_TIMEOUT_MILLIS);
+			CalmPhase calm = new CalmPhase(this.silenceRandom, this.platform, this.gateways, this.callers,
+					this::recordEvent);
+			this.endingRequest.join();
+			long calmFromNanos = System.nanoTime();
+			calm.run(CALM_MILLIS);
+			long calmToNanos = System.nanoTime();
+			awaitServed("the calm phase", RECOVERY_TIMEOUT_MILLIS);
 			checkPlannedStop();
 			List<Call> calls = this.callers.awaitAll();
+			this.violations.addAll(Guarantees.findLostCalls(calls, calmFromNanos, calmToNanos));
 			this.endedReplicas += this.platform.replaceEndedReplicas();
 			checkEndedReplicas();
 			this.violations.addAll(Guarantees.findViolations(calls, this.platform.executionCounts(), revokedFromNanos));
@@ -125,6 +141,9 @@
 		sendEndingRequest();
 		this.platform.publishEngineEntries();
 		restartExitedGateways();
+		if (this.silenceRandom.nextDouble() < SILENCE_PROBABILITY) {
+			this.platform.silenceSome(this.silenceRandom);
+		}
 		if (this.random.nextDouble() < FAULT_PROBABILITY) {
 			injectFault(isRevoked);
 		}
@@ -199,8 +218,7 @@
 
 	private void restartExitedGateways() throws IOException {
 		for (GatewayProcess gateway : this.gateways) {
-			if (!gateway.isAlive()) {
-				gateway.start();
+			if (gateway.startIfExited()) {
 				recordEvent("start");
 			}
 		}
--- a/soak/src/test/java/org/burdocktray/soak/GuaranteesTests.java
+++ b/soak/src/test/java/org/burdocktray/soak/GuaranteesTests.java
@@ -63,6 +63,21 @@
 		assertThat(Guarantees.findViolations(List.of(call), Map.of("check-1", 1L), 100)).isEmpty();
 	}
 
+	@Test
+	void callWithoutResponseIsLostOnlyInTheCalmPhase() {
+		Call call = ended("draft-1", Call.Kind.DRAFT, 0);
+		assertThat(Guarantees.findLostCalls(List.of(call), 0, 1)).hasSize(1);
+		assertThat(Guarantees.findLostCalls(List.of(call), 1, 2)).isEmpty();
+		assertThat(Guarantees.findLostCalls(List.of(call), -2, -1)).isEmpty();
+	}
+
+	@Test
+	void refusedCallAndCallThatWasNotTakenAreNotLost() {
+		Call refused = ended("draft-1", Call.Kind.DRAFT, 502);
+		Call notTaken = ended("draft-2", Call.Kind.DRAFT, Call.NOT_TAKEN);
+		assertThat(Guarantees.findLostCalls(List.of(refused, notTaken), 0, 1)).isEmpty();
+	}
+
 	private static Call ended(String id, Call.Kind kind, int status) {
 		return new Call(id, kind, SoakPlatform.KEY, 0, 1, status, "", "");
 	}
