Gateway: a replica that was silent is selected again when it responds

Callers saw started streams broken off with 'no replica can take the request' a second after all engines had gone on: an engine whose report took over 500 ms was left out for 2 s, whatever it reported next, and an engine on which a request had lost a run was left out for the rest of that request. A started stream waits 1.7 s.

The next report or response now ends an exclusion for silence; failures, rejections and engines that block others still run their time. What a request excludes for itself ends after a second. ReplicaLoadsTests fails without it (avoidSilent is new; with avoid the exclusion outlives the report). No periodic work runs any more once the connections are closed.

--- a/router/src/main/java/org/burdocktray/process/directory/ReplicaLoads.java
+++ b/router/src/main/java/org/burdocktray/process/directory/ReplicaLoads.java
@@ -63,6 +63,7 @@
 	public void recordReport(Replica replica, LoadReport report, long nowNanos) {
 		State state = state(replica);
 		state.report = Optional.of(report);
+		state.silent = false;
 		while (!state.recentlySent.isEmpty()
 				&& nowNanos - state.recentlySent.peekFirst().sentNanos() > MAX_REPORT_AGE_NANOS) {
 			state.recentlySent.removeFirst();
@@ -81,6 +82,18 @@
 		state.avoided = true;
 	}
 
+	/**
+	 * Excludes a replica that did not respond from selection for some time. A report or a
+	 * successful request ends the exclusion: a sound replica may be silent for a moment.
+	 * @param replica the replica
+	 * @param untilNanos the end of the exclusion, by the monotonic clock
+	 */
+	public void avoidSilent(Replica replica, long untilNanos) {
+		State state = state(replica);
+		state.silentUntilNanos = state.silent ? Math.max(state.silentUntilNanos, untilNanos) : untilNanos;
+		state.silent = true;
+	}
+
 	/**
 	 * Records that a replica rejected a request and excludes it from selection. The time
 	 * doubles with each consecutive rejection, up to a limit.
@@ -112,17 +125,19 @@
 		state.consecutiveFailures = 0;
 		state.consecutiveRejections = 0;
 		state.avoided = false;
+		state.silent = false;
 	}
 
 	/**
 	 * Returns whether a replica is excluded from selection.
 	 * @param replica the replica
 	 * @param nowNanos the current time of the monotonic clock
-	 * @return true after a recent failure or rejection
+	 * @return true after a recent failure, rejection or silence
 	 */
 	public boolean isAvoided(Replica replica, long nowNanos) {
 		State state = state(replica);
-		return state.avoided && nowNanos - state.avoidedUntilNanos < 0;
+		boolean isSilent = state.silent && nowNanos - state.silentUntilNanos < 0;
+		return isSilent || (state.avoided && nowNanos - state.avoidedUntilNanos < 0);
 	}
 
 	/**
@@ -200,6 +215,10 @@
 
 		private long avoidedUntilNanos;
 
+		private boolean silent;
+
+		private long silentUntilNanos;
+
 		private int consecutiveFailures;
 
 		private int consecutiveRejections;
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/EngineMonitor.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/EngineMonitor.java
@@ -75,7 +75,7 @@
 	void onPeerReport(Replica engine, Optional<LoadReport> report) {
 		this.pollScheduler.recordPoll(engine.id(), System.nanoTime());
 		report.ifPresentOrElse((load) -> this.loads.recordReport(engine, load, System.nanoTime()),
-				() -> this.loads.avoid(engine, System.nanoTime() + UNRESPONSIVE_AVOID_NANOS));
+				() -> this.loads.avoidSilent(engine, System.nanoTime() + UNRESPONSIVE_AVOID_NANOS));
 	}
 
 	/**
@@ -106,7 +106,7 @@
 		this.reportListener.accept(engine, report);
 		report.peek((received) -> this.loads.recordReport(engine, received, System.nanoTime())).peekLeft((fault) -> {
 			LOGGER.infof("Engine gave no report: replica=%s fault=%s", engine.id(), fault);
-			this.loads.avoid(engine, System.nanoTime() + UNRESPONSIVE_AVOID_NANOS);
+			this.loads.avoidSilent(engine, System.nanoTime() + UNRESPONSIVE_AVOID_NANOS);
 		});
 	}
 
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayServer.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayServer.java
@@ -107,6 +107,8 @@
 
 	private volatile boolean rejecting;
 
+	private volatile boolean closing;
+
 	/**
 	 * Creates a gateway that does not listen yet.
 	 * @param settings its settings
@@ -189,6 +191,9 @@
 		quarantineSync.start();
 		this.vertx.setPeriodic(LOAD_BROADCAST_MILLIS, (timer) -> loadBroadcaster.flush());
 		this.vertx.setPeriodic(TICK_MILLIS, (timer) -> {
+			if (this.closing) {
+				return;
+			}
 			long tickNanos = System.nanoTime();
 			runTick("directory", () -> this.directory.tick(tickNanos));
 			runTick("placement", () -> placementLoop.tick(tickNanos));
@@ -279,6 +284,7 @@
 	 * @return completes when everything is closed
 	 */
 	public Future<Void> close() {
+		this.closing = true;
 		return this.vertx.close();
 	}
 
@@ -300,7 +306,7 @@
 					this.vertx.cancelTimer(timer);
 					LOGGER.infof("Gateway closes its connections: vm=%s inProgress=%d elapsedMillis=%d",
 							this.settings.vmName(), this.requestsInProgress.count(), elapsedMillis);
-					this.vertx.close().onComplete(stopped);
+					close().onComplete(stopped);
 				}
 			});
 		});
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/ReplicaHealth.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/ReplicaHealth.java
@@ -58,7 +58,7 @@
 			return false;
 		}
 		if (outcome == AttemptOutcome.NOT_SENT) {
-			this.context.loads().avoid(replica, nowNanos + AVOID_NANOS);
+			this.context.loads().avoidSilent(replica, nowNanos + AVOID_NANOS);
 			return true;
 		}
 		recordResponse(replica, true);
@@ -71,7 +71,7 @@
 	 */
 	void avoidUnresponsive(List<Replica> replicas) {
 		long untilNanos = System.nanoTime() + AVOID_NANOS;
-		replicas.forEach((replica) -> this.context.loads().avoid(replica, untilNanos));
+		replicas.forEach((replica) -> this.context.loads().avoidSilent(replica, untilNanos));
 	}
 
 	/**
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/TargetSelector.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/TargetSelector.java
@@ -1,10 +1,12 @@
 package org.burdocktray.process.serve.gateway;
 
 import java.util.Comparator;
-import java.util.HashSet;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 
 import org.burdocktray.process.directory.Replica;
 import org.burdocktray.request.path.LayerPath;
@@ -14,8 +16,8 @@
 
 /**
  * Selects the targets of one request's attempts. Replicas on which the request has failed
- * are not selected again. Avoided plain replicas are selected only when no other replica
- * is left. Thread safety: none, confined to the request.
+ * are not selected again for a while. Avoided plain replicas are selected only when no
+ * other replica is left. Thread safety: none, confined to the request.
  */
 final class TargetSelector {
 
@@ -23,6 +25,9 @@
 
 	private static final double MAX_RANDOM_PENALTY = 0.1;
 
+	/** How long a replica is excluded on which the request has failed. */
+	private static final long EXCLUSION_NANOS = TimeUnit.SECONDS.toNanos(1);
+
 	/** The share of an engine's KV cache that new requests may fill. */
 	private static final double KV_SHARE = 0.85;
 
@@ -32,7 +37,8 @@
 
 	private final RequestHead requestHead;
 
-	private final Set<String> excludedIds = new HashSet<>();
+	/** The times until which replicas are excluded, by their ids. */
+	private final Map<String, Long> exclusions = new HashMap<>();
 
 	private Set<String> suspectUpstreams = Set.of();
 
@@ -43,7 +49,7 @@
 	}
 
 	void exclude(Replica replica) {
-		this.excludedIds.add(replica.id());
+		this.exclusions.put(replica.id(), System.nanoTime() + EXCLUSION_NANOS);
 	}
 
 	/**
@@ -69,10 +75,11 @@
 	 * @return a target that starts at another replica, empty when there is none now
 	 */
 	Optional<Target> selectInsteadOf(Replica silent, Set<String> suspectUpstreams) {
-		boolean wasAdded = this.excludedIds.add(silent.id());
+		Long previousNanos = this.exclusions.get(silent.id());
+		exclude(silent);
 		Optional<Target> target = select(suspectUpstreams);
-		if (wasAdded) {
-			this.excludedIds.remove(silent.id());
+		if (previousNanos == null) {
+			this.exclusions.remove(silent.id());
 		}
 		return target;
 	}
@@ -119,7 +126,8 @@
 	private Optional<Target> selectReplica() {
 		List<Replica> listed = this.context.directory().usable(this.service.name());
 		List<Replica> preferred = candidates();
-		List<Replica> untried = listed.stream().filter((replica) -> !this.excludedIds.contains(replica.id())).toList();
+		long nowNanos = System.nanoTime();
+		List<Replica> untried = listed.stream().filter((replica) -> !isExcluded(replica, nowNanos)).toList();
 		List<Replica> selectable = preferred.isEmpty() ? untried : preferred;
 		return selectable.stream()
 			.map((replica) -> new ScoredReplica(replica, score(replica)))
@@ -132,12 +140,17 @@
 		return this.context.directory()
 			.usable(this.service.name())
 			.stream()
-			.filter((replica) -> !this.excludedIds.contains(replica.id()))
+			.filter((replica) -> !isExcluded(replica, nowNanos))
 			.filter((replica) -> !this.context.loads().isAvoided(replica, nowNanos))
 			.filter((replica) -> !this.suspectUpstreams.contains(UpstreamNames.of(replica)))
 			.toList();
 	}
 
+	private boolean isExcluded(Replica replica, long nowNanos) {
+		Long untilNanos = this.exclusions.get(replica.id());
+		return untilNanos != null && nowNanos - untilNanos < 0;
+	}
+
 	private double score(Replica replica) {
 		double inFlight = this.context.loads().inFlight(replica) / (double) Math.max(1, replica.slots());
 		double distance = replica.dataCentre().equals(this.context.localDataCentre()) ? 0 : REMOTE_DATA_CENTRE_PENALTY;
--- a/router/src/test/java/org/burdocktray/process/directory/ReplicaLoadsTests.java
+++ b/router/src/test/java/org/burdocktray/process/directory/ReplicaLoadsTests.java
@@ -39,6 +39,20 @@
 		assertThat(this.loads.isAvoided(this.engine, 150)).isFalse();
 	}
 
+	/**
+	 * Guards against streams cut for want of an engine that responded again long before.
+	 */
+	@Test
+	void nextReportEndsExclusionForSilenceOnly() {
+		this.loads.avoidSilent(this.engine, 100);
+		assertThat(this.loads.isAvoided(this.engine, 50)).isTrue();
+		this.loads.recordReport(this.engine, TestReplicas.report(0, false, 0), 60);
+		assertThat(this.loads.isAvoided(this.engine, 70)).isFalse();
+		this.loads.avoid(this.engine, 200);
+		this.loads.recordReport(this.engine, TestReplicas.report(0, false, 0), 150);
+		assertThat(this.loads.isAvoided(this.engine, 150)).isTrue();
+	}
+
 	@Test
 	void stateIsResetWhenAReplicaRestartsWithTheSameId() {
 		this.loads.avoid(this.engine, 100);
