Streams: a silent attempt is given up only once its successor may start

What callers saw: an answer in progress ended with an error event (no-route, upstream-failed or quarantined) although its stage had only fallen silent for a second or so and would have gone on. An answer over stages that fell silent by turns ran out of replicas, because a silent replica was excluded like a failed one until the end of the request.

Cause: StreamSession.onProbeResult gave up the silent attempt first and asked for the number of attempts, a route, the retry budget and the quarantine after it; where one of them said no, the answer ended.

Mend: replaceSilent asks for all four first, in the state after the silence; where one says no, the attempt goes on until the deadline and is asked for again at the next probe. Silent upstreams are kept apart from failed ones: they are probed again beside the stages, used again once they respond, and used after a crash where no other route exists. A quarter of the attempts is reserved for failures, so that silences can't use them up.

--- a/router/src/main/java/org/burdocktray/request/stream/StreamSession.java
+++ b/router/src/main/java/org/burdocktray/request/stream/StreamSession.java
@@ -2,7 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -32,6 +35,8 @@
 
 	private static final int STATUS_SERVICE_UNAVAILABLE = 503;
 
+	private static final int RESERVED_ATTEMPTS_DIVISOR = 4;
+
 	private final StreamRequest request;
 
 	private final RoutePlanner planner;
@@ -46,6 +51,8 @@
 
 	private final Set<String> failedUpstreams = new HashSet<>();
 
+	private final Map<String, Engine> silentUpstreams = new LinkedHashMap<>();
+
 	private PipelineRoute route;
 
 	private int attempt;
@@ -132,21 +139,23 @@
 			return List.of();
 		}
 		this.probing = false;
+		this.silentUpstreams.keySet().retainAll(unresponsiveUpstreams);
 		if (!isStalledAt(nowNanos)) {
 			return List.of();
 		}
+		Set<String> silentStages = stageNames();
+		silentStages.retainAll(unresponsiveUpstreams);
 		if (this.stallTimeout.isEarly(nowNanos - this.lastProgressNanos)) {
 			this.stallTimeout.markEarlyProbeUsed();
-			return (!unresponsiveUpstreams.isEmpty() && canReplace(unresponsiveUpstreams))
-					? replace(unresponsiveUpstreams, false, nowNanos) : List.of();
+			return silentStages.isEmpty() ? List.of() : replaceSilent(silentStages, nowNanos);
 		}
 		this.probesWithoutProgress++;
 		this.lastProgressNanos = nowNanos;
-		boolean isAbandoned = this.probesWithoutProgress >= this.timeouts.maxProbesWithoutProgress();
-		if (!unresponsiveUpstreams.isEmpty() && (isAbandoned || canReplace(unresponsiveUpstreams))) {
-			return replace(unresponsiveUpstreams, false, nowNanos);
+		if (!silentStages.isEmpty()) {
+			return replaceSilent(silentStages, nowNanos);
 		}
-		return isAbandoned ? startAttempt(List.of(), nowNanos) : List.of();
+		boolean isStuck = this.probesWithoutProgress >= this.timeouts.maxProbesWithoutProgress();
+		return isStuck ? replaceSilent(Set.of(), nowNanos) : List.of();
 	}
 
 	/**
@@ -167,7 +176,7 @@
 			return List.of();
 		}
 		this.probing = true;
-		return List.of(new StreamAction.ProbeStages(this.attempt, this.route.stages()));
+		return List.of(new StreamAction.ProbeStages(this.attempt, stagesToProbe()));
 	}
 
 	/**
@@ -238,16 +247,52 @@
 	}
 
 	/**
-	 * Returns whether a route without the given upstreams exists. An unresponsive
-	 * upstream may only be overloaded, so if it cannot be replaced, the attempt
-	 * continues.
-	 * @param upstreamNames the names of the unresponsive upstreams
-	 * @return true if all of them can be replaced
+	 * Replaces an attempt without progress, if its successor may start. A stage that does
+	 * not respond may only be overloaded or paused, so that the attempt continues as long
+	 * as no other route exists or no further attempt is allowed. Some attempts are
+	 * reserved for failures.
+	 * @param upstreamNames the names of the stages that do not respond; if empty, the
+	 * attempt is restarted
+	 * @param nowNanos the current time
+	 * @return the actions to perform, none if the attempt continues
 	 */
-	private boolean canReplace(Set<String> upstreamNames) {
+	private List<StreamAction> replaceSilent(Set<String> upstreamNames, long nowNanos) {
+		int maxAttempts = this.timeouts.maxAttempts() - this.timeouts.maxAttempts() / RESERVED_ATTEMPTS_DIVISOR;
+		if (this.attempt >= maxAttempts) {
+			return List.of();
+		}
 		Set<String> excluded = new HashSet<>(this.failedUpstreams);
+		excluded.addAll(this.silentUpstreams.keySet());
 		excluded.addAll(upstreamNames);
-		return this.planner.plan(query(excluded, List.of())).isPresent();
+		List<Engine> keptStages = upstreamNames.isEmpty() ? List.of() : stagesWithout(excluded);
+		Optional<PipelineRoute> newRoute = this.planner.plan(query(excluded, keptStages));
+		if (newRoute.isEmpty() || retryRefusal(newRoute.get(), keptStages).isPresent()) {
+			return List.of();
+		}
+		List<StreamAction> actions = new ArrayList<>();
+		for (Engine stage : this.route.stages()) {
+			if (upstreamNames.contains(stage.name())) {
+				this.silentUpstreams.put(stage.name(), stage);
+				actions.add(new StreamAction.ReportUpstreamFailure(stage.name(), false));
+			}
+		}
+		actions.addAll(startAttempt(newRoute.get(), nowNanos));
+		return actions;
+	}
+
+	private Set<String> stageNames() {
+		return this.route.stages().stream().map(Engine::name).collect(Collectors.toCollection(HashSet::new));
+	}
+
+	/**
+	 * Returns the engines to probe: the stages, and the engines that were silent, because
+	 * they can be used again once they respond.
+	 * @return the engines
+	 */
+	private List<Engine> stagesToProbe() {
+		Set<Engine> probed = new LinkedHashSet<>(this.route.stages());
+		probed.addAll(this.silentUpstreams.values());
+		return List.copyOf(probed);
 	}
 
 	private List<StreamAction> onRefused(EngineEvent.Refused refused, long nowNanos) {
@@ -272,7 +317,11 @@
 	}
 
 	private List<Engine> stagesToKeep() {
-		return this.route.stages().stream().filter((stage) -> !this.failedUpstreams.contains(stage.name())).toList();
+		return stagesWithout(this.failedUpstreams);
+	}
+
+	private List<Engine> stagesWithout(Set<String> excludedUpstreams) {
+		return this.route.stages().stream().filter((stage) -> !excludedUpstreams.contains(stage.name())).toList();
 	}
 
 	private List<StreamAction> startAttempt(List<Engine> keptStages, long nowNanos) {
@@ -280,7 +329,7 @@
 			return fail(RefusalReason.UPSTREAM_FAILED, "Upstreams failed in " + this.attempt + " attempts",
 					retryAfter());
 		}
-		Optional<PipelineRoute> newRoute = this.planner.plan(query(this.failedUpstreams, keptStages));
+		Optional<PipelineRoute> newRoute = planAfterFailure(keptStages);
 		if (newRoute.isEmpty()) {
 			return fail(RefusalReason.NO_ROUTE, "No complete path of upstreams is available for this model",
 					retryAfter());
@@ -289,7 +338,27 @@
 		if (retryRefusal.isPresent()) {
 			return fail(retryRefusal.get(), "An upstream failed and no further attempt is allowed", retryAfter());
 		}
-		this.route = newRoute.get();
+		return startAttempt(newRoute.get(), nowNanos);
+	}
+
+	/**
+	 * Selects a route after a failure. Upstreams that were silent are used only if no
+	 * other route exists.
+	 * @param keptStages the stages to keep
+	 * @return the route, empty if no complete route exists
+	 */
+	private Optional<PipelineRoute> planAfterFailure(List<Engine> keptStages) {
+		Set<String> excluded = new HashSet<>(this.failedUpstreams);
+		excluded.addAll(this.silentUpstreams.keySet());
+		Optional<PipelineRoute> newRoute = this.planner.plan(query(excluded, keptStages));
+		if (newRoute.isPresent() || this.silentUpstreams.isEmpty()) {
+			return newRoute;
+		}
+		return this.planner.plan(query(this.failedUpstreams, keptStages));
+	}
+
+	private List<StreamAction> startAttempt(PipelineRoute newRoute, long nowNanos) {
+		this.route = newRoute;
 		// A superseded attempt that is still in progress was sent, so it may have run.
 		this.mayHaveRun |= this.attemptInProgress;
 		this.attempt++;
