Planned stop: connections are closed only once the responses are written

What callers saw: a caller that reads slowly, or a large answer, was cut off in the middle when its VM was stopped as planned.

Cause: a request counted as done when its answer was handed to the HTTP server (the completion callback ran even before that), so the drain ended and Vertx.close closed the connection with the rest of the answer unwritten.

Mend: the writers of responses return the future of the write, and a request is removed from the count when it completes: written, or the caller's connection gone. A grace period of 250 ms after the last response lets refusals of the shutdown be written too.

--- a/router/src/main/java/org/burdocktray/process/serve/BufferedChatResponseWriter.java
+++ b/router/src/main/java/org/burdocktray/process/serve/BufferedChatResponseWriter.java
@@ -1,5 +1,6 @@
 package org.burdocktray.process.serve;
 
+import io.vertx.core.Future;
 import io.vertx.core.http.HttpServerResponse;
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
@@ -34,7 +35,7 @@
 	}
 
 	@Override
-	public void complete(String finishReason, int promptTokens, int completionTokens) {
+	public Future<Void> complete(String finishReason, int promptTokens, int completionTokens) {
 		JsonObject message = new JsonObject().put("role", "assistant").put("content", this.text.toString());
 		JsonObject choice = new JsonObject().put("index", 0).put("message", message).put("finish_reason", finishReason);
 		JsonObject usage = new JsonObject().put("prompt_tokens", promptTokens)
@@ -46,12 +47,12 @@
 			.put("model", this.model)
 			.put("choices", new JsonArray().add(choice))
 			.put("usage", usage);
-		this.response.putHeader("Content-Type", "application/json").end(body.toBuffer());
+		return this.response.putHeader("Content-Type", "application/json").end(body.toBuffer());
 	}
 
 	@Override
-	public void fail(Refusal refusal, int deliveredTokens) {
-		ProblemJson.send(this.response, refusal, this.requestId);
+	public Future<Void> fail(Refusal refusal, int deliveredTokens) {
+		return ProblemJson.send(this.response, refusal, this.requestId);
 	}
 
 }
--- a/router/src/main/java/org/burdocktray/process/serve/CallerApi.java
+++ b/router/src/main/java/org/burdocktray/process/serve/CallerApi.java
@@ -162,9 +162,9 @@
 		}
 		request.response()
 			.putHeader("Content-Type", "application/json")
-			.end(new JsonObject().put("object", "list").put("data", data).toBuffer());
+			.end(new JsonObject().put("object", "list").put("data", data).toBuffer())
+			.onComplete((written) -> this.inProgress.leave());
 		this.services.metrics().recordRequestAnswered("models");
-		this.inProgress.leave();
 	}
 
 	private void refuseMethod(HttpServerRequest request, String requestId, String allowed) {
@@ -173,9 +173,8 @@
 	}
 
 	private void refuse(HttpServerRequest request, String requestId, Refusal refusal) {
-		ProblemJson.send(request.response(), refusal, requestId);
+		ProblemJson.send(request.response(), refusal, requestId).onComplete((written) -> this.inProgress.leave());
 		this.services.metrics().recordRequestRefused("unrouted", refusal.reason(), refusal.verdict());
-		this.inProgress.leave();
 	}
 
 	private void abandon() {
--- a/router/src/main/java/org/burdocktray/process/serve/ChatExchange.java
+++ b/router/src/main/java/org/burdocktray/process/serve/ChatExchange.java
@@ -14,8 +14,8 @@
 /**
  * Connects the stream of one chat request to its caller: forwards tokens and records
  * metrics, objective events and the log entry. Invariant: the exchange ends exactly once;
- * its end releases the admission permit and runs the completion callback. Thread safety:
- * confined to the event loop of the request.
+ * its end releases the admission permit, and the completion callback runs once the
+ * response is written. Thread safety: confined to the event loop of the request.
  */
 final class ChatExchange implements StreamDriver.Listener {
 
@@ -122,7 +122,8 @@
 		if (!tryEnd(RunOutcome.SUCCEEDED)) {
 			return;
 		}
-		this.responseWriter.complete(complete.finishReason(), complete.promptTokens(), complete.completionTokens());
+		this.responseWriter.complete(complete.finishReason(), complete.promptTokens(), complete.completionTokens())
+			.onComplete((written) -> this.completion.run());
 		this.services.metrics().recordRequestAnswered(ChatHandler.kind());
 		this.services.monitor().recordSuccess(this.upstreams);
 		this.services.retryBudgets().recordAttemptResult(this.model, false, System.nanoTime());
@@ -135,7 +136,7 @@
 		if (!tryEnd(RunOutcome.ENDED)) {
 			return;
 		}
-		this.responseWriter.fail(refusal, deliveredTokens);
+		this.responseWriter.fail(refusal, deliveredTokens).onComplete((written) -> this.completion.run());
 		this.services.metrics().recordRequestRefused(ChatHandler.kind(), refusal.reason(), refusal.verdict());
 		boolean clientError = refusal.reason().isClientError();
 		recordObjectiveEvent(Objective.Kind.AVAILABILITY, clientError ? 0 : Long.MAX_VALUE);
@@ -150,6 +151,7 @@
 		}
 		this.services.metrics().recordRequestAbandoned(ChatHandler.kind());
 		this.response.reset();
+		this.completion.run();
 		RequestLog.logAbandoned(this.scope, ChatHandler.kind(), String.join(",", this.upstreams), elapsedMillis());
 	}
 
@@ -160,7 +162,6 @@
 		this.ended = true;
 		this.crashGuard.endRun(outcome);
 		this.permit.release(this.tokenCount);
-		this.completion.run();
 		return true;
 	}
 
--- a/router/src/main/java/org/burdocktray/process/serve/ChatResponseWriter.java
+++ b/router/src/main/java/org/burdocktray/process/serve/ChatResponseWriter.java
@@ -1,5 +1,6 @@
 package org.burdocktray.process.serve;
 
+import io.vertx.core.Future;
 import org.burdocktray.model.Refusal;
 
 /**
@@ -20,15 +21,17 @@
 	 * @param finishReason {@code stop} or {@code length}
 	 * @param promptTokens the number of tokens in the prompt
 	 * @param completionTokens the number of tokens generated
+	 * @return completes when the response is written, or cannot be written
 	 */
-	void complete(String finishReason, int promptTokens, int completionTokens);
+	Future<Void> complete(String finishReason, int promptTokens, int completionTokens);
 
 	/**
 	 * Ends the response with an error.
 	 * @param refusal the error
 	 * @param deliveredTokens the number of tokens delivered to the caller before the
 	 * error
+	 * @return completes when the response is written, or cannot be written
 	 */
-	void fail(Refusal refusal, int deliveredTokens);
+	Future<Void> fail(Refusal refusal, int deliveredTokens);
 
 }
--- a/router/src/main/java/org/burdocktray/process/serve/ProblemJson.java
+++ b/router/src/main/java/org/burdocktray/process/serve/ProblemJson.java
@@ -1,5 +1,6 @@
 package org.burdocktray.process.serve;
 
+import io.vertx.core.Future;
 import io.vertx.core.http.HttpServerResponse;
 import io.vertx.core.json.JsonObject;
 import org.burdocktray.model.Refusal;
@@ -23,14 +24,15 @@
 	 * @param response the response
 	 * @param refusal the refusal
 	 * @param requestId the id of the request
+	 * @return completes when the refusal is written, or cannot be written
 	 */
-	static void send(HttpServerResponse response, Refusal refusal, String requestId) {
+	static Future<Void> send(HttpServerResponse response, Refusal refusal, String requestId) {
 		if (response.closed() || response.headWritten()) {
-			return;
+			return Future.succeededFuture();
 		}
 		refusal.retryAfterMillis()
 			.ifPresent((millis) -> response.putHeader("Retry-After", Long.toString(toSeconds(millis))));
-		response.setStatusCode(refusal.reason().httpStatus())
+		return response.setStatusCode(refusal.reason().httpStatus())
 			.putHeader("Content-Type", CONTENT_TYPE)
 			.end(toJson(refusal, requestId).toBuffer());
 	}
--- a/router/src/main/java/org/burdocktray/process/serve/RouterServer.java
+++ b/router/src/main/java/org/burdocktray/process/serve/RouterServer.java
@@ -82,6 +82,8 @@
 
 	private static final long DEFAULT_DRAIN_TIMEOUT_MILLIS = 120_000;
 
+	private static final long REFUSAL_GRACE_PERIOD_MILLIS = 250;
+
 	private final RouterMetrics metrics = new RouterMetrics(System.currentTimeMillis());
 
 	private final Settings settings;
@@ -262,8 +264,9 @@
 	}
 
 	/**
-	 * Stops the router: rejects new requests, waits for those in progress up to the drain
-	 * timeout of the bundle, then closes all connections.
+	 * Stops the router: rejects new requests, waits up to the drain timeout of the bundle
+	 * until the responses to those in progress are written, then closes all connections.
+	 * A grace period before that lets the last refusals be written.
 	 * @return a future that completes when everything is closed
 	 */
 	public Future<Void> stop() {
@@ -278,6 +281,7 @@
 		this.background.add(this.inProgress.drained()
 			.timeout(drainTimeoutMillis, TimeUnit.MILLISECONDS)
 			.onErrorComplete()
+			.delay(REFUSAL_GRACE_PERIOD_MILLIS, TimeUnit.MILLISECONDS)
 			.subscribe(drained::tryComplete));
 		return drained.future().compose((done) -> {
 			this.background.dispose();
--- a/router/src/main/java/org/burdocktray/process/serve/ServiceExchange.java
+++ b/router/src/main/java/org/burdocktray/process/serve/ServiceExchange.java
@@ -10,6 +10,7 @@
 import io.reactivex.rxjava3.core.Single;
 import io.vavr.control.Either;
 import io.vertx.core.Context;
+import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServerResponse;
@@ -27,7 +28,8 @@
 
 /**
  * Handles one call to a plain service. Invariant: a call that may not be repeated is
- * retried at another upstream only if every earlier attempt provably did not run it.
+ * retried at another upstream only if every earlier attempt provably did not run it; the
+ * completion callback runs once, when the response is written or cannot be written.
  * Thread safety: confined to the event loop of the request.
  */
 final class ServiceExchange {
@@ -111,7 +113,7 @@
 		if (!tryEnd()) {
 			return;
 		}
-		ProblemJson.send(this.response, refusal, this.scope.requestId());
+		ProblemJson.send(this.response, refusal, this.scope.requestId()).onComplete((written) -> this.completion.run());
 		this.services.metrics().recordRequestRefused(KIND, refusal.reason(), refusal.verdict());
 		recordAvailability(refusal.reason().isClientError() ? 0 : Long.MAX_VALUE);
 		RequestLog.logRefused(this.scope, KIND, this.upstream, refusal, elapsedMillis());
@@ -200,21 +202,27 @@
 		if (!tryEnd()) {
 			return;
 		}
-		if (!this.response.closed()) {
-			this.response.setStatusCode(upstreamResponse.httpStatus())
-				.putHeader("Content-Type", upstreamResponse.contentType())
-				.end(Buffer.buffer(upstreamResponse.body()));
-		}
+		writeResponse(upstreamResponse).onComplete((written) -> this.completion.run());
 		this.services.metrics().recordRequestAnswered(KIND);
 		this.services.metrics().recordServiceCall(System.nanoTime() - this.scope.startNanos());
 		recordAvailability(0);
 		RequestLog.logAnswered(this.scope, KIND, this.upstream, elapsedMillis());
 	}
 
+	private Future<Void> writeResponse(ServiceResponse upstreamResponse) {
+		if (this.response.closed()) {
+			return Future.succeededFuture();
+		}
+		return this.response.setStatusCode(upstreamResponse.httpStatus())
+			.putHeader("Content-Type", upstreamResponse.contentType())
+			.end(Buffer.buffer(upstreamResponse.body()));
+	}
+
 	private void abandon() {
 		if (!tryEnd()) {
 			return;
 		}
+		this.completion.run();
 		this.services.metrics().recordRequestAbandoned(KIND);
 		RequestLog.logAbandoned(this.scope, KIND, this.upstream, elapsedMillis());
 	}
@@ -224,7 +232,6 @@
 			return false;
 		}
 		this.ended = true;
-		this.completion.run();
 		return true;
 	}
 
--- a/router/src/main/java/org/burdocktray/process/serve/StreamingChatResponseWriter.java
+++ b/router/src/main/java/org/burdocktray/process/serve/StreamingChatResponseWriter.java
@@ -2,6 +2,7 @@
 
 import java.util.concurrent.TimeUnit;
 
+import io.vertx.core.Future;
 import io.vertx.core.http.HttpServerResponse;
 import io.vertx.core.json.Json;
 import io.vertx.core.json.JsonObject;
@@ -56,21 +57,20 @@
 	}
 
 	@Override
-	public void complete(String finishReason, int promptTokens, int completionTokens) {
+	public Future<Void> complete(String finishReason, int promptTokens, int completionTokens) {
 		startResponse();
-		this.response.end(this.chunkPrefix + "{},\"finish_reason\":" + Json.encode(finishReason)
+		return this.response.end(this.chunkPrefix + "{},\"finish_reason\":" + Json.encode(finishReason)
 				+ "}],\"usage\":{\"prompt_tokens\":" + promptTokens + ",\"completion_tokens\":" + completionTokens
 				+ ",\"total_tokens\":" + (promptTokens + completionTokens) + "}}\n\ndata: [DONE]\n\n");
 	}
 
 	@Override
-	public void fail(Refusal refusal, int deliveredTokens) {
+	public Future<Void> fail(Refusal refusal, int deliveredTokens) {
 		if (!this.started) {
-			ProblemJson.send(this.response, refusal, this.requestId);
-			return;
+			return ProblemJson.send(this.response, refusal, this.requestId);
 		}
 		JsonObject error = ProblemJson.toJson(refusal, this.requestId).put("deliveredTokens", deliveredTokens);
-		this.response.end("event: error\ndata: " + new JsonObject().put("error", error).encode() + "\n\n");
+		return this.response.end("event: error\ndata: " + new JsonObject().put("error", error).encode() + "\n\n");
 	}
 
 	private void onWriteCompleted() {
--- a/router/src/test/java/org/burdocktray/process/serve/TestFleet.java
+++ b/router/src/test/java/org/burdocktray/process/serve/TestFleet.java
@@ -172,6 +172,12 @@
 		return router;
 	}
 
+	/** Removes a router that the test has stopped. */
+	void forget(int index) {
+		this.routers.remove(index);
+		this.callerAddresses.remove(index);
+	}
+
 	/** Waits until every router sees the given number of alive VMs, itself included. */
 	void awaitMembers(int count) {
 		for (RouterServer router : this.routers) {
