Upstream connections: responses without end are received up to a limit

What callers saw: nothing yet in the record; a replica whose response has no end would fill the memory of a VM, and end every request on it. A load report that trickles kept a probe open for ever, after which a stream's silent stage was never replaced.

Cause: bodies of services, load reports, loaded models and the platform's objects, and lines of streams and watches were buffered without a limit; the timeout of a load request restarts with each byte. Heads were bounded already, by the HTTP client.

Mend: BoundedBody (16 MiB for services, 64 KiB for engine reports, 64 MiB for the platform) and maximum line lengths (64 KiB, watch 8 MiB); over the limit the connection is reset and the attempt fails as one that may have run: a repeatable call goes elsewhere, a stream replaces the head. An invalid or endless line is no longer counted as a crash against the request. fetchLoad has one timeout for the whole exchange. A stream takes no more tokens than were requested.

--- a/router/src/main/java/org/burdocktray/connection/engine/HttpEngineClient.java
+++ b/router/src/main/java/org/burdocktray/connection/engine/HttpEngineClient.java
@@ -1,6 +1,7 @@
 package org.burdocktray.connection.engine;
 
 import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
 
@@ -18,6 +19,7 @@
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
 import io.vertx.core.parsetools.RecordParser;
+import org.burdocktray.connection.BoundedBody;
 import org.burdocktray.model.NetworkAddress;
 import org.burdocktray.version.bundle.Engine;
 
@@ -29,6 +31,10 @@
 
 	private static final int STATUS_OK = 200;
 
+	private static final int MAX_LOAD_REPORT_BYTES = 64 * 1024;
+
+	private static final int MAX_LINE_BYTES = 64 * 1024;
+
 	private static final long MILLIS_PER_SECOND = 1000;
 
 	private final HttpClient httpClient;
@@ -53,12 +59,26 @@
 	@Override
 	public Single<EngineLoad> fetchLoad(Engine engine, long timeoutMillis) {
 		RequestOptions options = options(HttpMethod.GET, engine.address(), "/v1/load").setTimeout(timeoutMillis);
-		return Single.create((emitter) -> this.httpClient.request(options)
-			.compose(HttpClientRequest::send)
-			.compose(HttpClientResponse::body)
-			.map((body) -> decodeLoad(body.toJsonObject()))
-			.otherwise(EngineLoad.unreachable())
-			.onSuccess(emitter::onSuccess));
+		Single<EngineLoad> report = Single.create((emitter) -> {
+			AtomicBoolean received = new AtomicBoolean();
+			this.httpClient.request(options).compose((request) -> {
+				emitter.setCancellable(() -> resetUnless(received, request));
+				return request.send();
+			})
+				.compose((response) -> BoundedBody.read(response, MAX_LOAD_REPORT_BYTES))
+				.onSuccess((body) -> received.set(true))
+				.map((body) -> decodeLoad(body.toJsonObject()))
+				.otherwise(EngineLoad.unreachable())
+				.onSuccess(emitter::onSuccess);
+		});
+		// The timeout of the request restarts with each byte; this one does not.
+		return report.timeout(timeoutMillis, TimeUnit.MILLISECONDS, Single.just(EngineLoad.unreachable()));
+	}
+
+	private static void resetUnless(AtomicBoolean received, HttpClientRequest request) {
+		if (!received.get()) {
+			request.reset();
+		}
 	}
 
 	private static EngineLoad decodeLoad(JsonObject report) {
@@ -90,13 +110,17 @@
 				return new EngineEvent.Done(attempt, json.getString("finishReason", "stop"),
 						json.getInteger("promptTokens", 0));
 			}
-			return new EngineEvent.HeadFailed(request.attempt(), true, "the engine sent an unknown line");
+			return invalidLine(request, "the engine sent an unknown line");
 		}
 		catch (DecodeException | ClassCastException | NullPointerException ex) {
-			return new EngineEvent.HeadFailed(request.attempt(), true, "the engine sent a malformed line");
+			return invalidLine(request, "the engine sent a malformed line");
 		}
 	}
 
+	private static EngineEvent invalidLine(AttemptRequest request, String detail) {
+		return new EngineEvent.StageFailed(request.attempt(), 0, false, detail);
+	}
+
 	private static OptionalLong retryAfterMillis(HttpClientResponse response) {
 		String seconds = response.getHeader("Retry-After");
 		if (seconds == null || !seconds.matches("\\d{1,6}")) {
@@ -165,13 +189,15 @@
 
 		private void onResponse(HttpClientResponse response) {
 			if (response.statusCode() != STATUS_OK) {
+				BoundedBody.read(response, MAX_LINE_BYTES);
 				finish(new EngineEvent.Refused(this.attemptRequest.attempt(), response.statusCode(),
 						retryAfterMillis(response)));
 				return;
 			}
 			response.exceptionHandler(this::fail);
 			RecordParser lines = RecordParser.newDelimited("\n", response);
-			lines.exceptionHandler(this::fail);
+			lines.maxRecordSize(MAX_LINE_BYTES);
+			lines.exceptionHandler((cause) -> rejectLine(response));
 			lines.endHandler((end) -> finish(new EngineEvent.HeadFailed(this.attemptRequest.attempt(), true,
 					"the answer ended without its last line")));
 			lines.handler(this::onLine);
@@ -189,6 +215,11 @@
 			finish(event);
 		}
 
+		private void rejectLine(HttpClientResponse response) {
+			finish(invalidLine(this.attemptRequest, "the engine sent a line over " + MAX_LINE_BYTES + " bytes"));
+			response.request().reset();
+		}
+
 		private void fail(Throwable cause) {
 			finish(new EngineEvent.HeadFailed(this.attemptRequest.attempt(), true, describe(cause)));
 		}
--- a/router/src/main/java/org/burdocktray/connection/engine/HttpEngineOrderClient.java
+++ b/router/src/main/java/org/burdocktray/connection/engine/HttpEngineOrderClient.java
@@ -13,6 +13,7 @@
 import io.vertx.core.http.RequestOptions;
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
+import org.burdocktray.connection.BoundedBody;
 import org.burdocktray.version.bundle.Engine;
 
 /**
@@ -24,6 +25,8 @@
 
 	private static final int STATUS_OK = 200;
 
+	private static final int MAX_BODY_BYTES = 64 * 1024;
+
 	private static final int STATUS_NO_CONTENT = 204;
 
 	private static final int STATUS_CONFLICT = 409;
@@ -87,7 +90,7 @@
 		if (response.statusCode() != STATUS_OK) {
 			return Future.succeededFuture(Optional.empty());
 		}
-		return response.body()
+		return BoundedBody.read(response, MAX_BODY_BYTES)
 			.map((body) -> body.toJsonObject())
 			.map((json) -> Optional
 				.of(new LoadedModel(json.getString("model", ""), json.getString("modelVersion", ""))));
--- a/router/src/main/java/org/burdocktray/connection/platform/HttpPlatformStore.java
+++ b/router/src/main/java/org/burdocktray/connection/platform/HttpPlatformStore.java
@@ -22,6 +22,7 @@
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
 import io.vertx.core.parsetools.RecordParser;
+import org.burdocktray.connection.BoundedBody;
 import org.burdocktray.model.DataCentre;
 import org.burdocktray.model.NetworkAddress;
 
@@ -34,6 +35,10 @@
 
 	private static final String OBJECTS_PATH = "/v1/objects/";
 
+	private static final int MAX_BODY_BYTES = 64 * 1024 * 1024;
+
+	private static final int MAX_WATCH_LINE_BYTES = 8 * 1024 * 1024;
+
 	private final HttpClient httpClient;
 
 	private final NetworkAddress address;
@@ -98,7 +103,11 @@
 				return;
 			}
 			RecordParser lines = RecordParser.newDelimited("\n", response);
-			lines.exceptionHandler((cause) -> emitter.onComplete());
+			lines.maxRecordSize(MAX_WATCH_LINE_BYTES);
+			lines.exceptionHandler((cause) -> {
+				emitter.onComplete();
+				request.reset();
+			});
 			lines.endHandler((end) -> emitter.onComplete());
 			lines.handler((line) -> acceptWatchLine(line, emitter));
 		});
@@ -123,8 +132,8 @@
 		StoreError noResponseError = (method == HttpMethod.GET) ? StoreError.UNAVAILABLE : StoreError.UNRESOLVED;
 		request.idleTimeout(this.callTimeoutMillis);
 		request.send(body)
-			.compose(
-					(response) -> response.body().map((content) -> decode(response, content, decoder, noResponseError)))
+			.compose((response) -> BoundedBody.read(response, MAX_BODY_BYTES)
+				.map((content) -> decode(response, content, decoder, noResponseError)))
 			.otherwise(Either.left(noResponseError))
 			.onSuccess(emitter::onSuccess);
 	}
--- a/router/src/main/java/org/burdocktray/connection/service/HttpServiceClient.java
+++ b/router/src/main/java/org/burdocktray/connection/service/HttpServiceClient.java
@@ -10,13 +10,14 @@
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.RequestOptions;
+import org.burdocktray.connection.BoundedBody;
 import org.burdocktray.model.NetworkAddress;
 import org.burdocktray.model.Verdict;
 
 /**
  * A service client over HTTP. A call that fails before its connection is established did
- * not run; a call that fails later may have run. Thread safety: can be called from any
- * thread.
+ * not run; a call that fails later may have run. The response is held in memory up to a
+ * limit. Thread safety: can be called from any thread.
  */
 public final class HttpServiceClient implements ServiceClient {
 
@@ -24,6 +25,8 @@
 
 	private static final int STATUS_UNAVAILABLE = 503;
 
+	private static final int MAX_BODY_BYTES = 16 * 1024 * 1024;
+
 	private final HttpClient httpClient;
 
 	private final long connectTimeoutMillis;
@@ -68,7 +71,7 @@
 				.succeededFuture(Either.left(new ServiceFailure(Verdict.NOT_RUN, true, "the upstream is leaving")));
 		}
 		String contentType = response.headers().get("Content-Type");
-		return response.body()
+		return BoundedBody.read(response, MAX_BODY_BYTES)
 			.map((body) -> Either.right(new ServiceResponse(response.statusCode(),
 					(contentType != null) ? contentType : "application/octet-stream", body.getBytes())));
 	}
--- a/router/src/main/java/org/burdocktray/request/stream/StreamSession.java
+++ b/router/src/main/java/org/burdocktray/request/stream/StreamSession.java
@@ -204,7 +204,7 @@
 		if (token.position() < expectedPosition) {
 			return List.of();
 		}
-		if (token.position() > expectedPosition) {
+		if (token.position() > expectedPosition || expectedPosition >= this.request.maxTokens()) {
 			return replaceStage(this.route.stages().get(0), false, nowNanos);
 		}
 		boolean hasPreviousToken = this.emittedTokens.size() > this.tokensBeforeAttempt;
