Services: a call with a header that cannot be sent is refused as not run

What callers saw: no answer and no refusal, for as long as they waited; the request counted as in progress for ever, so that a stop took its whole drain timeout.

Cause: the HTTP client rejects such a header by an exception, thrown in the handler that had received the connection; the result of the call never came.

Mend: the exception fails the call as not run, as nothing was sent, and the connection is reset.

Evidence: HttpServiceClientTests failed before (no result within 5 s), passes now.

--- a/router/src/main/java/org/burdocktray/connection/service/HttpServiceClient.java
+++ b/router/src/main/java/org/burdocktray/connection/service/HttpServiceClient.java
@@ -50,7 +50,19 @@
 			.setConnectTimeout(this.connectTimeoutMillis);
 		return Single.create((emitter) -> this.httpClient.request(options)
 			.onFailure((cause) -> emitter.onSuccess(failure(Verdict.NOT_RUN, cause)))
-			.onSuccess((request) -> send(call, request, emitter)));
+			.onSuccess((request) -> trySend(call, request, emitter)));
+	}
+
+	private static void trySend(ServiceCall call, HttpClientRequest request,
+			SingleEmitter<Either<ServiceFailure, ServiceResponse>> emitter) {
+		try {
+			send(call, request, emitter);
+		}
+		catch (IllegalArgumentException ex) {
+			// A header of the caller cannot be sent on; nothing was sent yet.
+			request.reset();
+			emitter.onSuccess(failure(Verdict.NOT_RUN, ex));
+		}
 	}
 
 	private static void send(ServiceCall call, HttpClientRequest request,
