Streams: a silent attempt is resumed when its successor is refused

What callers saw: an error event (no-route) in the middle of an answer whose stage had only fallen silent, when the heads refused the successor because they were leaving, or could not be reached, or no further attempt was allowed after that.

Cause: the silent attempt was forgotten, and its connection closed at the first event of the successor, even if that event was a refusal, so that the engines had never left the silent attempt.

Mend: the silent attempt and what it sends meanwhile are held until an event shows that the successor has reached the engines. Where the successor ends before that and no other can start, the silent attempt is resumed (StreamAction.ResumeAttempt). Its events are not delivered while a successor is in progress: a shared stage may already run the successor, and only one may go on.

--- a/router/src/main/java/org/burdocktray/connection/engine/EngineEvent.java
+++ b/router/src/main/java/org/burdocktray/connection/engine/EngineEvent.java
@@ -14,6 +14,15 @@
 	 */
 	int attempt();
 
+	/**
+	 * Returns whether the attempt may have reached the engines, so that they no longer
+	 * run an earlier one.
+	 * @return false if the attempt was refused or not sent
+	 */
+	default boolean hasReachedEngines() {
+		return true;
+	}
+
 	/**
 	 * A token was generated.
 	 *
@@ -58,6 +67,11 @@
 	 */
 	record Refused(int attempt, int httpStatus, OptionalLong retryAfterMillis) implements EngineEvent {
 
+		@Override
+		public boolean hasReachedEngines() {
+			return false;
+		}
+
 	}
 
 	/**
@@ -70,6 +84,11 @@
 	 */
 	record HeadFailed(int attempt, boolean sent, String detail) implements EngineEvent {
 
+		@Override
+		public boolean hasReachedEngines() {
+			return this.sent;
+		}
+
 	}
 
 }
--- a/router/src/main/java/org/burdocktray/process/serve/StreamDriver.java
+++ b/router/src/main/java/org/burdocktray/process/serve/StreamDriver.java
@@ -93,6 +93,9 @@
 		else if (action instanceof StreamAction.StartAttempt start) {
 			startAttempt(start.request());
 		}
+		else if (action instanceof StreamAction.ResumeAttempt resume) {
+			occupy(resume.stages());
+		}
 		else if (action instanceof StreamAction.CancelAttempt cancel) {
 			cancelAttempt(cancel.attempt());
 		}
@@ -116,14 +119,18 @@
 	}
 
 	private void startAttempt(AttemptRequest request) {
-		this.releaseInFlight.run();
-		this.releaseInFlight = this.acquireInFlight.apply(request.stages());
+		occupy(request.stages());
 		this.currentAttempt = request.attempt();
 		this.supersededSubscriptions.add(this.attemptSubscription);
-		this.listener.onAttempt(request.stages());
 		this.attemptSubscription = this.engines.startAttempt(request).subscribe(this::onEngineEvent);
 	}
 
+	private void occupy(List<Engine> stages) {
+		this.releaseInFlight.run();
+		this.releaseInFlight = this.acquireInFlight.apply(stages);
+		this.listener.onAttempt(stages);
+	}
+
 	private void onEngineEvent(EngineEvent event) {
 		if (Vertx.currentContext() == this.context) {
 			accept(event);
@@ -133,7 +140,7 @@
 	}
 
 	private void accept(EngineEvent event) {
-		if (event.attempt() == this.currentAttempt) {
+		if (event.attempt() == this.currentAttempt && event.hasReachedEngines()) {
 			this.supersededSubscriptions.clear();
 		}
 		perform(this.session.onEvent(event, System.nanoTime()));
--- a/router/src/main/java/org/burdocktray/request/stream/StreamAction.java
+++ b/router/src/main/java/org/burdocktray/request/stream/StreamAction.java
@@ -13,9 +13,10 @@
 
 	/**
 	 * Start an attempt at the head engine. It supersedes the previous attempt, whose
-	 * connection is closed only after the first event of the new attempt: an earlier
-	 * close could reach the engines before the new attempt and make them drop the state
-	 * that it continues from.
+	 * connection is closed only after the first event that shows that the new attempt has
+	 * reached the engines: an earlier close could reach them before the new attempt and
+	 * make them drop the state that it continues from, and a refusal of the new attempt
+	 * can lead to {@link ResumeAttempt}.
 	 *
 	 * @param request the attempt
 	 */
@@ -23,6 +24,21 @@
 
 	}
 
+	/**
+	 * Resume a superseded attempt, whose successor ended before it reached the engines.
+	 * The connection of the attempt is still open.
+	 *
+	 * @param attempt the number of the attempt
+	 * @param stages its stages
+	 */
+	record ResumeAttempt(int attempt, List<Engine> stages) implements StreamAction {
+
+		public ResumeAttempt {
+			stages = List.copyOf(stages);
+		}
+
+	}
+
 	/**
 	 * Cancel the last attempt. Its later events are ignored.
 	 *
--- a/router/src/main/java/org/burdocktray/request/stream/StreamSession.java
+++ b/router/src/main/java/org/burdocktray/request/stream/StreamSession.java
@@ -57,6 +57,10 @@
 
 	private int attempt;
 
+	private int lastAttempt;
+
+	private Optional<SilentAttempt> silentAttempt = Optional.empty();
+
 	private long lastProgressNanos;
 
 	private int probesWithoutProgress;
@@ -104,9 +108,16 @@
 	 * @return the actions to perform
 	 */
 	public List<StreamAction> onEvent(EngineEvent event, long nowNanos) {
-		if (this.ended || event.attempt() != this.attempt) {
+		if (this.ended) {
 			return List.of();
 		}
+		if (event.attempt() != this.attempt) {
+			holdIfResumable(event);
+			return List.of();
+		}
+		if (event.hasReachedEngines()) {
+			this.silentAttempt = Optional.empty();
+		}
 		if (event instanceof EngineEvent.Token token) {
 			return onToken(token, nowNanos);
 		}
@@ -199,6 +210,11 @@
 		return this.ended;
 	}
 
+	private void holdIfResumable(EngineEvent event) {
+		this.silentAttempt.filter((silent) -> silent.attempt() == event.attempt())
+			.ifPresent((silent) -> silent.hold(event, this.request.maxTokens() + 1));
+	}
+
 	private List<StreamAction> onToken(EngineEvent.Token token, long nowNanos) {
 		int expectedPosition = this.emittedTokens.size();
 		if (token.position() < expectedPosition) {
@@ -258,7 +274,7 @@
 	 */
 	private List<StreamAction> replaceSilent(Set<String> upstreamNames, long nowNanos) {
 		int maxAttempts = this.timeouts.maxAttempts() - this.timeouts.maxAttempts() / RESERVED_ATTEMPTS_DIVISOR;
-		if (this.attempt >= maxAttempts) {
+		if (this.lastAttempt >= maxAttempts) {
 			return List.of();
 		}
 		Set<String> excluded = new HashSet<>(this.failedUpstreams);
@@ -276,6 +292,7 @@
 				actions.add(new StreamAction.ReportUpstreamFailure(stage.name(), false));
 			}
 		}
+		this.silentAttempt = Optional.of(new SilentAttempt(this.attempt, this.route, this.tokensBeforeAttempt));
 		actions.addAll(startAttempt(newRoute.get(), nowNanos));
 		return actions;
 	}
@@ -325,18 +342,18 @@
 	}
 
 	private List<StreamAction> startAttempt(List<Engine> keptStages, long nowNanos) {
-		if (this.attempt >= this.timeouts.maxAttempts()) {
-			return fail(RefusalReason.UPSTREAM_FAILED, "Upstreams failed in " + this.attempt + " attempts",
-					retryAfter());
+		if (this.lastAttempt >= this.timeouts.maxAttempts()) {
+			return resumeOrFail(RefusalReason.UPSTREAM_FAILED, "Upstreams failed in " + this.lastAttempt + " attempts",
+					nowNanos);
 		}
 		Optional<PipelineRoute> newRoute = planAfterFailure(keptStages);
 		if (newRoute.isEmpty()) {
-			return fail(RefusalReason.NO_ROUTE, "No complete path of upstreams is available for this model",
-					retryAfter());
+			return resumeOrFail(RefusalReason.NO_ROUTE, "No complete path of upstreams is available for this model",
+					nowNanos);
 		}
 		Optional<RefusalReason> retryRefusal = retryRefusal(newRoute.get(), keptStages);
 		if (retryRefusal.isPresent()) {
-			return fail(retryRefusal.get(), "An upstream failed and no further attempt is allowed", retryAfter());
+			return resumeOrFail(retryRefusal.get(), "An upstream failed and no further attempt is allowed", nowNanos);
 		}
 		return startAttempt(newRoute.get(), nowNanos);
 	}
@@ -361,14 +378,43 @@
 		this.route = newRoute;
 		// A superseded attempt that is still in progress was sent, so it may have run.
 		this.mayHaveRun |= this.attemptInProgress;
-		this.attempt++;
+		this.lastAttempt++;
+		this.attempt = this.lastAttempt;
 		this.tokensBeforeAttempt = this.emittedTokens.size();
+		observeAttempt(nowNanos);
+		return List.of(new StreamAction.StartAttempt(createAttemptRequest()));
+	}
+
+	private void observeAttempt(long nowNanos) {
 		this.attemptInProgress = true;
 		this.lastProgressNanos = nowNanos;
 		this.probing = false;
 		this.stallTimeout.onAttemptStart();
 		this.probesWithoutProgress = 0;
-		return List.of(new StreamAction.StartAttempt(createAttemptRequest()));
+	}
+
+	/**
+	 * Resumes the silent attempt if its successor ended before it reached the engines,
+	 * otherwise ends the response.
+	 * @param reason why no further attempt may start
+	 * @param detail a description of the reason
+	 * @param nowNanos the current time
+	 * @return the actions to perform
+	 */
+	private List<StreamAction> resumeOrFail(RefusalReason reason, String detail, long nowNanos) {
+		if (this.silentAttempt.isEmpty() || this.attemptInProgress) {
+			return fail(reason, detail, retryAfter());
+		}
+		SilentAttempt silent = this.silentAttempt.get();
+		this.silentAttempt = Optional.empty();
+		this.attempt = silent.attempt();
+		this.route = silent.route();
+		this.tokensBeforeAttempt = silent.tokensBeforeAttempt();
+		observeAttempt(nowNanos);
+		List<StreamAction> actions = new ArrayList<>();
+		actions.add(new StreamAction.ResumeAttempt(this.attempt, this.route.stages()));
+		silent.heldEvents().forEach((event) -> actions.addAll(onEvent(event, nowNanos)));
+		return actions;
 	}
 
 	private RouteQuery query(Set<String> excludedUpstreams, List<Engine> keptStages) {
@@ -377,7 +423,7 @@
 	}
 
 	private Optional<RefusalReason> retryRefusal(PipelineRoute newRoute, List<Engine> keptStages) {
-		if (this.attempt == 0) {
+		if (this.lastAttempt == 0) {
 			return Optional.empty();
 		}
 		Set<String> newUpstreams = newRoute.stages()
--- a/router/src/test/java/org/burdocktray/request/stream/FakeHeadAttempt.java
+++ b/router/src/test/java/org/burdocktray/request/stream/FakeHeadAttempt.java
@@ -58,6 +58,10 @@
 		this.generated = new ArrayList<>(request.emittedTokens());
 	}
 
+	AttemptRequest request() {
+		return this.request;
+	}
+
 	void start() {
 		if (this.head.isStopped()) {
 			breakConnection(false);
--- a/router/src/test/java/org/burdocktray/request/stream/StreamFaultSimulation.java
+++ b/router/src/test/java/org/burdocktray/request/stream/StreamFaultSimulation.java
@@ -194,6 +194,15 @@
 		if (action instanceof StreamAction.StartAttempt start) {
 			startAttempt(start.request());
 		}
+		else if (action instanceof StreamAction.ResumeAttempt resume) {
+			FakeHeadAttempt resumed = this.superseded.stream()
+				.filter((head) -> head.request().attempt() == resume.attempt())
+				.findFirst()
+				.orElseThrow();
+			this.superseded.remove(resumed);
+			this.currentHead = Optional.of(resumed);
+			this.currentRequest = Optional.of(resumed.request());
+		}
 		else if (action instanceof StreamAction.CancelAttempt) {
 			this.currentHead.ifPresent(FakeHeadAttempt::close);
 		}
@@ -233,7 +242,7 @@
 		FakeHeadAttempt head = new FakeHeadAttempt(this.time, request,
 				request.stages().stream().map(this.stages::get).toList(),
 				this.faults.contains(StreamFault.EVENTS_DUPLICATED_LATE), this.random, (event) -> {
-					if (event.attempt() == this.currentRequest.orElseThrow().attempt()) {
+					if (event.attempt() == this.currentRequest.orElseThrow().attempt() && event.hasReachedEngines()) {
 						this.superseded.forEach(FakeHeadAttempt::close);
 						this.superseded.clear();
 					}
--- a/router/src/test/java/org/burdocktray/request/stream/StreamSessionGoldenTests.java
+++ b/router/src/test/java/org/burdocktray/request/stream/StreamSessionGoldenTests.java
@@ -12,10 +12,11 @@
 class StreamSessionGoldenTests {
 
 	@ParameterizedTest
-	@ValueSource(strings = { "stage-dies", "stage-frozen-midway", "head-dies", "stage-frozen",
-			"late-and-doubled-results", "engines-refuse", "no-stage-left", "caller-gone", "retries-forbidden",
-			"deadline-passes", "only-stage-silent", "head-leaving", "silent-and-retries-forbidden",
-			"silent-stages-by-turns", "last-stage-crashes-after-silences", "tokens-without-end" })
+	@ValueSource(
+			strings = { "stage-dies", "stage-frozen-midway", "head-dies", "stage-frozen", "late-and-doubled-results",
+					"engines-refuse", "no-stage-left", "caller-gone", "retries-forbidden", "deadline-passes",
+					"only-stage-silent", "head-leaving", "silent-and-retries-forbidden", "silent-stages-by-turns",
+					"last-stage-crashes-after-silences", "tokens-without-end", "silent-and-heads-leaving" })
 	void sessionMatchesGoldenFile(String name) {
 		String golden = GoldenSession.read("stream/" + name + ".txt");
 		assertThat(GoldenSession.replay(golden, new StreamSessionInputHandler())).isEqualTo(golden);
--- a/router/src/test/java/org/burdocktray/request/stream/StreamSessionInputHandler.java
+++ b/router/src/test/java/org/burdocktray/request/stream/StreamSessionInputHandler.java
@@ -117,6 +117,10 @@
 			return "start attempt " + start.request().attempt() + " on " + stages + " after "
 					+ start.request().emittedTokens();
 		}
+		if (action instanceof StreamAction.ResumeAttempt resume) {
+			return "resume attempt " + resume.attempt() + " on "
+					+ resume.stages().stream().map(Engine::name).collect(Collectors.joining(","));
+		}
 		if (action instanceof StreamAction.CancelAttempt cancel) {
 			return "cancel attempt " + cancel.attempt();
 		}
