--- a/router/src/main/java/org/burdocktray/request/stream/StreamSession.java
+++ b/router/src/main/java/org/burdocktray/request/stream/StreamSession.java
@@ -2,7 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -32,6 +35,8 @@
 
 	private static final int STATUS_SERVICE_UNAVAILABLE = 503;
 
+	private static final int RESERVED_ATTEMPTS_DIVISOR = 4;
+
 	private final StreamRequest request;
 
 	private final RoutePlanner planner;
@@ -46,10 +51,16 @@
 
 	private final Set<String> failedUpstreams = new HashSet<>();
 
+	private final Map<String, Engine> silentUpstreams = new LinkedHashMap<>();
+
 	private PipelineRoute route;
 
 	private int attempt;
 
+	private int lastAttempt;
+
+	private Optional<SilentAttempt> silentAttempt = Optional.empty();
+
 	private long lastProgressNanos;
 
 	private int probesWithoutProgress;
@@ -97,9 +108,16 @@
 	 * @return the actions to perform
 	 */
 	public List<StreamAction> onEvent(EngineEvent event, long nowNanos) {
-		if (this.ended || event.attempt() != this.attempt) {
+		if (this.ended) {
+			return List.of();
+		}
+		if (event.attempt() != this.attempt) {
+			holdIfResumable(event);
 			return List.of();
 		}
+		if (event.hasReachedEngines()) {
+			this.silentAttempt = Optional.empty();
+		}
 		if (event instanceof EngineEvent.Token token) {
 			return onToken(token, nowNanos);
 		}
@@ -132,21 +150,23 @@
 			return List.of();
 		}
 		this.probing = false;
+		this.silentUpstreams.keySet().retainAll(unresponsiveUpstreams);
 		if (!isStalledAt(nowNanos)) {
 			return List.of();
 		}
+		Set<String> silentStages = stageNames();
+		silentStages.retainAll(unresponsiveUpstreams);
 		if (this.stallTimeout.isEarly(nowNanos - this.lastProgressNanos)) {
 			this.stallTimeout.markEarlyProbeUsed();
-			return (!unresponsiveUpstreams.isEmpty() && canReplace(unresponsiveUpstreams))
-					? replace(unresponsiveUpstreams, false, nowNanos) : List.of();
+			return silentStages.isEmpty() ? List.of() : replaceSilent(silentStages, nowNanos);
 		}
 		this.probesWithoutProgress++;
 		this.lastProgressNanos = nowNanos;
-		boolean isAbandoned = this.probesWithoutProgress >= this.timeouts.maxProbesWithoutProgress();
-		if (!unresponsiveUpstreams.isEmpty() && (isAbandoned || canReplace(unresponsiveUpstreams))) {
-			return replace(unresponsiveUpstreams, false, nowNanos);
+		if (!silentStages.isEmpty()) {
+			return replaceSilent(silentStages, nowNanos);
 		}
-		return isAbandoned ? startAttempt(List.of(), nowNanos) : List.of();
+		boolean isStuck = this.probesWithoutProgress >= this.timeouts.maxProbesWithoutProgress();
+		return isStuck ? replaceSilent(Set.of(), nowNanos) : List.of();
 	}
 
 	/**
@@ -167,7 +187,7 @@
 			return List.of();
 		}
 		this.probing = true;
-		return List.of(new StreamAction.ProbeStages(this.attempt, this.route.stages()));
+		return List.of(new StreamAction.ProbeStages(this.attempt, stagesToProbe()));
 	}
 
 	/**
@@ -190,12 +210,17 @@
 		return this.ended;
 	}
 
+	private void holdIfResumable(EngineEvent event) {
+		this.silentAttempt.filter((silent) -> silent.attempt() == event.attempt())
+			.ifPresent((silent) -> silent.hold(event, this.request.maxTokens() + 1));
+	}
+
 	private List<StreamAction> onToken(EngineEvent.Token token, long nowNanos) {
 		int expectedPosition = this.emittedTokens.size();
 		if (token.position() < expectedPosition) {
 			return List.of();
 		}
-		if (token.position() > expectedPosition) {
+		if (token.position() > expectedPosition || expectedPosition >= this.request.maxTokens()) {
 			return replaceStage(this.route.stages().get(0), false, nowNanos);
 		}
 		boolean hasPreviousToken = this.emittedTokens.size() > this.tokensBeforeAttempt;
@@ -238,16 +263,53 @@
 	}
 
 	/**
-	 * Returns whether a route without the given upstreams exists. An unresponsive
-	 * upstream may only be overloaded, so if it cannot be replaced, the attempt
-	 * continues.
-	 * @param upstreamNames the names of the unresponsive upstreams
-	 * @return true if all of them can be replaced
+	 * Replaces an attempt without progress, if its successor may start. A stage that does
+	 * not respond may only be overloaded or paused, so that the attempt continues as long
+	 * as no other route exists or no further attempt is allowed. Some attempts are
+	 * reserved for failures.
+	 * @param upstreamNames the names of the stages that do not respond; if empty, the
+	 * attempt is restarted
+	 * @param nowNanos the current time
+	 * @return the actions to perform, none if the attempt continues
 	 */
-	private boolean canReplace(Set<String> upstreamNames) {
+	private List<StreamAction> replaceSilent(Set<String> upstreamNames, long nowNanos) {
+		int maxAttempts = this.timeouts.maxAttempts() - this.timeouts.maxAttempts() / RESERVED_ATTEMPTS_DIVISOR;
+		if (this.lastAttempt >= maxAttempts) {
+			return List.of();
+		}
 		Set<String> excluded = new HashSet<>(this.failedUpstreams);
+		excluded.addAll(this.silentUpstreams.keySet());
 		excluded.addAll(upstreamNames);
-		return this.planner.plan(query(excluded, List.of())).isPresent();
+		List<Engine> keptStages = upstreamNames.isEmpty() ? List.of() : stagesWithout(excluded);
+		Optional<PipelineRoute> newRoute = this.planner.plan(query(excluded, keptStages));
+		if (newRoute.isEmpty() || retryRefusal(newRoute.get(), keptStages).isPresent()) {
+			return List.of();
+		}
+		List<StreamAction> actions = new ArrayList<>();
+		for (Engine stage : this.route.stages()) {
+			if (upstreamNames.contains(stage.name())) {
+				this.silentUpstreams.put(stage.name(), stage);
+				actions.add(new StreamAction.ReportUpstreamFailure(stage.name(), false));
+			}
+		}
+		this.silentAttempt = Optional.of(new SilentAttempt(this.attempt, this.route, this.tokensBeforeAttempt));
+		actions.addAll(startAttempt(newRoute.get(), nowNanos));
+		return actions;
+	}
+
+	private Set<String> stageNames() {
+		return this.route.stages().stream().map(Engine::name).collect(Collectors.toCollection(HashSet::new));
+	}
+
+	/**
+	 * Returns the engines to probe: the stages, and the engines that were silent, because
+	 * they can be used again once they respond.
+	 * @return the engines
+	 */
+	private List<Engine> stagesToProbe() {
+		Set<Engine> probed = new LinkedHashSet<>(this.route.stages());
+		probed.addAll(this.silentUpstreams.values());
+		return List.copyOf(probed);
 	}
 
 	private List<StreamAction> onRefused(EngineEvent.Refused refused, long nowNanos) {
@@ -272,34 +334,87 @@
 	}
 
 	private List<Engine> stagesToKeep() {
-		return this.route.stages().stream().filter((stage) -> !this.failedUpstreams.contains(stage.name())).toList();
+		return stagesWithout(this.failedUpstreams);
+	}
+
+	private List<Engine> stagesWithout(Set<String> excludedUpstreams) {
+		return this.route.stages().stream().filter((stage) -> !excludedUpstreams.contains(stage.name())).toList();
 	}
 
 	private List<StreamAction> startAttempt(List<Engine> keptStages, long nowNanos) {
-		if (this.attempt >= this.timeouts.maxAttempts()) {
-			return fail(RefusalReason.UPSTREAM_FAILED, "Upstreams failed in " + this.attempt + " attempts",
-					retryAfter());
+		if (this.lastAttempt >= this.timeouts.maxAttempts()) {
+			return resumeOrFail(RefusalReason.UPSTREAM_FAILED, "Upstreams failed in " + this.lastAttempt + " attempts",
+					nowNanos);
 		}
-		Optional<PipelineRoute> newRoute = this.planner.plan(query(this.failedUpstreams, keptStages));
+		Optional<PipelineRoute> newRoute = planAfterFailure(keptStages);
 		if (newRoute.isEmpty()) {
-			return fail(RefusalReason.NO_ROUTE, "No complete path of upstreams is available for this model",
-					retryAfter());
+			return resumeOrFail(RefusalReason.NO_ROUTE, "No complete path of upstreams is available for this model",
+					nowNanos);
 		}
 		Optional<RefusalReason> retryRefusal = retryRefusal(newRoute.get(), keptStages);
 		if (retryRefusal.isPresent()) {
-			return fail(retryRefusal.get(), "An upstream failed and no further attempt is allowed", retryAfter());
+			return resumeOrFail(retryRefusal.get(), "An upstream failed and no further attempt is allowed", nowNanos);
 		}
-		this.route = newRoute.get();
+		return startAttempt(newRoute.get(), nowNanos);
+	}
+
+	/**
+	 * Selects a route after a failure. Upstreams that were silent are used only if no
+	 * other route exists.
+	 * @param keptStages the stages to keep
+	 * @return the route, empty if no complete route exists
+	 */
+	private Optional<PipelineRoute> planAfterFailure(List<Engine> keptStages) {
+		Set<String> excluded = new HashSet<>(this.failedUpstreams);
+		excluded.addAll(this.silentUpstreams.keySet());
+		Optional<PipelineRoute> newRoute = this.planner.plan(query(excluded, keptStages));
+		if (newRoute.isPresent() || this.silentUpstreams.isEmpty()) {
+			return newRoute;
+		}
+		return this.planner.plan(query(this.failedUpstreams, keptStages));
+	}
+
+	private List<StreamAction> startAttempt(PipelineRoute newRoute, long nowNanos) {
+		this.route = newRoute;
 		// A superseded attempt that is still in progress was sent, so it may have run.
 		this.mayHaveRun |= this.attemptInProgress;
-		this.attempt++;
+		this.lastAttempt++;
+		this.attempt = this.lastAttempt;
 		this.tokensBeforeAttempt = this.emittedTokens.size();
+		observeAttempt(nowNanos);
+		return List.of(new StreamAction.StartAttempt(createAttemptRequest()));
+	}
+
+	private void observeAttempt(long nowNanos) {
 		this.attemptInProgress = true;
 		this.lastProgressNanos = nowNanos;
 		this.probing = false;
 		this.stallTimeout.onAttemptStart();
 		this.probesWithoutProgress = 0;
-		return List.of(new StreamAction.StartAttempt(createAttemptRequest()));
+	}
+
+	/**
+	 * Resumes the silent attempt if its successor ended before it reached the engines,
+	 * otherwise ends the response.
+	 * @param reason why no further attempt may start
+	 * @param detail a description of the reason
+	 * @param nowNanos the current time
+	 * @return the actions to perform
+	 */
+	private List<StreamAction> resumeOrFail(RefusalReason reason, String detail, long nowNanos) {
+		if (this.silentAttempt.isEmpty() || this.attemptInProgress) {
+			return fail(reason, detail, retryAfter());
+		}
+		SilentAttempt silent = this.silentAttempt.get();
+		this.silentAttempt = Optional.empty();
+		this.attempt = silent.attempt();
+		this.route = silent.route();
+		this.tokensBeforeAttempt = silent.tokensBeforeAttempt();
+		observeAttempt(nowNanos);
+		List<StreamAction> actions = new ArrayList<>();
+		actions.add(new StreamAction.ResumeAttempt(this.attempt, this.route.stages()));
+		silent.heldEvents().forEach((event) -> actions.addAll(onEvent(event, nowNanos)));
+		return actions;
 	}
 
 	private RouteQuery query(Set<String> excludedUpstreams, List<Engine> keptStages) {
@@ -308,7 +423,7 @@
 	}
 
 	private Optional<RefusalReason> retryRefusal(PipelineRoute newRoute, List<Engine> keptStages) {
-		if (this.attempt == 0) {
+		if (this.lastAttempt == 0) {
 			return Optional.empty();
 		}
 		Set<String> newUpstreams = newRoute.stages()
