Quarantine: silence is provisional evidence until it is known to be a crash

Evidence now has three states: provisional, confirmed and dismissed, merged by that order. Silence is provisional: the request is a suspect and is held back as after a crash, but waits where it would have been refused. The VM goes on probing the silent replica, in one series for all requests, until it responds (dismissed), refuses or another replica answers at its address, or has been silent for 2.5 s (confirmed). Evidence that no VM has decided on after 5 s counts as confirmed, so that a VM that ends takes nothing with it. Dismissals are stored also while another run of the request is in progress. Old entries are confirmed ones, as before.

Two cases of the probe itself: a response with the id of another replica is evidence of a crash, and a host that accepts no connection in time is silent, not a closed port; for the present probe two timers of 300 ms decided that.

The unit tests of the new states do not compile against the code before.

--- a/bench/src/main/java/org/burdocktray/bench/quarantine/SharedCrashScenario.java
+++ b/bench/src/main/java/org/burdocktray/bench/quarantine/SharedCrashScenario.java
@@ -14,8 +14,10 @@
  * @param enginesPerWave the number of engines that crash at the same time
  * @param silentCrashes whether crashed engines fall silent, in place of closing their
  * ports
+ * @param silenceWaves how often sound engines fall silent and go on
+ * @param enginesPerSilenceWave the number of engines that fall silent at the same time
  */
 public record SharedCrashScenario(long seed, int vmCount, int engineCount, int crashingRequestCount, int maxResends,
-		int crashWaves, int enginesPerWave, boolean silentCrashes) {
+		int crashWaves, int enginesPerWave, boolean silentCrashes, int silenceWaves, int enginesPerSilenceWave) {
 
 }
--- a/bench/src/main/java/org/burdocktray/bench/quarantine/SharedCrashSession.java
+++ b/bench/src/main/java/org/burdocktray/bench/quarantine/SharedCrashSession.java
@@ -20,7 +20,9 @@
  * Simulates streams over paths of engines behind gateways that share their quarantine
  * through the store, in virtual time. A stream that loses an engine is noticed after
  * {@value #STALL_MILLIS} ms and runs again on another path; until the VM knows of a
- * crash, it sends streams to the crashed engine. Thread safety: none.
+ * crash, it sends streams to the crashed engine. Sound engines may fall silent for a
+ * while, in which their streams stall, and go on; VMs probe a silent engine until it
+ * responds or has been silent for {@value #SOUND_SILENCE_MILLIS} ms. Thread safety: none.
  */
 public final class SharedCrashSession {
 
@@ -36,6 +38,11 @@
 
 	private static final long REFUSED_PROBE_MILLIS = 3;
 
+	/** The time after which a VM takes a silent engine for crashed. */
+	private static final long SOUND_SILENCE_MILLIS = 2_500;
+
+	private static final long REPEATED_PROBE_MILLIS = 400;
+
 	private static final long POLL_MILLIS = 50;
 
 	private static final long SAVE_INTERVAL_MILLIS = 100;
@@ -55,6 +62,10 @@
 
 	private static final long HARMLESS_MILLIS = 500;
 
+	private static final long MIN_SOUND_SILENCE_MILLIS = 500;
+
+	private static final long MAX_SOUND_SILENCE_MILLIS = 2_000;
+
 	private static final int MAX_SENDS = 4;
 
 	private final SharedCrashScenario scenario;
@@ -69,6 +80,11 @@
 
 	private final Set<String> crashedEngines = new HashSet<>();
 
+	/** The sound engines that are silent now. */
+	private final Set<String> silentEngines = new HashSet<>();
+
+	private final Set<Watch> watches = new HashSet<>();
+
 	private final Set<Run> runs = new LinkedHashSet<>();
 
 	private final List<VirtualRequest> requests = new ArrayList<>();
@@ -106,6 +122,9 @@
 		for (int index = 0; index < this.scenario.crashWaves(); index++) {
 			after(3_000 + this.random.nextLong(LOAD_MILLIS - 10_000), this::crashWave);
 		}
+		for (int index = 0; index < this.scenario.silenceWaves(); index++) {
+			after(3_000 + this.random.nextLong(LOAD_MILLIS - 10_000), this::silenceWave);
+		}
 		this.clock.runForMillis(LOAD_MILLIS);
 		List<VirtualRequest> sound = this.requests.stream().filter((request) -> !request.isCrashing()).toList();
 		int maxLost = this.requests.stream().mapToInt(VirtualRequest::lostUpstreams).max().orElse(0);
@@ -148,7 +167,7 @@
 		Set<String> path = drawPath(
 				(decision instanceof QuarantineDecision.RunAlone alone) ? alone.excludedUpstreams() : Set.of());
 		boolean isProbed = sends > 0 || decision instanceof QuarantineDecision.RunAlone;
-		if (isProbed && path.stream().anyMatch(this.crashedEngines::contains)) {
+		if (isProbed && path.stream().anyMatch(this::isUnresponsive)) {
 			after(POLL_MILLIS, () -> attempt(vm, request, sends));
 			return;
 		}
@@ -162,16 +181,36 @@
 			after(CRASH_DELAY_MILLIS, () -> crashByRequest(run));
 			return;
 		}
-		after(FIRST_OUTPUT_MILLIS + HARMLESS_MILLIS, () -> {
-			if (this.runs.contains(run)) {
-				vm.recordHarmless(run.id(), now());
-			}
-		});
-		after(1_000 + this.random.nextLong(7_000), () -> {
-			if (this.runs.remove(run)) {
-				vm.recordEnd(run.id(), RunOutcome.SUCCEEDED, now());
-			}
-		});
+		after(STALL_MILLIS, () -> stallIfSilent(run));
+		after(FIRST_OUTPUT_MILLIS + HARMLESS_MILLIS, () -> recordHarmlessOnceHeard(run));
+		after(1_000 + this.random.nextLong(7_000), () -> succeedOnceHeard(run));
+	}
+
+	private void recordHarmlessOnceHeard(Run run) {
+		if (!this.runs.contains(run)) {
+			return;
+		}
+		if (run.path().stream().anyMatch(this.silentEngines::contains)) {
+			after(POLL_MILLIS, () -> recordHarmlessOnceHeard(run));
+			return;
+		}
+		run.vm().recordHarmless(run.id(), now());
+	}
+
+	private void succeedOnceHeard(Run run) {
+		if (!this.runs.contains(run)) {
+			return;
+		}
+		if (run.path().stream().anyMatch(this.silentEngines::contains)) {
+			after(POLL_MILLIS, () -> succeedOnceHeard(run));
+			return;
+		}
+		this.runs.remove(run);
+		run.vm().recordEnd(run.id(), RunOutcome.SUCCEEDED, now());
+	}
+
+	private boolean isUnresponsive(String engine) {
+		return this.crashedEngines.contains(engine) || this.silentEngines.contains(engine);
 	}
 
 	private Set<String> drawPath(Set<String> excluded) {
@@ -203,6 +242,29 @@
 		}
 	}
 
+	private void silenceWave() {
+		List<String> candidates = new ArrayList<>(this.engines);
+		candidates.removeIf(this::isUnresponsive);
+		for (int index = 0; index < this.scenario.enginesPerSilenceWave() && !candidates.isEmpty(); index++) {
+			fallSilent(candidates.remove(this.random.nextInt(candidates.size())));
+		}
+	}
+
+	private void fallSilent(String engine) {
+		this.silentEngines.add(engine);
+		after(this.random.nextLong(MIN_SOUND_SILENCE_MILLIS, MAX_SOUND_SILENCE_MILLIS),
+				() -> this.silentEngines.remove(engine));
+		this.runs.stream()
+			.filter((run) -> run.path().contains(engine))
+			.forEach((run) -> after(STALL_MILLIS, () -> stallIfSilent(run)));
+	}
+
+	private void stallIfSilent(Run run) {
+		if (run.path().stream().anyMatch(this.silentEngines::contains)) {
+			onStall(run);
+		}
+	}
+
 	private void crash(String engine) {
 		this.crashedEngines.add(engine);
 		after(this.random.nextLong(MAX_REPORT_DELAY_MILLIS), () -> this.engines.remove(engine));
@@ -219,17 +281,42 @@
 		run.request().recordCrash();
 		Quarantine vm = run.vm();
 		vm.recordLoss(run.id());
-		after(this.scenario.silentCrashes() ? SILENT_PROBE_MILLIS : REFUSED_PROBE_MILLIS, () -> {
-			run.path()
-				.stream()
-				.filter(this.crashedEngines::contains)
-				.forEach((engine) -> vm.recordCrash(engine, now()));
+		boolean hasSilent = this.scenario.silentCrashes() || run.path().stream().anyMatch(this.silentEngines::contains);
+		after(hasSilent ? SILENT_PROBE_MILLIS : REFUSED_PROBE_MILLIS, () -> {
+			run.path().stream().filter(this::isUnresponsive).forEach((engine) -> recordUnresponsive(vm, engine));
 			vm.recordEnd(run.id(), RunOutcome.ENDED, now());
 			attempt(vm, run.request(), run.sends());
 			save(vm);
 		});
 	}
 
+	private void recordUnresponsive(Quarantine vm, String engine) {
+		if (this.crashedEngines.contains(engine) && !this.scenario.silentCrashes()) {
+			vm.recordCrash(engine, now());
+			return;
+		}
+		Watch watch = new Watch(vm, engine);
+		if (vm.recordSilence(engine, now()) > 0 && this.watches.add(watch)) {
+			long confirmationMillis = SOUND_SILENCE_MILLIS - SILENT_PROBE_MILLIS;
+			after(REPEATED_PROBE_MILLIS, () -> probeAgain(watch, confirmationMillis - REPEATED_PROBE_MILLIS));
+		}
+	}
+
+	private void probeAgain(Watch watch, long remainingMillis) {
+		if (isUnresponsive(watch.engine()) && remainingMillis > 0) {
+			after(REPEATED_PROBE_MILLIS, () -> probeAgain(watch, remainingMillis - REPEATED_PROBE_MILLIS));
+			return;
+		}
+		this.watches.remove(watch);
+		if (isUnresponsive(watch.engine())) {
+			watch.vm().recordCrash(watch.engine(), now());
+		}
+		else {
+			watch.vm().recordResponse(watch.engine(), now());
+		}
+		save(watch.vm());
+	}
+
 	private void resend(VirtualRequest request) {
 		if (request.consumeResend()) {
 			long delayMillis = this.random.nextBoolean() ? 7 : this.random.nextLong(7, 500);
@@ -270,4 +357,8 @@
 
 	}
 
+	private record Watch(Quarantine vm, String engine) {
+
+	}
+
 }
--- a/bench/src/main/java/org/burdocktray/bench/quarantine/SharedQuarantineMeasurement.java
+++ b/bench/src/main/java/org/burdocktray/bench/quarantine/SharedQuarantineMeasurement.java
@@ -10,7 +10,7 @@
 /**
  * Measures how many engines one request crashes through gateways that share their
  * quarantine through the store, and how many sound requests are refused because engines
- * crash under them for other reasons. Thread safety: none.
+ * crash under them for other reasons, or fall silent and go on. Thread safety: none.
  */
 public final class SharedQuarantineMeasurement implements Measurement {
 
@@ -27,7 +27,10 @@
 	private static final List<Case> CASES = List.of(new Case("3 requests", 3, 0, 0, false),
 			new Case("3 requests, silent", 3, 0, 0, true), new Case("3 waves of 5 engines", 0, 3, 5, false),
 			new Case("6 waves of 5 engines", 0, 6, 5, false), new Case("6 waves of 5 engines, silent", 0, 6, 5, true),
-			new Case("2 requests, 6 waves of 5 engines, silent", 2, 6, 5, true));
+			new Case("2 requests, 6 waves of 5 engines, silent", 2, 6, 5, true),
+			new Case("6 sound silences of 5 engines", 0, 0, 0, false, 6, 5),
+			new Case("12 sound silences of 8 engines", 0, 0, 0, false, 12, 8),
+			new Case("2 requests, silent; 6 sound silences of 5", 2, 0, 0, true, 6, 5));
 
 	@Override
 	public String name() {
@@ -64,11 +67,16 @@
 		return maxLost <= MAX_LOST_ENGINES && (long) refused * SOUND_REQUESTS_PER_REFUSAL <= sound;
 	}
 
-	private record Case(String label, int crashingRequests, int waves, int enginesPerWave, boolean silent) {
+	private record Case(String label, int crashingRequests, int waves, int enginesPerWave, boolean silent,
+			int silenceWaves, int enginesPerSilenceWave) {
+
+		Case(String label, int crashingRequests, int waves, int enginesPerWave, boolean silent) {
+			this(label, crashingRequests, waves, enginesPerWave, silent, 0, 0);
+		}
 
 		SharedCrashScenario scenario(long seed) {
 			return new SharedCrashScenario(seed, 6, 33, this.crashingRequests, 20, this.waves, this.enginesPerWave,
-					this.silent);
+					this.silent, this.silenceWaves, this.enginesPerSilenceWave);
 		}
 
 	}
--- a/router/src/main/java/org/burdocktray/process/quarantine/CrashEvidence.java
+++ b/router/src/main/java/org/burdocktray/process/quarantine/CrashEvidence.java
@@ -3,16 +3,17 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * One crash of an upstream during one run of a request. Thread safety: immutable.
+ * One crash of an upstream during one run of a request, or a silence that may be one.
+ * Thread safety: immutable.
  *
  * @param runId the id of the run, unique across all VMs
  * @param upstream the upstream that crashed
  * @param crashedAtNanos the time of the crash by this VM's clock
  * @param sharedBy the number of requests that the reporting VM was running on the
  * upstream
- * @param dismissed whether the request has been cleared of this crash
+ * @param state what is known of the crash
  */
-record CrashEvidence(String runId, String upstream, long crashedAtNanos, int sharedBy, boolean dismissed) {
+record CrashEvidence(String runId, String upstream, long crashedAtNanos, int sharedBy, EvidenceState state) {
 
 	// VMs detect the same crash at different times, and by a timeout if the host has
 	// failed.
@@ -27,12 +28,41 @@
 		return !isSameCrash(other) && !this.runId.equals(other.runId);
 	}
 
+	boolean isProvisional() {
+		return this.state == EvidenceState.PROVISIONAL;
+	}
+
+	boolean isConfirmed() {
+		return this.state == EvidenceState.CONFIRMED;
+	}
+
+	boolean isDismissed() {
+		return this.state == EvidenceState.DISMISSED;
+	}
+
+	/**
+	 * Returns whether the VM that found the silence should have decided by now what it
+	 * was. That VM has ended, or is cut off.
+	 * @param nowNanos the time
+	 * @return true for provisional evidence of some age
+	 */
+	boolean isOverdue(long nowNanos) {
+		return isProvisional()
+				&& nowNanos - this.crashedAtNanos >= TimeUnit.MILLISECONDS.toNanos(Quarantine.UNDECIDED_MILLIS);
+	}
+
 	double suspicion() {
 		return 1.0 / Math.max(1, this.sharedBy);
 	}
 
-	CrashEvidence dismiss() {
-		return new CrashEvidence(this.runId, this.upstream, this.crashedAtNanos, this.sharedBy, true);
+	/**
+	 * Returns this evidence with the prevailing one of two states.
+	 * @param other the other state
+	 * @return this object if its state prevails
+	 */
+	CrashEvidence merge(EvidenceState other) {
+		return (other.compareTo(this.state) > 0)
+				? new CrashEvidence(this.runId, this.upstream, this.crashedAtNanos, this.sharedBy, other) : this;
 	}
 
 	String id() {
--- a/router/src/main/java/org/burdocktray/process/quarantine/Quarantine.java
+++ b/router/src/main/java/org/burdocktray/process/quarantine/Quarantine.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 
 import org.burdocktray.connection.peer.generated.Gossip;
 import org.burdocktray.connection.peer.generated.QuarantineEntry;
@@ -22,7 +23,10 @@
  * harmless. A suspect has one run at a time across all VMs that can reach each other, on
  * upstreams that do not run another suspect. A successful run clears it; a second,
  * independent crash quarantines it. While it is being found out whether upstreams have
- * crashed under runs, no run of the request begins that could be one too many.
+ * crashed under runs, no run of the request begins that could be one too many. The same
+ * holds while upstreams are silent that ran it: silence is provisional evidence, which
+ * suspects the request and holds it back like a crash, but quarantines it only once it is
+ * confirmed.
  *
  * Invariants: a crash of an upstream and a run are each counted once, regardless of how
  * many VMs report them; the number of entries is limited, and when the limit is exceeded
@@ -39,6 +43,13 @@
 	 */
 	private static final long RETRY_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
 
+	/**
+	 * The age from which provisional evidence counts as confirmed, unless it has been
+	 * dismissed. Longer than a VM takes to decide, so that only evidence of a VM that has
+	 * ended, or that is cut off, gets this old.
+	 */
+	public static final long UNDECIDED_MILLIS = 5_000;
+
 	private final QuarantineSettings settings;
 
 	private final String vmName;
@@ -71,6 +82,7 @@
 	 * @return the decision
 	 */
 	public synchronized QuarantineDecision check(Fingerprint fingerprint, long nowNanos) {
+		confirmOverdue(fingerprint, nowNanos);
 		Suspect suspect = this.suspects.get(fingerprint);
 		boolean isSuspected = suspect != null && suspect.isSuspected() && suspect.expiresAtNanos() - nowNanos > 0;
 		if (isSuspected && suspect.isQuarantined()) {
@@ -154,9 +166,13 @@
 	// other reasons.
 	private void clear(Fingerprint fingerprint, long nowNanos) {
 		Suspect suspect = this.suspects.get(fingerprint);
-		if (suspect == null || !suspect.dismiss((crash) -> true)) {
+		if (suspect == null || suspect.update((crash) -> true, EvidenceState.DISMISSED) == 0) {
 			return;
 		}
+		markDismissal(fingerprint, suspect, nowNanos);
+	}
+
+	private void markDismissal(Fingerprint fingerprint, Suspect suspect, long nowNanos) {
 		markForGossip(fingerprint);
 		if (suspect.isStored()) {
 			this.entriesToStore.put(fingerprint, nowNanos);
@@ -164,14 +180,54 @@
 	}
 
 	/**
-	 * Records the crash of an upstream, which is the loss of a connection with a request
-	 * in progress. The requests of all runs of this VM on the upstream become suspects.
-	 * Requests whose connections an upstream refuses are not evidence of a crash.
+	 * Records the crash of an upstream, such as the loss of a connection with a request
+	 * in progress. Confirms all silences of the upstream. The requests of all runs of
+	 * this VM on the upstream become suspects. Requests whose connections an upstream
+	 * refuses are not evidence of a crash.
 	 * @param upstream the upstream
 	 * @param nowNanos the time
 	 * @return the number of runs against which the crash was not known yet
 	 */
 	public synchronized int recordCrash(String upstream, long nowNanos) {
+		return confirm((crash) -> crash.upstream().equals(upstream), nowNanos)
+				+ addEvidence(upstream, EvidenceState.CONFIRMED, nowNanos);
+	}
+
+	/**
+	 * Records that an upstream is silent with requests in progress, as one that has
+	 * crashed or one that will go on. Affects the requests like a crash, except that it
+	 * does not quarantine them. {@link #recordCrash} or {@link #recordResponse} must
+	 * follow when it is known which; else the silence counts as a crash after
+	 * {@value #UNDECIDED_MILLIS} ms.
+	 * @param upstream the upstream
+	 * @param nowNanos the time
+	 * @return the number of runs against which the silence was not known yet
+	 */
+	public synchronized int recordSilence(String upstream, long nowNanos) {
+		return addEvidence(upstream, EvidenceState.PROVISIONAL, nowNanos);
+	}
+
+	/**
+	 * Records that an upstream which was silent has responded, so that it has not
+	 * crashed.
+	 * @param upstream the upstream
+	 * @param nowNanos the time
+	 * @return the number of runs that are cleared of the silence
+	 */
+	public synchronized int recordResponse(String upstream, long nowNanos) {
+		int dismissed = 0;
+		for (Map.Entry<Fingerprint, Suspect> entry : this.suspects.entrySet()) {
+			int changes = entry.getValue()
+				.update((crash) -> crash.isProvisional() && crash.upstream().equals(upstream), EvidenceState.DISMISSED);
+			if (changes > 0) {
+				markDismissal(entry.getKey(), entry.getValue(), nowNanos);
+			}
+			dismissed += changes;
+		}
+		return dismissed;
+	}
+
+	private int addEvidence(String upstream, EvidenceState state, long nowNanos) {
 		Map<String, RunTable.Run> affected = this.runs.runsOn(upstream);
 		int sharedBy = affected.size();
 		affected.values().removeIf(RunTable.Run::harmless);
@@ -179,7 +235,7 @@
 		for (Map.Entry<String, RunTable.Run> entry : affected.entrySet()) {
 			Fingerprint fingerprint = entry.getValue().fingerprint();
 			Suspect suspect = this.suspects.computeIfAbsent(fingerprint, (key) -> new Suspect(nowNanos));
-			if (suspect.add(new CrashEvidence(entry.getKey(), upstream, nowNanos, sharedBy, false))) {
+			if (suspect.add(new CrashEvidence(entry.getKey(), upstream, nowNanos, sharedBy, state))) {
 				newEvidence++;
 			}
 			extend(suspect, nowNanos);
@@ -189,6 +245,34 @@
 		return newEvidence;
 	}
 
+	// The entries of requests that have become quarantined by it are kept for longer, and
+	// written at once.
+	private int confirm(Predicate<CrashEvidence> condition, long nowNanos) {
+		int confirmed = 0;
+		for (Map.Entry<Fingerprint, Suspect> entry : this.suspects.entrySet()) {
+			confirmed += confirm(entry.getKey(), entry.getValue(), condition, nowNanos);
+		}
+		return confirmed;
+	}
+
+	private int confirm(Fingerprint fingerprint, Suspect suspect, Predicate<CrashEvidence> condition, long nowNanos) {
+		int confirmed = suspect.update((crash) -> crash.isProvisional() && condition.test(crash),
+				EvidenceState.CONFIRMED);
+		if (confirmed > 0) {
+			extend(suspect, nowNanos);
+			markForGossip(fingerprint);
+			markForStore(fingerprint, suspect, nowNanos);
+		}
+		return confirmed;
+	}
+
+	private void confirmOverdue(Fingerprint fingerprint, long nowNanos) {
+		Suspect suspect = this.suspects.get(fingerprint);
+		if (suspect != null && suspect.expiresAtNanos() - nowNanos > 0) {
+			confirm(fingerprint, suspect, (crash) -> crash.isOverdue(nowNanos), nowNanos);
+		}
+	}
+
 	@Override
 	public synchronized List<GossipItem> merge(Gossip gossip, long nowNanos) {
 		List<Fingerprint> changes = new ArrayList<>();
@@ -329,12 +413,13 @@
 	private void markForStore(Fingerprint fingerprint, Suspect suspect, long nowNanos) {
 		if (isWorthStoring(suspect)
 				&& suspect.crashes().stream().anyMatch((crash) -> crash.runId().startsWith(this.vmName + '#'))) {
-			this.entriesToStore.put(fingerprint, nowNanos + (suspect.isQuarantined() ? 0 : RETRY_NANOS));
+			this.entriesToStore.put(fingerprint, nowNanos + (suspect.isHeldBack() ? 0 : RETRY_NANOS));
 		}
 	}
 
 	private boolean isSettled(Fingerprint fingerprint) {
-		return !this.runs.isInProgress(fingerprint) || this.suspects.get(fingerprint).isQuarantined();
+		Suspect suspect = this.suspects.get(fingerprint);
+		return !this.runs.isInProgress(fingerprint) || suspect.isHeldBack() || !suspect.isSuspected();
 	}
 
 	private boolean isWorthStoring(Suspect suspect) {
--- a/router/src/main/java/org/burdocktray/process/quarantine/QuarantineCodec.java
+++ b/router/src/main/java/org/burdocktray/process/quarantine/QuarantineCodec.java
@@ -30,7 +30,8 @@
 				.setUpstream(crash.upstream())
 				.setAgeMillis(millis(nowNanos - crash.crashedAtNanos()))
 				.setSharedBy(crash.sharedBy())
-				.setDismissed(crash.dismissed())));
+				.setDismissed(crash.isDismissed())
+				.setProvisional(crash.isProvisional())));
 		return entry.build();
 	}
 
@@ -49,7 +50,14 @@
 
 	static CrashEvidence crash(org.burdocktray.connection.peer.generated.CrashEvidence wire, long nowNanos) {
 		return new CrashEvidence(wire.getRunId(), wire.getUpstream(), nowNanos - nanos(wire.getAgeMillis()),
-				wire.getSharedBy(), wire.getDismissed());
+				wire.getSharedBy(), state(wire));
+	}
+
+	private static EvidenceState state(org.burdocktray.connection.peer.generated.CrashEvidence wire) {
+		if (wire.getDismissed()) {
+			return EvidenceState.DISMISSED;
+		}
+		return wire.getProvisional() ? EvidenceState.PROVISIONAL : EvidenceState.CONFIRMED;
 	}
 
 	static long nanos(long millis) {
--- a/router/src/main/java/org/burdocktray/process/quarantine/QuarantineDecision.java
+++ b/router/src/main/java/org/burdocktray/process/quarantine/QuarantineDecision.java
@@ -57,9 +57,11 @@
 	}
 
 	/**
-	 * The request is a suspect and another run of it is in progress.
+	 * The request is a suspect and another run of it is in progress, or it is not known
+	 * yet whether upstreams have crashed under it.
 	 *
-	 * @param untilNanos the time at which that run has ended at the latest
+	 * @param untilNanos the time after which that run should have ended or the crashes be
+	 * known
 	 */
 	record Wait(long untilNanos) implements QuarantineDecision {
 
--- a/router/src/main/java/org/burdocktray/process/quarantine/Suspect.java
+++ b/router/src/main/java/org/burdocktray/process/quarantine/Suspect.java
@@ -8,8 +8,9 @@
 
 /**
  * The evidence against one request and its current run. Invariant: merging is
- * commutative, associative and idempotent: the set of crashes only grows, and a dismissal
- * is never revoked. Thread safety: not thread-safe.
+ * commutative, associative and idempotent: the set of crashes only grows, and of the
+ * states of one crash the prevailing one stays; a dismissal is never revoked. Only
+ * confirmed crashes quarantine the request. Thread safety: not thread-safe.
  */
 final class Suspect {
 
@@ -36,31 +37,44 @@
 
 	boolean add(CrashEvidence received) {
 		CrashEvidence current = this.crashes.get(received.id());
-		if ((current != null && (current.dismissed() || !received.dismissed()))
-				|| (current == null && this.crashes.size() >= MAX_CRASHES)) {
+		if (current == null && this.crashes.size() >= MAX_CRASHES) {
 			return false;
 		}
-		this.crashes.put(received.id(), received);
-		return true;
+		CrashEvidence merged = (current != null) ? current.merge(received.state()) : received;
+		return this.crashes.put(received.id(), merged) != merged;
 	}
 
-	boolean dismiss(Predicate<CrashEvidence> condition) {
-		List<CrashEvidence> dismissed = this.crashes.values()
+	/**
+	 * Merges a state into those crashes that meet a condition.
+	 * @param condition the condition
+	 * @param state the state
+	 * @return the number of crashes whose state has changed
+	 */
+	int update(Predicate<CrashEvidence> condition, EvidenceState state) {
+		List<CrashEvidence> changed = this.crashes.values()
 			.stream()
-			.filter((crash) -> !crash.dismissed() && condition.test(crash))
+			.filter((crash) -> crash.merge(state) != crash && condition.test(crash))
 			.toList();
-		dismissed.forEach((crash) -> this.crashes.put(crash.id(), crash.dismiss()));
-		return !dismissed.isEmpty();
+		changed.forEach((crash) -> this.crashes.put(crash.id(), crash.merge(state)));
+		return changed.size();
 	}
 
 	List<CrashEvidence> crashes() {
 		return List.copyOf(this.crashes.values());
 	}
 
+	/**
+	 * Returns crashes that are independent of each other, also provisional ones.
+	 * @return the crashes that the request is not cleared of
+	 */
 	List<CrashEvidence> countedCrashes() {
+		return independent((crash) -> !crash.isDismissed());
+	}
+
+	private List<CrashEvidence> independent(Predicate<CrashEvidence> condition) {
 		List<CrashEvidence> counted = new ArrayList<>();
 		for (CrashEvidence crash : this.crashes.values()) {
-			if (!crash.dismissed() && counted.stream().allMatch(crash::isIndependentOf)) {
+			if (condition.test(crash) && counted.stream().allMatch(crash::isIndependentOf)) {
 				counted.add(crash);
 			}
 		}
@@ -68,11 +82,20 @@
 	}
 
 	boolean isSuspected() {
-		return this.crashes.values().stream().anyMatch((crash) -> !crash.dismissed());
+		return this.crashes.values().stream().anyMatch((crash) -> !crash.isDismissed());
 	}
 
 	boolean isQuarantined() {
-		return countedCrashes().size() >= CRASHES_TO_QUARANTINE;
+		return independent(CrashEvidence::isConfirmed).size() >= CRASHES_TO_QUARANTINE;
+	}
+
+	/**
+	 * Returns whether the request is quarantined, or would be if its provisional crashes
+	 * were confirmed.
+	 * @return true if it must not run now
+	 */
+	boolean isHeldBack() {
+		return isQuarantined() || countedCrashes().size() >= CRASHES_TO_QUARANTINE;
 	}
 
 	/**
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/CrashDetector.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/CrashDetector.java
@@ -15,7 +15,9 @@
 /**
  * Finds out after the loss of a run whether a replica has crashed under it, and tells the
  * quarantine. A lost connection alone shows nothing: replicas also lose responses, and
- * networks connections. Thread safety: none, confined to one event loop.
+ * networks connections. Nor does silence, since sound replicas go on after it: the
+ * quarantine knows it as provisional until the replica has been watched. Thread safety:
+ * none, confined to one event loop.
  */
 final class CrashDetector {
 
@@ -25,6 +27,8 @@
 
 	private final ReplicaProbe probe;
 
+	private final SilenceWatch silenceWatch;
+
 	private final GatewayMetrics metrics;
 
 	private long lastSignOfLifeNanos = System.nanoTime();
@@ -32,9 +36,10 @@
 	private Runnable changeListener = () -> {
 	};
 
-	CrashDetector(Quarantine quarantine, ReplicaProbe probe, GatewayMetrics metrics) {
+	CrashDetector(Quarantine quarantine, ReplicaProbe probe, SilenceWatch silenceWatch, GatewayMetrics metrics) {
 		this.quarantine = quarantine;
 		this.probe = probe;
+		this.silenceWatch = silenceWatch;
 		this.metrics = metrics;
 	}
 
@@ -51,7 +56,8 @@
 	}
 
 	/**
-	 * Probes the replicas of a lost run, and ends the run when they are known.
+	 * Probes the replicas of a lost run, and ends the run when they are known. Those that
+	 * are silent are watched beyond that.
 	 * @param runId the run
 	 * @param fingerprint its request
 	 * @param replicas the replicas that may have crashed
@@ -63,7 +69,7 @@
 		long sentNanos = System.nanoTime();
 		return Flowable.fromIterable(replicas)
 			.flatMapSingle((replica) -> this.probe.probe(replica, healthPath)
-				.doOnSuccess((result) -> recordProbe(replica, result, sentNanos)))
+				.doOnSuccess((result) -> recordProbe(replica, healthPath, result, sentNanos)))
 			.ignoreElements()
 			.doOnComplete(() -> endLostRun(runId, fingerprint));
 	}
@@ -96,19 +102,47 @@
 		this.lastSignOfLifeNanos = System.nanoTime();
 	}
 
-	private void recordProbe(Replica replica, ReplicaProbe.Result result, long sentNanos) {
+	private void recordProbe(Replica replica, String healthPath, ReplicaProbe.Result result, long sentNanos) {
+		if (result == ReplicaProbe.Result.RESPONDS) {
+			return;
+		}
+		if (result != ReplicaProbe.Result.SILENT) {
+			recordCrash(replica, result.name());
+			return;
+		}
 		// Where all replicas are silent, this VM is cut off.
 		boolean isCutOff = this.lastSignOfLifeNanos - sentNanos <= 0;
-		boolean hasCrashed = result == ReplicaProbe.Result.REFUSES
-				|| (result == ReplicaProbe.Result.SILENT && !isCutOff);
-		if (!hasCrashed) {
-			return;
+		if (!isCutOff) {
+			recordSilence(replica, healthPath, sentNanos);
 		}
+	}
+
+	private void recordSilence(Replica replica, String healthPath, long sentNanos) {
+		int newEvidence = this.quarantine.recordSilence(UpstreamNames.of(replica), System.nanoTime());
+		if (newEvidence > 0) {
+			LOGGER.infof("Replica silent under requests: replica=%s requests=%d", replica.id(), newEvidence);
+			this.silenceWatch.watch(replica, healthPath, sentNanos, () -> this.lastSignOfLifeNanos,
+					(verdict) -> endSilence(replica, verdict));
+		}
+	}
+
+	private void endSilence(Replica replica, SilentReplica.Verdict verdict) {
+		if (verdict == SilentReplica.Verdict.CRASHED) {
+			recordCrash(replica, verdict.name());
+		}
+		if (verdict == SilentReplica.Verdict.GOES_ON) {
+			int cleared = this.quarantine.recordResponse(UpstreamNames.of(replica), System.nanoTime());
+			LOGGER.infof("Replica responds again: replica=%s requests=%d", replica.id(), cleared);
+		}
+		this.changeListener.run();
+	}
+
+	private void recordCrash(Replica replica, String cause) {
 		int newEvidence = this.quarantine.recordCrash(UpstreamNames.of(replica), System.nanoTime());
 		if (newEvidence > 0) {
 			this.metrics.recordReplicaCrash();
 			LOGGER.infof("Replica crashed under requests: replica=%s requests=%d probe=%s", replica.id(), newEvidence,
-					result);
+					cause);
 		}
 	}
 
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayServer.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayServer.java
@@ -139,8 +139,9 @@
 		FleetRetryBudget retryBudget = new FleetRetryBudget(bounds.retryRatio(), bounds.retryExtra(),
 				TimeUnit.MILLISECONDS.toNanos(bounds.retryWindowMillis()), nowNanos);
 		ReplicaConnections connections = new ReplicaConnections(this.vertx);
-		CrashDetector crashes = new CrashDetector(this.quarantine, new ReplicaProbe(this.vertx, connections),
-				this.metrics);
+		ReplicaProbe probe = new ReplicaProbe(this.vertx, connections, this.adapter.headers());
+		CrashDetector crashes = new CrashDetector(this.quarantine, probe,
+				new SilenceWatch(this.vertx, probe, System::nanoTime), this.metrics);
 		GatewayContext context = new GatewayContext(this.vertx, this.settings.dataCentre(), this.adapter.headers(),
 				this.rules, this.freshness, this.directory, loads, monitor, this.adapter.engineControl(), connections,
 				new PathSearch(this.settings.dataCentre(), loads, random), retryBudget, crashes, random, this.metrics);
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/ReplicaProbe.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/ReplicaProbe.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.Map;
 
+import io.netty.channel.ConnectTimeoutException;
 import io.reactivex.rxjava3.core.Single;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
@@ -14,8 +15,10 @@
 
 /**
  * Finds out whether a replica still responds, by its health check. Any response counts,
- * also one that reports bad health: a replica that has ended sends none. Concurrent
- * probes of one replica share one call. Thread safety: none, confined to one event loop.
+ * also one that reports bad health: a replica that has ended sends none. Only a response
+ * with the id of another replica shows that the one asked for has ended. Concurrent
+ * probes of one replica share one call, except those with a timeout of their own. Thread
+ * safety: none, confined to one event loop.
  */
 final class ReplicaProbe {
 
@@ -25,11 +28,14 @@
 
 	private final ReplicaConnections connections;
 
+	private final HeaderCodec headers;
+
 	private final Map<String, Single<Result>> pending = new HashMap<>();
 
-	ReplicaProbe(Vertx vertx, ReplicaConnections connections) {
+	ReplicaProbe(Vertx vertx, ReplicaConnections connections, HeaderCodec headers) {
 		this.vertx = vertx;
 		this.connections = connections;
+		this.headers = headers;
 	}
 
 	/**
@@ -41,20 +47,32 @@
 	Single<Result> probe(Replica replica, String healthPath) {
 		String key = UpstreamNames.of(replica);
 		return this.pending.computeIfAbsent(key, (absent) -> {
-			Future<Result> call = call(replica, healthPath);
+			Future<Result> call = call(replica, healthPath, TIMEOUT_MILLIS);
 			call.onComplete((done) -> this.vertx.runOnContext((later) -> this.pending.remove(key)));
 			return Single.<Result>create((emitter) -> call.onSuccess(emitter::onSuccess)).cache();
 		});
 	}
 
-	private Future<Result> call(Replica replica, String healthPath) {
+	/**
+	 * Probes a replica with a call of its own, which is kept open for some time.
+	 * @param replica the replica
+	 * @param healthPath the path of its health check
+	 * @param timeoutMillis how long it is kept open
+	 * @return what the replica did
+	 */
+	Single<Result> probe(Replica replica, String healthPath, long timeoutMillis) {
+		Future<Result> call = call(replica, healthPath, timeoutMillis);
+		return Single.create((emitter) -> call.onSuccess(emitter::onSuccess));
+	}
+
+	private Future<Result> call(Replica replica, String healthPath, long timeoutMillis) {
 		Promise<Result> result = Promise.promise();
 		Future<HttpClientRequest> opened = this.connections.open(replica, HttpMethod.GET, healthPath, false);
 		opened.flatMap(HttpClientRequest::send)
 			.onSuccess(HttpClientResponse::resume)
-			.onSuccess((response) -> result.tryComplete(Result.RESPONDS))
-			.onFailure((cause) -> result.tryComplete(Result.REFUSES));
-		long timer = this.vertx.setTimer(TIMEOUT_MILLIS, (fired) -> {
+			.onSuccess((response) -> result.tryComplete(resultOf(replica, response)))
+			.onFailure((cause) -> result.tryComplete(resultOf(cause)));
+		long timer = this.vertx.setTimer(timeoutMillis, (fired) -> {
 			if (result.tryComplete(Result.SILENT)) {
 				opened.onSuccess(HttpClientRequest::reset);
 			}
@@ -62,6 +80,19 @@
 		return result.future().onComplete((done) -> this.vertx.cancelTimer(timer));
 	}
 
+	private Result resultOf(Replica replica, HttpClientResponse response) {
+		boolean isOther = this.headers.readResponse(response.statusCode(), response.headers())
+			.instanceId()
+			.filter((id) -> !id.equals(replica.id()))
+			.isPresent();
+		return isOther ? Result.OTHER_INSTANCE : Result.RESPONDS;
+	}
+
+	// A host that drops packets is silent.
+	private static Result resultOf(Throwable cause) {
+		return (cause instanceof ConnectTimeoutException) ? Result.SILENT : Result.REFUSES;
+	}
+
 	/**
 	 * What a replica does when it is probed.
 	 */
@@ -70,6 +101,9 @@
 		/** It responds. */
 		RESPONDS,
 
+		/** Another replica responds at its address. */
+		OTHER_INSTANCE,
+
 		/** Its port is closed, or it closes the connection without a response. */
 		REFUSES,
 
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/ResponseHead.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/ResponseHead.java
@@ -13,8 +13,9 @@
  * @param notExecuted whether the replica states that it did not run the request
  * @param faultAddress the address of the failed engine, if an engine of the path reports
  * another one
+ * @param instanceId the id of the replica, in responses to health checks
  */
 public record ResponseHead(Optional<String> requestId, boolean signed, boolean notExecuted,
-		Optional<NetworkAddress> faultAddress) {
+		Optional<NetworkAddress> faultAddress, Optional<String> instanceId) {
 
 }
--- a/router/src/test/java/org/burdocktray/process/quarantine/QuarantineTests.java
+++ b/router/src/test/java/org/burdocktray/process/quarantine/QuarantineTests.java
@@ -218,6 +218,101 @@
 		assertThat(shared.takeEntriesToStore(8, 0)).hasSize(1);
 	}
 
+	/** Two sound upstreams that fell silent under a request quarantined it. */
+	@Test
+	void requestWaitsWhileTwoSilencesAreWatched() {
+		silenceWith(this.quarantine, "engine-1", 0, HARMLESS_REQUEST);
+		assertThat(this.quarantine.check(HARMLESS_REQUEST, 0)).isInstanceOf(QuarantineDecision.RunAlone.class);
+		silenceWith(this.quarantine, "engine-2", SECOND_NANOS, HARMLESS_REQUEST);
+		assertThat(this.quarantine.check(HARMLESS_REQUEST, SECOND_NANOS)).isInstanceOf(QuarantineDecision.Wait.class);
+	}
+
+	@Test
+	void requestRunsAgainOnceSilentUpstreamResponds() {
+		silenceWith(this.quarantine, "engine-1", 0, HARMLESS_REQUEST);
+		silenceWith(this.quarantine, "engine-2", 0, HARMLESS_REQUEST);
+		assertThat(this.quarantine.recordResponse("engine-1", SECOND_NANOS)).isEqualTo(1);
+		assertThat(this.quarantine.check(HARMLESS_REQUEST, SECOND_NANOS))
+			.isInstanceOf(QuarantineDecision.RunAlone.class);
+		this.quarantine.recordResponse("engine-2", SECOND_NANOS);
+		assertThat(this.quarantine.check(HARMLESS_REQUEST, SECOND_NANOS)).isInstanceOf(QuarantineDecision.Run.class);
+	}
+
+	@Test
+	void confirmedSilencesQuarantineRequest() {
+		silenceWith(this.quarantine, "engine-1", 0, CRASHING_REQUEST);
+		silenceWith(this.quarantine, "engine-2", 0, CRASHING_REQUEST);
+		assertThat(this.quarantine.recordCrash("engine-1", SECOND_NANOS)).isEqualTo(1);
+		assertThat(this.quarantine.check(CRASHING_REQUEST, SECOND_NANOS)).isInstanceOf(QuarantineDecision.Wait.class);
+		this.quarantine.recordCrash("engine-2", SECOND_NANOS);
+		assertThat(this.quarantine.check(CRASHING_REQUEST, SECOND_NANOS)).isEqualTo(new QuarantineDecision.Refuse(
+				SECOND_NANOS + TimeUnit.MILLISECONDS.toNanos(SETTINGS.quarantineMillis())));
+	}
+
+	@Test
+	void crashAndSilenceHoldRequestBack() {
+		crashWith(this.quarantine, "engine-1", 0, CRASHING_REQUEST);
+		silenceWith(this.quarantine, "engine-2", 0, CRASHING_REQUEST);
+		assertThat(this.quarantine.check(CRASHING_REQUEST, 0)).isInstanceOf(QuarantineDecision.Wait.class);
+	}
+
+	@Test
+	void responseRevokesNoConfirmedCrash() {
+		crashWith(this.quarantine, "engine-1", 0, CRASHING_REQUEST);
+		assertThat(this.quarantine.recordResponse("engine-1", 0)).isZero();
+		assertThat(this.quarantine.check(CRASHING_REQUEST, 0)).isInstanceOf(QuarantineDecision.RunAlone.class);
+	}
+
+	@Test
+	void silencesAndTheirEndReachOtherVms() {
+		silenceWith(this.quarantine, "engine-1", 0, HARMLESS_REQUEST);
+		silenceWith(this.quarantine, "engine-2", 0, HARMLESS_REQUEST);
+		exchange(0);
+		assertThat(this.peer.check(HARMLESS_REQUEST, 0)).isInstanceOf(QuarantineDecision.Wait.class);
+		this.quarantine.recordResponse("engine-1", SECOND_NANOS);
+		this.quarantine.recordResponse("engine-2", SECOND_NANOS);
+		exchange(SECOND_NANOS);
+		assertThat(this.peer.check(HARMLESS_REQUEST, SECOND_NANOS)).isInstanceOf(QuarantineDecision.Run.class);
+	}
+
+	/** The VM that watched the silent upstreams has ended. */
+	@Test
+	void silencesThatNoVmDecidesCountAsCrashes() {
+		silenceWith(this.quarantine, "engine-1", 0, CRASHING_REQUEST);
+		silenceWith(this.quarantine, "engine-2", 0, CRASHING_REQUEST);
+		this.peer.merge(this.quarantine.table(SECOND_NANOS), SECOND_NANOS);
+		long undecidedNanos = TimeUnit.MILLISECONDS.toNanos(Quarantine.UNDECIDED_MILLIS);
+		assertThat(this.peer.check(CRASHING_REQUEST, undecidedNanos - 1)).isInstanceOf(QuarantineDecision.Wait.class);
+		assertThat(this.peer.check(CRASHING_REQUEST, undecidedNanos)).isInstanceOf(QuarantineDecision.Refuse.class);
+	}
+
+	@Test
+	void decisionOnSilenceIsStoredWhileAnotherRunIsInProgress() {
+		Quarantine shared = new Quarantine(QuarantineSettings.sharedThroughStore(), "vm-1");
+		silenceWith(shared, "engine-1", 0, HARMLESS_REQUEST);
+		shared.recordGivenUp(HARMLESS_REQUEST, 0);
+		assertThat(shared.takeEntriesToStore(8, 0)).hasSize(1);
+		shared.recordStart(HARMLESS_REQUEST, Set.of("engine-2"), 0);
+		shared.recordResponse("engine-1", SECOND_NANOS);
+		assertThat(shared.takeEntriesToStore(8, SECOND_NANOS)).hasSize(1);
+	}
+
+	@Test
+	void requestHeldBackBySilencesIsStoredAtOnce() {
+		Quarantine shared = new Quarantine(QuarantineSettings.sharedThroughStore(), "vm-1");
+		silenceWith(shared, "engine-1", 0, CRASHING_REQUEST);
+		assertThat(shared.takeEntriesToStore(8, 0)).isEmpty();
+		silenceWith(shared, "engine-2", 0, CRASHING_REQUEST);
+		assertThat(shared.takeEntriesToStore(8, 0)).hasSize(1);
+	}
+
+	private static void silenceWith(Quarantine quarantine, String upstream, long nowNanos, Fingerprint running) {
+		String run = quarantine.recordStart(running, Set.of(upstream), nowNanos);
+		quarantine.recordLoss(run);
+		quarantine.recordSilence(upstream, nowNanos);
+		quarantine.recordEnd(run, RunOutcome.ENDED, nowNanos);
+	}
+
 	private void exchange(long nowNanos) {
 		this.peer.merge(this.quarantine.table(nowNanos), nowNanos);
 		this.quarantine.merge(this.peer.table(nowNanos), nowNanos);
