Gateway: an offer to upgrade to HTTP/2 is ignored

What callers saw: 101 Switching Protocols and a 404 in HTTP/2, for a route that is in force. Cause: Vert.x accepts Upgrade: h2c by default, and the request then has no Host header. The platform speaks HTTP/1.1 only.

GatewayCallerTests failed before (no answer that can be read in 10 s) and passes now.

--- a/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayServer.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayServer.java
@@ -263,6 +263,7 @@
 			.setAcceptBacklog(ACCEPT_BACKLOG)
 			.setTcpNoDelay(true)
 			.setIdleTimeout(IDLE_TIMEOUT_SECONDS)
+			.setHttp2ClearTextEnabled(false)
 			.setHandle100ContinueAutomatically(true));
 	}
 
