Gateway: a stop closes no connection whose last response did not announce it

Callers saw a request end with nothing at all on a VM that stopped: a stream that had begun before the stop carried no Connection: close, the connection was closed at its end, and the caller's next request, sent at once, crossed the close.

A connection is closed only after a response that announced it; the process waits until nothing has ended for 250 ms, within the grace period.

--- a/router/src/main/java/org/burdocktray/process/serve/gateway/CallerResponse.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/CallerResponse.java
@@ -169,8 +169,9 @@
 	}
 
 	private void end(Buffer body) {
-		boolean closesConnection = this.stopping.getAsBoolean();
-		if (closesConnection && !this.response.headWritten()) {
+		// A close that the head has not announced would cross the caller's next request.
+		boolean closesConnection = this.stopping.getAsBoolean() && !this.response.headWritten();
+		if (closesConnection) {
 			this.response.putHeader(HttpHeaders.CONNECTION, HttpHeaders.CLOSE);
 		}
 		this.response.end(body)
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayServer.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayServer.java
@@ -83,6 +83,12 @@
 	 */
 	private static final long CLOSE_MARGIN_MILLIS = 150;
 
+	/**
+	 * How long a connection is kept after a response, for a request that the caller sends
+	 * at once.
+	 */
+	private static final long NEXT_REQUEST_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
+
 	private final GatewaySettings settings;
 
 	private final GatewayAdapter adapter;
@@ -327,7 +333,7 @@
 		if (isGraceOver) {
 			this.requestsInProgress.stopAll();
 		}
-		boolean isIdle = this.rejecting && this.requestsInProgress.count() == 0;
+		boolean isIdle = this.rejecting && this.requestsInProgress.isQuietFor(NEXT_REQUEST_NANOS);
 		return isIdle || remainingMillis < CLOSE_MARGIN_MILLIS;
 	}
 
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/RequestsInProgress.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/RequestsInProgress.java
@@ -21,13 +21,18 @@
 
 	private final Set<CallerResponse> responses = new LinkedHashSet<>();
 
+	private long lastEndNanos = System.nanoTime();
+
 	/**
 	 * Adds a request whose head has been read.
 	 * @param response the response to its caller, which removes itself
 	 */
 	void add(CallerResponse response) {
 		this.responses.add(response);
-		response.onClosed(() -> this.responses.remove(response));
+		response.onClosed(() -> {
+			this.responses.remove(response);
+			this.lastEndNanos = System.nanoTime();
+		});
 	}
 
 	void add(ForwardExchange exchange) {
@@ -42,6 +47,15 @@
 		return this.responses.size();
 	}
 
+	/**
+	 * Returns whether no request has been in progress for a while.
+	 * @param quietNanos the time
+	 * @return true if none is in progress and none has ended within that time
+	 */
+	boolean isQuietFor(long quietNanos) {
+		return this.responses.isEmpty() && System.nanoTime() - this.lastEndNanos >= quietNanos;
+	}
+
 	void start(ForwardExchange exchange) {
 		guard(exchange, ForwardExchange::start);
 	}
