Streams: a silent attempt that goes on is resumed when its successor is silent

Found by the review. Callers got deadline-exceeded in the middle of an answer whose stage had gone on: its tokens were held while the successor, sent to a head that stayed silent, never reached the engines; a second successor dropped them.

Of several silent attempts the first one is kept, the others are cancelled; when a probe finds the successor silent and the kept attempt has sent events since, it is resumed.

--- a/router/src/main/java/org/burdocktray/request/stream/SilentAttempt.java
+++ b/router/src/main/java/org/burdocktray/request/stream/SilentAttempt.java
@@ -46,6 +46,14 @@
 		}
 	}
 
+	/**
+	 * Returns whether the attempt has sent events since it was superseded.
+	 * @return true if it is no longer silent
+	 */
+	boolean hasGoneOn() {
+		return !this.heldEvents.isEmpty();
+	}
+
 	List<EngineEvent> heldEvents() {
 		return List.copyOf(this.heldEvents);
 	}
--- a/router/src/main/java/org/burdocktray/request/stream/StreamSession.java
+++ b/router/src/main/java/org/burdocktray/request/stream/StreamSession.java
@@ -273,6 +273,9 @@
 	 * @return the actions to perform, none if the attempt continues
 	 */
 	private List<StreamAction> replaceSilent(Set<String> upstreamNames, long nowNanos) {
+		if (this.silentAttempt.filter(SilentAttempt::hasGoneOn).isPresent()) {
+			return resumeSilentAttempt(nowNanos);
+		}
 		int maxAttempts = this.timeouts.maxAttempts() - this.timeouts.maxAttempts() / RESERVED_ATTEMPTS_DIVISOR;
 		if (this.lastAttempt >= maxAttempts) {
 			return List.of();
@@ -292,11 +295,20 @@
 				actions.add(new StreamAction.ReportUpstreamFailure(stage.name(), false));
 			}
 		}
-		this.silentAttempt = Optional.of(new SilentAttempt(this.attempt, this.route, this.tokensBeforeAttempt));
+		actions.addAll(holdSilentAttempt());
 		actions.addAll(startAttempt(newRoute.get(), nowNanos));
 		return actions;
 	}
 
+	// Of several silent attempts only the first one has reached the engines.
+	private List<StreamAction> holdSilentAttempt() {
+		if (this.silentAttempt.isPresent()) {
+			return cancelRunningAttempt();
+		}
+		this.silentAttempt = Optional.of(new SilentAttempt(this.attempt, this.route, this.tokensBeforeAttempt));
+		return List.of();
+	}
+
 	private Set<String> stageNames() {
 		return this.route.stages().stream().map(Engine::name).collect(Collectors.toCollection(HashSet::new));
 	}
@@ -405,13 +417,17 @@
 		if (this.silentAttempt.isEmpty() || this.attemptInProgress) {
 			return fail(reason, detail, retryAfter());
 		}
-		SilentAttempt silent = this.silentAttempt.get();
+		return resumeSilentAttempt(nowNanos);
+	}
+
+	private List<StreamAction> resumeSilentAttempt(long nowNanos) {
+		SilentAttempt silent = this.silentAttempt.orElseThrow();
 		this.silentAttempt = Optional.empty();
+		List<StreamAction> actions = new ArrayList<>(cancelRunningAttempt());
 		this.attempt = silent.attempt();
 		this.route = silent.route();
 		this.tokensBeforeAttempt = silent.tokensBeforeAttempt();
 		observeAttempt(nowNanos);
-		List<StreamAction> actions = new ArrayList<>();
 		actions.add(new StreamAction.ResumeAttempt(this.attempt, this.route.stages()));
 		silent.heldEvents().forEach((event) -> actions.addAll(onEvent(event, nowNanos)));
 		return actions;
