Streams: nothing is delivered after a stream was abandoned

A resumed attempt's held events come in one list with the end; if the caller's buffer was full in the middle, the token was dropped and the response completed without it. The driver has an end of its own now. StreamDriverTests failed before.

--- a/router/src/main/java/org/burdocktray/process/serve/StreamDriver.java
+++ b/router/src/main/java/org/burdocktray/process/serve/StreamDriver.java
@@ -51,6 +51,8 @@
 
 	private final CompositeDisposable supersededSubscriptions = new CompositeDisposable();
 
+	private boolean stopped;
+
 	private Runnable releaseInFlight = () -> {
 	};
 
@@ -72,10 +74,10 @@
 
 	/** Cancels the stream because its caller disconnected or reads too slowly. */
 	void cancel() {
-		if (this.session.hasEnded()) {
+		if (this.stopped) {
 			return;
 		}
-		perform(this.session.onCallerDisconnected());
+		this.session.onCallerDisconnected();
 		stop();
 		this.listener.onAbandoned();
 	}
@@ -84,7 +86,11 @@
 		actions.forEach(this::perform);
 	}
 
+	// An action can stop the stream in the middle of a list.
 	private void perform(StreamAction action) {
+		if (this.stopped) {
+			return;
+		}
 		if (action instanceof StreamAction.Deliver deliver) {
 			if (!this.listener.onToken(deliver.text())) {
 				cancel();
@@ -168,6 +174,7 @@
 	}
 
 	private void stop() {
+		this.stopped = true;
 		this.vertx.cancelTimer(this.timer);
 		this.attemptSubscription.dispose();
 		this.supersededSubscriptions.dispose();
