Gateway: a successor goes to no avoided replica, and not for a run that went on

The successor of a silent call was sent three times within 40 ms to one replica that rejected it, which took the budget and all sends: 504. A report of the first engine that came late started a successor for a stream that had gone on meanwhile. An acquired retry of which nothing was sent can be returned.

--- a/router/src/main/java/org/burdocktray/process/limits/FleetRetryBudget.java
+++ b/router/src/main/java/org/burdocktray/process/limits/FleetRetryBudget.java
@@ -85,6 +85,14 @@
 		return true;
 	}
 
+	/**
+	 * Returns the last retry that was acquired, because nothing was sent.
+	 * @param service the name of the service
+	 */
+	public void returnRetry(String service) {
+		service(service).retryTimes.pollLast();
+	}
+
 	/**
 	 * Returns whether the budget allows a retry now, without acquiring it.
 	 * @param service the name of the service
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/StreamRecovery.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/StreamRecovery.java
@@ -136,7 +136,8 @@
 	}
 
 	private void onHeadReport(Attempt attempt, Either<String, LoadReport> report) {
-		if (!this.owner.isCurrent(attempt)) {
+		boolean hasGoneOn = this.progressNanos - this.lastCheckNanos > 0;
+		if (!this.owner.isCurrent(attempt) || hasGoneOn) {
 			return;
 		}
 		if (report.isLeft()) {
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/TargetSelector.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/TargetSelector.java
@@ -69,24 +69,23 @@
 	}
 
 	/**
-	 * Selects a target for a second run beside a silent one.
+	 * Selects a target for a second run beside a silent one. An avoided replica would be
+	 * no better than the silent one.
 	 * @param silent the replica to which the silent run was sent
 	 * @param suspectUpstreams the names of replicas that run such requests
 	 * @return a target that starts at another replica, empty when there is none now
 	 */
 	Optional<Target> selectInsteadOf(Replica silent, Set<String> suspectUpstreams) {
-		Long previousNanos = this.exclusions.get(silent.id());
-		exclude(silent);
-		Optional<Target> target = select(suspectUpstreams);
-		if (previousNanos == null) {
-			this.exclusions.remove(silent.id());
+		this.suspectUpstreams = suspectUpstreams;
+		if (this.service.engine().isEmpty()) {
+			return selectAmong(without(silent));
 		}
-		return target;
+		return selectEngines(this.service.engine().get(), without(silent));
 	}
 
 	private Optional<Target> selectAny() {
 		if (this.service.engine().isPresent()) {
-			return selectEngines(this.service.engine().get());
+			return selectEngines(this.service.engine().get(), candidates());
 		}
 		return selectReplica();
 	}
@@ -116,10 +115,14 @@
 			.map((found) -> new Target(current.replica(), Optional.of(found), current.tokens()));
 	}
 
-	private Optional<Target> selectEngines(EngineProfile profile) {
+	private List<Replica> without(Replica silent) {
+		return candidates().stream().filter((replica) -> !replica.id().equals(silent.id())).toList();
+	}
+
+	private Optional<Target> selectEngines(EngineProfile profile, List<Replica> engines) {
 		PathDemand demand = createPathDemand(profile, KV_SHARE);
 		return this.context.pathSearch()
-			.find(candidates(), demand, profile)
+			.find(engines, demand, profile)
 			.map((path) -> new Target(path.head(), Optional.of(path), demand.totalTokens()));
 	}
 
@@ -128,7 +131,10 @@
 		List<Replica> preferred = candidates();
 		long nowNanos = System.nanoTime();
 		List<Replica> untried = listed.stream().filter((replica) -> !isExcluded(replica, nowNanos)).toList();
-		List<Replica> selectable = preferred.isEmpty() ? untried : preferred;
+		return selectAmong(preferred.isEmpty() ? untried : preferred);
+	}
+
+	private Optional<Target> selectAmong(List<Replica> selectable) {
 		return selectable.stream()
 			.map((replica) -> new ScoredReplica(replica, score(replica)))
 			.min(Comparator.comparingDouble(ScoredReplica::score))
