Gateway: the quarantine follows each run of a request by itself

Found by the review. A request that crashed a replica after it had been silent for a second was not counted: RunGuard had one run, ended when its successor was prepared, and a kept run was followed no more. It now has a run for each attempt; a silent run that is kept is in progress again, and a run that breaks is always looked into. CrashAfterSilenceTests failed before.

Also from the review: a silent call asks for a successor again with each part of its time (IdempotentSilenceTests, the other case, failed before); a successor takes over with its first whole event, not its first byte; a started stream does not return at once to a plain replica that rejected it.

--- a/router/src/main/java/org/burdocktray/process/serve/gateway/ForwardExchange.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/ForwardExchange.java
@@ -49,6 +49,8 @@
 	 */
 	private static final double SILENT_ATTEMPT_SHARE = 0.45;
 
+	private static final long MIN_SILENT_MILLIS = 25;
+
 	private final GatewayContext context;
 
 	private final AdmittedRequest admitted;
@@ -193,16 +195,21 @@
 
 	@Override
 	public void onSend() {
-		this.runGuard.startRun(currentAttempt().target());
-		if (this.admitted.route().kind() == RequestKind.IDEMPOTENT) {
-			startSilenceTimer(currentAttempt());
-		}
+		this.runGuard.startRun(currentAttempt(), currentAttempt().target());
+		startSilenceTimer(currentAttempt());
 	}
 
 	private void startSilenceTimer(Attempt timedAttempt) {
-		long timeoutMillis = (long) (SILENT_ATTEMPT_SHARE * this.admitted.request().remainingMillis());
-		this.context.vertx()
-			.setTimer(Math.max(1, timeoutMillis), (timer) -> succeedRun(timedAttempt, "no response in time"));
+		long silentMillis = (long) (SILENT_ATTEMPT_SHARE * this.admitted.request().remainingMillis());
+		if (this.admitted.route().kind() != RequestKind.IDEMPOTENT || silentMillis < MIN_SILENT_MILLIS) {
+			return;
+		}
+		this.context.vertx().setTimer(silentMillis, (timer) -> {
+			if (isCurrent(timedAttempt)) {
+				succeedRun(timedAttempt, "no response in time");
+				startSilenceTimer(timedAttempt);
+			}
+		});
 	}
 
 	@Override
@@ -220,18 +227,18 @@
 			return;
 		}
 		endSilence();
-		this.runGuard.recordSuccess();
+		this.runGuard.recordSuccess(currentAttempt());
 		deliver(head, body, replica);
 	}
 
 	private void retryAfterFailure(HttpClientResponse head, Buffer body, Replica replica) {
 		this.state.recordOutcome(AttemptOutcome.FAILED);
 		this.targetSelector.exclude(replica);
+		this.runGuard.end(currentAttempt());
 		this.attempt = Optional.empty();
 		if (continueWithSuccessor()) {
 			return;
 		}
-		this.runGuard.end();
 		if (!this.state.canRetry()) {
 			deliver(head, body, replica);
 			return;
@@ -268,7 +275,7 @@
 		if (!this.stream.deliver(bytes, currentAttempt())) {
 			return;
 		}
-		this.runGuard.recordOutput(System.nanoTime());
+		this.runGuard.recordOutput(currentAttempt(), System.nanoTime());
 		if (isFirst) {
 			currentAttempt().target().replicas().forEach(this.context.loads()::recordSuccess);
 			this.state.recordResponseStart();
@@ -278,7 +285,7 @@
 	// The present run responds, so it needs no successor.
 	private void endSilence() {
 		this.handover.cancel();
-		this.runGuard.resumeRun(currentAttempt().target());
+		this.runGuard.resumeRun(currentAttempt());
 	}
 
 	@Override
@@ -290,7 +297,7 @@
 		}
 		this.health.recordResponse(replica, false);
 		endSilence();
-		this.runGuard.recordSuccess();
+		this.runGuard.recordSuccess(currentAttempt());
 		finish();
 		this.finalResponse.completeStream(this.stream.head(), replica);
 	}
@@ -309,15 +316,18 @@
 		if (this.health.recordFailedAttempt(target.replica(), outcome, faultAddress)) {
 			this.targetSelector.exclude(target.replica());
 		}
+		this.runGuard.recordFailure(failed, outcome, faultAddress.flatMap(this.context.directory()::findByAddress));
 		this.attempt = Optional.empty();
 		if (continueWithSuccessor()) {
 			return;
 		}
-		this.runGuard.recordFailure(failed, outcome, faultAddress.flatMap(this.context.directory()::findByAddress));
 		if (!this.state.canRetry()) {
 			giveUp(cause);
 			return;
 		}
+		if (outcome == AttemptOutcome.REJECTED && target.path().isEmpty()) {
+			this.targetSelector.exclude(target.replica());
+		}
 		dispatch();
 	}
 
@@ -369,6 +379,7 @@
 			this.targetSelector.exclude(silent.target().replica());
 		}
 		silent.cancel();
+		this.runGuard.end(silent);
 		continueWith(successor);
 		return this;
 	}
@@ -391,11 +402,15 @@
 		successor.attempt().setListener(this);
 		this.stream.startRun(successor.streamHead());
 		this.streamRecovery.onAttemptStart(this.callerResponse.isStarted());
+		startSilenceTimer(successor.attempt());
+		if (successor.received().length() > 0) {
+			onStreamData(successor.received());
+		}
 	}
 
 	@Override
 	public Single<StreamRecovery.PathChange> preparePathChange(Attempt running, Replica failedEngine, Target next) {
-		return this.runGuard.recordLoss(List.of(failedEngine))
+		return this.runGuard.recordLoss(running, List.of(failedEngine))
 			.andThen(Single.defer(() -> this.runGuard.findUnresponsive(next)))
 			.map((unresponsive) -> startRunOnPath(running, next, unresponsive));
 	}
@@ -408,7 +423,7 @@
 			this.health.avoidUnresponsive(unresponsive);
 			return StreamRecovery.PathChange.ENGINE_UNRESPONSIVE;
 		}
-		this.runGuard.startRun(next);
+		this.runGuard.startRun(running, next);
 		return StreamRecovery.PathChange.ALLOWED;
 	}
 
@@ -466,12 +481,11 @@
 		long timeoutMillis = Math.min(this.timeLimitMillis, this.admitted.route().callerTimeoutMillis());
 		double unresponsiveNanos = UNRESPONSIVE_SHARE * timeoutMillis * NANOS_PER_MILLI;
 		this.attempt.filter(Attempt::isSent)
-			.filter((running) -> !this.handover.isInProgress())
 			.filter((running) -> !this.callerResponse.isStarted())
 			.filter((running) -> System.nanoTime() - running.sentNanos() >= unresponsiveNanos)
 			.ifPresent((running) -> {
 				this.health.recordResponse(running.target().replica(), true);
-				this.runGuard.recordLoss(running.target().replicas());
+				this.runGuard.recordLoss(running, running.target().replicas());
 			});
 	}
 
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/RunGuard.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/RunGuard.java
@@ -1,6 +1,9 @@
 package org.burdocktray.process.serve.gateway;
 
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -18,9 +21,10 @@
 
 /**
  * Applies the quarantine to one request. A run begins when the request is sent and
- * whenever its path changes. Invariant: at most one run of the request is in progress;
- * each run is ended once, at the latest when what ended it is known. Thread safety: none,
- * confined to the request.
+ * whenever its path changes. Invariants: each attempt has at most one run in progress; a
+ * silent run is recorded as lost while its successor is prepared, and as in progress
+ * again if it goes on; each run is ended once, at the latest when what ended it is known.
+ * Thread safety: none, confined to the request.
  */
 final class RunGuard {
 
@@ -45,10 +49,12 @@
 
 	private final boolean streaming;
 
-	private Optional<String> runId = Optional.empty();
+	private final Map<Attempt, GuardedRun> runs = new HashMap<>();
 
-	private OptionalLong firstOutputNanos = OptionalLong.empty();
+	/** Attempts whose runs are recorded as lost, although they may go on. */
+	private final Set<Attempt> lostAttempts = new HashSet<>();
 
+	/** Whether the last run to begin, or one beside it, has become harmless. */
 	private boolean harmless;
 
 	private boolean hasLostRun;
@@ -98,61 +104,66 @@
 	}
 
 	/**
-	 * Records that a run goes on that was recorded as lost because it was silent. Does
-	 * nothing if a run is in progress or harmless.
+	 * Records that a run begins.
+	 * @param attempt its attempt
 	 * @param target where it runs
 	 */
-	void resumeRun(Target target) {
-		if (this.runId.isEmpty() && !this.harmless) {
-			startRun(target);
-		}
+	void startRun(Attempt attempt, Target target) {
+		end(attempt, RunOutcome.ENDED);
+		this.harmless = false;
+		Set<String> upstreams = UpstreamNames.of(target.replicas());
+		String runId = this.quarantine.recordStart(this.fingerprint, upstreams, System.nanoTime());
+		this.runs.put(attempt, new GuardedRun(runId));
 	}
 
 	/**
-	 * Records that a run begins.
-	 * @param target where it runs
+	 * Records that a run goes on that was recorded as lost because it was silent. Does
+	 * nothing if it is not recorded as lost.
+	 * @param attempt its attempt
 	 */
-	void startRun(Target target) {
-		end();
-		this.firstOutputNanos = OptionalLong.empty();
-		this.harmless = false;
-		Set<String> upstreams = UpstreamNames.of(target.replicas());
-		this.runId = Optional.of(this.quarantine.recordStart(this.fingerprint, upstreams, System.nanoTime()));
+	void resumeRun(Attempt attempt) {
+		if (this.lostAttempts.remove(attempt)) {
+			startRun(attempt, attempt.target());
+		}
 	}
 
 	/**
-	 * Records output of the current run.
+	 * Records output of a run.
+	 * @param attempt its attempt
 	 * @param nowNanos the monotonic time
 	 */
-	void recordOutput(long nowNanos) {
-		if (this.harmless || this.runId.isEmpty()) {
+	void recordOutput(Attempt attempt, long nowNanos) {
+		GuardedRun run = this.runs.get(attempt);
+		if (run == null || run.harmless) {
 			return;
 		}
-		if (this.firstOutputNanos.isEmpty()) {
-			this.firstOutputNanos = OptionalLong.of(nowNanos);
+		if (run.firstOutputNanos.isEmpty()) {
+			run.firstOutputNanos = OptionalLong.of(nowNanos);
 			return;
 		}
-		this.harmless = nowNanos - this.firstOutputNanos.getAsLong() >= HARMLESS_NANOS;
-		if (this.harmless) {
-			this.quarantine.recordHarmless(this.runId.get(), System.nanoTime());
+		run.harmless = nowNanos - run.firstOutputNanos.getAsLong() >= HARMLESS_NANOS;
+		if (run.harmless) {
+			this.harmless = true;
+			this.quarantine.recordHarmless(run.id, System.nanoTime());
 		}
 	}
 
 	/**
-	 * Records that the current run is lost.
+	 * Records that a run is lost, or silent.
+	 * @param attempt its attempt
 	 * @param replicas the replicas that may have crashed under it
 	 * @return completes when it is known whether they have crashed
 	 */
-	Completable recordLoss(List<Replica> replicas) {
-		if (this.harmless || this.runId.isEmpty()) {
-			end();
+	Completable recordLoss(Attempt attempt, List<Replica> replicas) {
+		GuardedRun lost = this.runs.get(attempt);
+		if (lost == null || lost.harmless) {
 			return Completable.complete();
 		}
-		String lostRunId = this.runId.get();
-		this.runId = Optional.empty();
+		this.runs.remove(attempt);
+		this.lostAttempts.add(attempt);
 		this.hasLostRun = true;
 		this.unresolvedLosses++;
-		Completable check = this.detector.checkLostRun(lostRunId, this.fingerprint, replicas, this.healthPath)
+		Completable check = this.detector.checkLostRun(lost.id, this.fingerprint, replicas, this.healthPath)
 			.doOnComplete(() -> this.unresolvedLosses--)
 			.cache();
 		check.subscribe(this::tellOthersIfClosed);
@@ -160,36 +171,41 @@
 	}
 
 	/**
-	 * Records that the attempt of the current run has failed.
+	 * Records that an attempt has failed.
 	 * @param failed the attempt
 	 * @param outcome its outcome
 	 * @param faultyEngine the engine at fault, if another engine reported it
 	 */
 	void recordFailure(Attempt failed, AttemptOutcome outcome, Optional<Replica> faultyEngine) {
+		boolean hasWaitedForEngine = System.nanoTime() - failed.sentNanos() >= STALLED_REJECTION_NANOS;
 		if (outcome == AttemptOutcome.LOST) {
-			recordLoss(failed.target().replicas());
-			return;
+			recordLoss(failed, failed.target().replicas());
 		}
-		boolean hasWaitedForEngine = System.nanoTime() - failed.sentNanos() >= STALLED_REJECTION_NANOS;
-		faultyEngine.filter((engine) -> hasWaitedForEngine).ifPresent((engine) -> recordLoss(List.of(engine)));
-		end();
+		else if (hasWaitedForEngine) {
+			faultyEngine.ifPresent((engine) -> recordLoss(failed, List.of(engine)));
+		}
+		end(failed);
 	}
 
-	/** Records that the current run has succeeded. */
-	void recordSuccess() {
-		end(RunOutcome.SUCCEEDED);
+	/**
+	 * Records that a run has succeeded.
+	 * @param attempt its attempt
+	 */
+	void recordSuccess(Attempt attempt) {
+		end(attempt, RunOutcome.SUCCEEDED);
 	}
 
 	/**
-	 * Ends the current run, if there is one, without evidence for or against the request.
+	 * Ends a run, if it is in progress, without evidence for or against the request.
+	 * @param attempt its attempt
 	 */
-	void end() {
-		end(RunOutcome.ENDED);
+	void end(Attempt attempt) {
+		end(attempt, RunOutcome.ENDED);
 	}
 
-	/** Ends the current run, and records that this VM begins no other one. */
+	/** Ends all runs, and records that this VM begins no other one. */
 	void close() {
-		end();
+		List.copyOf(this.runs.keySet()).forEach(this::end);
 		this.closed = true;
 		tellOthersIfClosed();
 	}
@@ -200,9 +216,26 @@
 		}
 	}
 
-	private void end(RunOutcome outcome) {
-		this.runId.ifPresent((id) -> this.quarantine.recordEnd(id, outcome, System.nanoTime()));
-		this.runId = Optional.empty();
+	private void end(Attempt attempt, RunOutcome outcome) {
+		this.lostAttempts.remove(attempt);
+		GuardedRun run = this.runs.remove(attempt);
+		if (run != null) {
+			this.quarantine.recordEnd(run.id, outcome, System.nanoTime());
+		}
+	}
+
+	private static final class GuardedRun {
+
+		private final String id;
+
+		private OptionalLong firstOutputNanos = OptionalLong.empty();
+
+		private boolean harmless;
+
+		private GuardedRun(String id) {
+			this.id = id;
+		}
+
 	}
 
 }
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/RunHandover.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/RunHandover.java
@@ -9,6 +9,7 @@
 import org.burdocktray.model.NetworkAddress;
 import org.burdocktray.process.directory.Replica;
 import org.burdocktray.request.forward.AttemptOutcome;
+import org.burdocktray.request.forward.EventFramer;
 import org.burdocktray.request.forward.ForwardState;
 import org.burdocktray.version.rules.RequestKind;
 
@@ -17,8 +18,8 @@
  * go on, so silence does not end a run: the silent run is kept until its successor
  * responds. Whichever responds first goes on, the other one is cancelled. Invariants: a
  * request has at most one successor at a time; the silent run is ended only by the
- * {@link Owner}, when it takes the successor over. Thread safety: confined to one event
- * loop.
+ * {@link Owner}, when it takes over the successor at its first whole event. Thread
+ * safety: confined to one event loop.
  */
 final class RunHandover implements Attempt.Listener, StreamRecovery.Owner {
 
@@ -51,6 +52,11 @@
 
 	private Optional<HttpClientResponse> streamHead = Optional.empty();
 
+	/** What the successor has sent of its first event. */
+	private Buffer received = Buffer.buffer();
+
+	private final EventFramer framer = new EventFramer();
+
 	private String lastObstacle = "";
 
 	RunHandover(GatewayContext context, AdmittedRequest admitted, ForwardState state, TargetSelector targetSelector,
@@ -86,7 +92,7 @@
 		}
 		Silence current = new Silence(silent, cause);
 		this.silence = Optional.of(current);
-		Completable lossChecked = this.runGuard.recordLoss(silent.target().replicas());
+		Completable lossChecked = this.runGuard.recordLoss(silent, silent.target().replicas());
 		Completable ready = isStreaming() ? lossChecked : Completable.complete();
 		ready.subscribe(() -> prepare(current, 1));
 	}
@@ -102,6 +108,7 @@
 		if (!isCurrent(current)) {
 			return;
 		}
+		this.runGuard.resumeRun(current.silent());
 		if (result instanceof RunPreparation.Result.Ready ready) {
 			this.silence = Optional.empty();
 			start(current, ready.target());
@@ -125,6 +132,8 @@
 	private void start(Silence current, Target next) {
 		this.state.recordSend();
 		this.streamHead = Optional.empty();
+		this.framer.reset();
+		this.received = Buffer.buffer();
 		this.recovery.onAttemptStart(false);
 		Attempt started = new Attempt(this.context, this.owner.nextRequest(), next, this);
 		this.successor = Optional.of(started);
@@ -170,6 +179,7 @@
 		this.successor.ifPresent((running) -> {
 			this.state.recordOutcome(running.isSent() ? AttemptOutcome.LOST : AttemptOutcome.NOT_SENT);
 			running.cancel();
+			this.runGuard.end(running);
 		});
 		this.successor = Optional.empty();
 	}
@@ -181,14 +191,16 @@
 	 */
 	Optional<Successor> take() {
 		this.silence = Optional.empty();
-		Optional<Successor> taken = this.successor.map((running) -> new Successor(running, this.streamHead));
+		Optional<Successor> taken = this.successor
+			.map((running) -> new Successor(running, this.streamHead, this.received));
 		this.successor = Optional.empty();
 		return taken;
 	}
 
 	@Override
 	public void onSend() {
-		this.runGuard.startRun(this.successor.orElseThrow().target());
+		Attempt sent = this.successor.orElseThrow();
+		this.runGuard.startRun(sent, sent.target());
 	}
 
 	@Override
@@ -198,7 +210,10 @@
 
 	@Override
 	public void onStreamData(Buffer bytes) {
-		handOver().onStreamData(bytes);
+		this.received.appendBuffer(bytes);
+		if (this.framer.accept(bytes.getBytes()).length > 0) {
+			handOver();
+		}
 	}
 
 	@Override
@@ -225,6 +240,9 @@
 		this.successor = Optional.empty();
 		this.state.recordOutcome(outcome);
 		this.context.metrics().recordAttempt(outcome.name());
+		if (outcome == AttemptOutcome.NOT_SENT) {
+			this.context.retryBudget().returnRetry(this.admitted.service().name());
+		}
 		RequestEventLog.logAttemptFailed(this.admitted, failed.target(), outcome, cause, faultAddress);
 		if (this.health.recordFailedAttempt(failed.target().replica(), outcome, faultAddress)) {
 			this.targetSelector.exclude(failed.target().replica());
@@ -264,8 +282,9 @@
 	 *
 	 * @param attempt the attempt
 	 * @param streamHead the head of its stream, empty before it has come
+	 * @param received the bytes of its stream that have come
 	 */
-	record Successor(Attempt attempt, Optional<HttpClientResponse> streamHead) {
+	record Successor(Attempt attempt, Optional<HttpClientResponse> streamHead, Buffer received) {
 
 	}
 
