Gateway: a silent run counts as in progress again only when its successor is prepared

A suspected request whose first target did not respond found its own silent run in the way of the second one. Names: startSuccessor, logRunHandedOver.

--- a/router/src/main/java/org/burdocktray/process/serve/gateway/ForwardExchange.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/ForwardExchange.java
@@ -206,7 +206,7 @@
 		}
 		this.context.vertx().setTimer(silentMillis, (timer) -> {
 			if (isCurrent(timedAttempt)) {
-				succeedRun(timedAttempt, "no response in time");
+				startSuccessor(timedAttempt, "no response in time");
 				startSilenceTimer(timedAttempt);
 			}
 		});
@@ -357,7 +357,7 @@
 	}
 
 	@Override
-	public void succeedRun(Attempt silent, String cause) {
+	public void startSuccessor(Attempt silent, String cause) {
 		if (isCurrent(silent)) {
 			this.handover.begin(silent, cause);
 		}
@@ -371,7 +371,7 @@
 	@Override
 	public Attempt.Listener takeOver(RunHandover.Successor successor) {
 		Attempt silent = currentAttempt();
-		RequestEventLog.logRunSucceeded(this.admitted, silent.target(), successor.attempt().target(),
+		RequestEventLog.logRunHandedOver(this.admitted, silent.target(), successor.attempt().target(),
 				silentNanos(silent));
 		this.state.recordOutcome(AttemptOutcome.LOST);
 		this.context.metrics().recordAttempt(AttemptOutcome.LOST.name());
@@ -387,7 +387,7 @@
 	@Override
 	public void onSuccessorFailure(String cause) {
 		this.finalResponse.setLastCause(cause);
-		this.attempt.ifPresent((silent) -> succeedRun(silent, cause));
+		this.attempt.ifPresent((silent) -> startSuccessor(silent, cause));
 	}
 
 	// Returns false if the request has no successor.
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/RequestEventLog.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/RequestEventLog.java
@@ -51,7 +51,7 @@
 				silent.replica().id(), formatPath(silent.path()), silentNanos / NANOS_PER_MILLI, obstacle);
 	}
 
-	static void logRunSucceeded(AdmittedRequest admitted, Target silent, Target successor, long silentNanos) {
+	static void logRunHandedOver(AdmittedRequest admitted, Target silent, Target successor, long silentNanos) {
 		LOGGER.infof("Run handed over: request=%s replica=%s path=%s silent=%s silentMillis=%d", requestId(admitted),
 				successor.replica().id(), formatPath(successor.path()), silent.replica().id(),
 				silentNanos / NANOS_PER_MILLI);
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/RunHandover.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/RunHandover.java
@@ -108,9 +108,8 @@
 		if (!isCurrent(current)) {
 			return;
 		}
-		this.runGuard.resumeRun(current.silent());
 		if (result instanceof RunPreparation.Result.Ready ready) {
-			this.silence = Optional.empty();
+			endPreparation(current);
 			start(current, ready.target());
 		}
 		else if (result instanceof RunPreparation.Result.Blocked blocked) {
@@ -143,8 +142,13 @@
 		started.start();
 	}
 
-	private void keepSilentRun(Silence current, String obstacle) {
+	private void endPreparation(Silence current) {
 		this.silence = Optional.empty();
+		this.runGuard.resumeRun(current.silent());
+	}
+
+	private void keepSilentRun(Silence current, String obstacle) {
+		endPreparation(current);
 		if (!obstacle.equals(this.lastObstacle)) {
 			this.lastObstacle = obstacle;
 			RequestEventLog.logRunKept(this.admitted, current.silent().target(), obstacle,
@@ -256,14 +260,15 @@
 		return this.successor.filter((running) -> running == candidate).isPresent();
 	}
 
-	// A successor that stalls is not moved to another path, but replaced.
+	// A successor that stalls is not moved to another path, but replaced, see below.
 	@Override
 	public Single<StreamRecovery.PathChange> preparePathChange(Attempt running, Replica failedEngine, Target next) {
 		return Single.just(StreamRecovery.PathChange.NOT_ALLOWED);
 	}
 
+	// The silent run, which is still kept, gets another successor.
 	@Override
-	public void succeedRun(Attempt stalled, String cause) {
+	public void startSuccessor(Attempt stalled, String cause) {
 		stalled.cancel();
 		onFailure(AttemptOutcome.LOST, cause, Optional.empty());
 	}
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/StreamRecovery.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/StreamRecovery.java
@@ -101,7 +101,7 @@
 		Optional<Target> newTarget = this.targetSelector.selectBehindHead(attempt.target());
 		Optional<String> requestId = this.admitted.head().requestId();
 		if (newTarget.isEmpty() || requestId.isEmpty()) {
-			this.owner.succeedRun(attempt, "engine " + engine.id() + " is silent");
+			this.owner.startSuccessor(attempt, "engine " + engine.id() + " is silent");
 			return;
 		}
 		this.pathChangePending = true;
@@ -132,7 +132,7 @@
 			onEngineFailure(attempt, engine);
 			return;
 		}
-		this.owner.succeedRun(attempt, "engine " + engine.id() + " is silent");
+		this.owner.startSuccessor(attempt, "engine " + engine.id() + " is silent");
 	}
 
 	private void onHeadReport(Attempt attempt, Either<String, LoadReport> report) {
@@ -141,7 +141,7 @@
 			return;
 		}
 		if (report.isLeft()) {
-			this.owner.succeedRun(attempt, "first engine is silent: " + report.getLeft());
+			this.owner.startSuccessor(attempt, "first engine is silent: " + report.getLeft());
 			return;
 		}
 		Optional<LoadReport.StalledRequest> stalledRequest = report.get()
@@ -168,7 +168,7 @@
 		}
 		this.unexplainedReports++;
 		if (this.unexplainedReports >= UNEXPLAINED_REPORT_THRESHOLD) {
-			this.owner.succeedRun(attempt, "first engine reports no reason for its silence");
+			this.owner.startSuccessor(attempt, "first engine reports no reason for its silence");
 		}
 	}
 
@@ -183,7 +183,7 @@
 			attempt.switchTarget(next);
 			return;
 		}
-		this.owner.succeedRun(attempt, "path could not be changed: " + result);
+		this.owner.startSuccessor(attempt, "path could not be changed: " + result);
 	}
 
 	/**
@@ -214,7 +214,7 @@
 		 * @param stalled the attempt that has stalled
 		 * @param cause the reason, for logs
 		 */
-		void succeedRun(Attempt stalled, String cause);
+		void startSuccessor(Attempt stalled, String cause);
 
 		/**
 		 * Handles the detection of an engine that blocks streams.
