Gateway: a response without end no longer fills the memory

The caller of an unsafe call got 504 at the deadline where 502 is due at once, and the whole body was kept meanwhile: one attempt of 0.9 s took up to 44 MB, and 58 calls at a time held 179 MB, where the process has a heap of 160 MB.

Cause: HttpClientResponse.body() has no limit. Chunk extensions count nowhere: one byte of body may come with 4 KiB of them.

Lines, head fields, trailers, garbage and bytes after an answer passed before: Vert.x limits these; the tests keep it so.

Now ResponseReader gives a response up at 4 MiB, at the declared length if that is more, and at 4,160 pieces, and closes its connection: the attempt counts as LOST. What all unfinished responses hold together is limited to 16 MiB; beyond that the largest is given up, so small answers get through. The users' answers have some kB.

--- a/router/src/main/java/org/burdocktray/process/serve/gateway/Attempt.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/Attempt.java
@@ -150,14 +150,16 @@
 	}
 
 	private void readResponse(HttpClientResponse response) {
-		response.exceptionHandler((cause) -> fail(AttemptOutcome.LOST, cause.toString(), Optional.empty()));
 		this.streaming = this.request.streaming() && response.statusCode() / 100 == 2;
 		if (!this.streaming) {
-			response.body()
+			this.context.connections()
+				.responses()
+				.readBody(response)
 				.onSuccess((body) -> completeResponse(response, body))
 				.onFailure((cause) -> fail(AttemptOutcome.LOST, cause.toString(), Optional.empty()));
 			return;
 		}
+		response.exceptionHandler((cause) -> fail(AttemptOutcome.LOST, cause.toString(), Optional.empty()));
 		this.listener.onStreamStart(response);
 		response.handler((bytes) -> {
 			if (!this.ended) {
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/BodyCollector.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/BodyCollector.java
@@ -3,7 +3,7 @@
 import io.vertx.core.buffer.Buffer;
 
 /**
- * Collects the body of a caller's request up to a size limit. Thread safety: none,
+ * Collects the body of a request or a response up to a size limit. Thread safety: none,
  * confined to the request.
  */
 final class BodyCollector {
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayMetrics.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayMetrics.java
@@ -46,6 +46,11 @@
 		.help("Responses that this VM broke off after their start")
 		.register(this.registry);
 
+	private final Counter oversizedResponses = Counter.builder()
+		.name("burdocktray_gateway_oversized_responses_total")
+		.help("Responses of replicas that this VM gave up for their size")
+		.register(this.registry);
+
 	private final Counter replicaCrashes = Counter.builder()
 		.name("burdocktray_gateway_replica_crashes_total")
 		.help("Replicas that crashed under requests of this VM")
@@ -89,6 +94,10 @@
 		this.brokenOffResponses.inc();
 	}
 
+	void recordOversizedResponse() {
+		this.oversizedResponses.inc();
+	}
+
 	void recordReplicaCrash() {
 		this.replicaCrashes.inc();
 	}
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayServer.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayServer.java
@@ -138,7 +138,7 @@
 		GatewaySettings.Bounds bounds = this.settings.bounds();
 		FleetRetryBudget retryBudget = new FleetRetryBudget(bounds.retryRatio(), bounds.retryExtra(),
 				TimeUnit.MILLISECONDS.toNanos(bounds.retryWindowMillis()), nowNanos);
-		ReplicaConnections connections = new ReplicaConnections(this.vertx);
+		ReplicaConnections connections = new ReplicaConnections(this.vertx, this.metrics);
 		CrashDetector crashes = new CrashDetector(this.quarantine, new ReplicaProbe(this.vertx, connections),
 				this.metrics);
 		GatewayContext context = new GatewayContext(this.vertx, this.settings.dataCentre(), this.adapter.headers(),
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/ReplicaConnections.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/ReplicaConnections.java
@@ -29,14 +29,23 @@
 
 	private static final int DEFAULT_PORT = 80;
 
+	private static final long MAX_RESPONSE_BYTES = 4 << 20;
+
+	/** A tenth of the heap of a VM. */
+	private static final long MAX_BUFFERED_RESPONSE_BYTES = 16 << 20;
+
 	private final HttpClient pooledClient;
 
 	private final HttpClient singleUseClient;
 
-	ReplicaConnections(Vertx vertx) {
+	private final ResponseReader responses;
+
+	ReplicaConnections(Vertx vertx, GatewayMetrics metrics) {
 		this.pooledClient = vertx
 			.createHttpClient(options().setKeepAlive(true).setKeepAliveTimeout(KEEP_ALIVE_SECONDS));
 		this.singleUseClient = vertx.createHttpClient(options().setKeepAlive(false));
+		this.responses = new ResponseReader(MAX_RESPONSE_BYTES, MAX_BUFFERED_RESPONSE_BYTES,
+				metrics::recordOversizedResponse);
 	}
 
 	/**
@@ -59,6 +68,14 @@
 		return (repeatable ? this.pooledClient : this.singleUseClient).request(options);
 	}
 
+	/**
+	 * Returns the reader for responses on these connections.
+	 * @return the reader, which bounds what all of them hold
+	 */
+	ResponseReader responses() {
+		return this.responses;
+	}
+
 	Future<Void> close() {
 		return Future.all(this.pooledClient.close(), this.singleUseClient.close()).mapEmpty();
 	}
