Gateway: rejections and health answers without end are not read on

A replica that rejects a request (503, not executed) with a body without end kept its connection and the gateway's processor busy without a bound: the body of a rejection, and that of a health answer, was drained without a limit.

Now what is discarded is read for 64 KiB and 1 s at most, so that the connection of an ordinary rejection is kept; beyond that the connection is closed.

--- a/router/src/main/java/org/burdocktray/process/serve/gateway/Attempt.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/Attempt.java
@@ -138,7 +138,7 @@
 			return;
 		}
 		if (head.notExecuted() || response.statusCode() == MISDIRECTED) {
-			response.resume();
+			this.context.connections().responses().discard(response);
 			fail(AttemptOutcome.REJECTED, "status " + response.statusCode(), head.faultAddress());
 			return;
 		}
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/ReplicaConnections.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/ReplicaConnections.java
@@ -44,7 +44,7 @@
 		this.pooledClient = vertx
 			.createHttpClient(options().setKeepAlive(true).setKeepAliveTimeout(KEEP_ALIVE_SECONDS));
 		this.singleUseClient = vertx.createHttpClient(options().setKeepAlive(false));
-		this.responses = new ResponseReader(MAX_RESPONSE_BYTES, MAX_BUFFERED_RESPONSE_BYTES,
+		this.responses = new ResponseReader(vertx, MAX_RESPONSE_BYTES, MAX_BUFFERED_RESPONSE_BYTES,
 				metrics::recordOversizedResponse);
 	}
 
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/ReplicaProbe.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/ReplicaProbe.java
@@ -8,7 +8,6 @@
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpClientRequest;
-import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
 import org.burdocktray.process.directory.Replica;
 
@@ -51,7 +50,7 @@
 		Promise<Result> result = Promise.promise();
 		Future<HttpClientRequest> opened = this.connections.open(replica, HttpMethod.GET, healthPath, false);
 		opened.flatMap(HttpClientRequest::send)
-			.onSuccess(HttpClientResponse::resume)
+			.onSuccess(this.connections.responses()::discard)
 			.onSuccess((response) -> result.tryComplete(Result.RESPONDS))
 			.onFailure((cause) -> result.tryComplete(Result.REFUSES));
 		long timer = this.vertx.setTimer(TIMEOUT_MILLIS, (fired) -> {
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/ResponseReader.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/ResponseReader.java
@@ -5,6 +5,7 @@
 
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
@@ -22,6 +23,9 @@
 
 	private static final Logger LOGGER = Logger.getLogger(ResponseReader.class);
 
+	/** Closing a connection costs less than reading more. */
+	private static final long MAX_DISCARDED_BYTES = 65_536;
+
 	/**
 	 * The size that the pieces of a body must have on average, since chunks have
 	 * extensions, which cost time and are not part of the body.
@@ -31,6 +35,10 @@
 	/** The number of pieces that may be smaller. */
 	private static final long SMALL_PIECES = 64;
 
+	private static final long MAX_DISCARD_MILLIS = 1_000;
+
+	private final Vertx vertx;
+
 	private final long maxResponseBytes;
 
 	private final BufferedBytesLimit bufferedBytesLimit;
@@ -39,11 +47,13 @@
 
 	/**
 	 * Creates a reader.
+	 * @param vertx runs the event loop
 	 * @param maxResponseBytes the size of the largest body
 	 * @param maxBufferedBytes the number of bytes that all unfinished bodies may hold
 	 * @param onGivenUp is called for each response that exceeds a limit
 	 */
-	public ResponseReader(long maxResponseBytes, long maxBufferedBytes, Runnable onGivenUp) {
+	public ResponseReader(Vertx vertx, long maxResponseBytes, long maxBufferedBytes, Runnable onGivenUp) {
+		this.vertx = vertx;
 		this.maxResponseBytes = maxResponseBytes;
 		this.bufferedBytesLimit = new BufferedBytesLimit(maxBufferedBytes);
 		this.onGivenUp = onGivenUp;
@@ -78,6 +88,36 @@
 		return body.future();
 	}
 
+	/**
+	 * Reads a response that nobody needs, so that its connection can be used again.
+	 * Closes the connection if the response is large or does not end soon.
+	 * @param response the response
+	 */
+	public void discard(HttpClientResponse response) {
+		Promise<Void> end = Promise.promise();
+		response.exceptionHandler(end::tryFail);
+		String tooLarge = "discarded response is larger than " + MAX_DISCARDED_BYTES + " bytes";
+		if (declaredLength(response) > MAX_DISCARDED_BYTES) {
+			giveUp(response, end, tooLarge);
+			return;
+		}
+		long timer = this.vertx.setTimer(MAX_DISCARD_MILLIS, (fired) -> {
+			if (end.tryFail("response does not end")) {
+				response.request().reset();
+			}
+		});
+		end.future().onComplete((done) -> this.vertx.cancelTimer(timer));
+		BooleanSupplier pieceLimit = pieceLimit(MAX_DISCARDED_BYTES);
+		long[] discardedBytes = new long[1];
+		response.handler((bytes) -> {
+			discardedBytes[0] += bytes.length();
+			if (!pieceLimit.getAsBoolean() || discardedBytes[0] > MAX_DISCARDED_BYTES) {
+				giveUp(response, end, tooLarge);
+			}
+		});
+		response.endHandler((ended) -> end.tryComplete());
+	}
+
 	/**
 	 * Gives up a request whose response exceeds a limit: closes its connection.
 	 * @param request the request
--- a/router/src/test/java/org/burdocktray/process/serve/gateway/ResponseReaderTests.java
+++ b/router/src/test/java/org/burdocktray/process/serve/gateway/ResponseReaderTests.java
@@ -37,7 +37,7 @@
 
 	@BeforeEach
 	void createReader() {
-		this.reader = new ResponseReader(MAX_RESPONSE_BYTES, MAX_RESPONSE_BYTES,
+		this.reader = new ResponseReader(this.vertx, MAX_RESPONSE_BYTES, MAX_RESPONSE_BYTES,
 				this.givenUp::incrementAndGet);
 	}
 
@@ -84,6 +84,21 @@
 		assertThat(body).failsWithin(5, TimeUnit.SECONDS);
 	}
 
+	@Test
+	void discardsSmallResponseAndKeepsConnection() {
+		startServer("HTTP/1.1 503 Busy\r\nContent-Length: 3\r\n\r\nxxx");
+		get().thenAccept(this.reader::discard).join();
+		assertThat(this.connectionClosed).failsWithin(2, TimeUnit.SECONDS);
+	}
+
+	@Test
+	void closesConnectionOfDiscardedResponseThatDoesNotEnd() {
+		startServer("HTTP/1.1 503 Busy\r\nContent-Length: 4\r\n\r\nxxx");
+		get().thenAccept(this.reader::discard).join();
+		assertThat(this.connectionClosed).succeedsWithin(5, TimeUnit.SECONDS);
+		assertThat(this.givenUp).hasValue(0);
+	}
+
 	private void startServer(String response) {
 		this.server = this.vertx.createNetServer().connectHandler((socket) -> {
 			socket.closeHandler((closed) -> this.connectionClosed.complete(null));
