Gateway: interim responses without end are given up

A replica that sent 100 or 103 heads without end held an unsafe call until its deadline (504), and the gateway read them all meanwhile: Vert.x limits each head but not their number.

EndlessResponseTests failed before with CONTINUE_HEADS for unsafe calls (504, not 502) and EARLY_HINTS_HEADS for streams (16 MB read, 8 MiB allowed).

Now the seventeenth interim response ends the attempt as LOST and closes the connection.

--- a/router/src/main/java/org/burdocktray/process/serve/gateway/ReplicaConnections.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/ReplicaConnections.java
@@ -65,7 +65,8 @@
 			.setPort(replica.address().port())
 			.setMethod(method)
 			.setURI(uri);
-		return (repeatable ? this.pooledClient : this.singleUseClient).request(options);
+		return (repeatable ? this.pooledClient : this.singleUseClient).request(options)
+			.onSuccess(this.responses::limitInterimResponses);
 	}
 
 	/**
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/ResponseReader.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/ResponseReader.java
@@ -23,6 +23,8 @@
 
 	private static final Logger LOGGER = Logger.getLogger(ResponseReader.class);
 
+	private static final int MAX_INTERIM_RESPONSES = 16;
+
 	/** Closing a connection costs less than reading more. */
 	private static final long MAX_DISCARDED_BYTES = 65_536;
 
@@ -59,6 +61,22 @@
 		this.onGivenUp = onGivenUp;
 	}
 
+	/**
+	 * Gives a request up when it gets too many interim responses.
+	 * @param request the request, before it is sent
+	 */
+	public void limitInterimResponses(HttpClientRequest request) {
+		int[] count = new int[1];
+		Runnable onInterimResponse = () -> {
+			count[0]++;
+			if (count[0] == MAX_INTERIM_RESPONSES + 1) {
+				giveUp(request, "more than " + MAX_INTERIM_RESPONSES + " interim responses");
+			}
+		};
+		request.continueHandler((received) -> onInterimResponse.run());
+		request.earlyHintsHandler((received) -> onInterimResponse.run());
+	}
+
 	/**
 	 * Reads the body of a response.
 	 * @param response the response
