Gateway: a stream without events is given up and resumed elsewhere

A stream that goes on with an event without end, or with comments only, counted as progress: neither the stall check nor a size ended the attempt, the caller waited, and the event was buffered whole. The search for its end began anew with each chunk: 64 KiB in one-byte chunks took 1.3 s, 256 KiB took 19.6 s.

Now EventFramer throws once 64 KiB came since the last event with an id (the users' events have at most 420 bytes, and all have ids), and the attempt ends as LOST; a resumable stream goes on at another engine. Events that came complete in the same chunk are delivered first, so none is lost.

--- a/router/src/main/java/org/burdocktray/process/serve/gateway/Attempt.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/Attempt.java
@@ -7,6 +7,7 @@
 import io.vertx.core.http.HttpClientResponse;
 import org.burdocktray.model.NetworkAddress;
 import org.burdocktray.request.forward.AttemptOutcome;
+import org.burdocktray.request.forward.EventTooLargeException;
 
 /**
  * One attempt to send a request to one replica. Invariants: an attempt ends exactly once,
@@ -161,11 +162,7 @@
 		}
 		response.exceptionHandler((cause) -> fail(AttemptOutcome.LOST, cause.toString(), Optional.empty()));
 		this.listener.onStreamStart(response);
-		response.handler((bytes) -> {
-			if (!this.ended) {
-				this.listener.onStreamData(bytes);
-			}
-		});
+		response.handler((bytes) -> readStreamData(response, bytes));
 		response.endHandler((end) -> {
 			if (finish()) {
 				this.listener.onStreamEnd();
@@ -173,6 +170,19 @@
 		});
 	}
 
+	private void readStreamData(HttpClientResponse response, Buffer bytes) {
+		if (this.ended) {
+			return;
+		}
+		try {
+			this.listener.onStreamData(bytes);
+		}
+		catch (EventTooLargeException ex) {
+			this.context.connections().responses().giveUp(response.request(), ex.getMessage());
+			fail(AttemptOutcome.LOST, ex.getMessage(), Optional.empty());
+		}
+	}
+
 	private void completeResponse(HttpClientResponse response, Buffer body) {
 		if (finish()) {
 			this.listener.onResponse(response, body);
@@ -223,6 +233,7 @@
 		/**
 		 * Handles data of a stream.
 		 * @param bytes the next bytes, which may end within an event
+		 * @throws EventTooLargeException if the stream is not one of events
 		 */
 		void onStreamData(Buffer bytes);
 
--- a/router/src/main/java/org/burdocktray/request/forward/EventFramer.java
+++ b/router/src/main/java/org/burdocktray/request/forward/EventFramer.java
@@ -8,7 +8,8 @@
  * Splits the bytes of a server-sent event stream into complete events, which end with an
  * empty line. Invariant: bytes after the last complete event are buffered and not
  * returned, so that a stream that breaks off inside an event can continue at another
- * replica. Thread safety: none, confined to the request.
+ * replica. The time per byte does not depend on the size of the event. Thread safety:
+ * none, confined to the request.
  */
 public final class EventFramer {
 
@@ -16,20 +17,34 @@
 
 	private static final int INITIAL_CAPACITY_BYTES = 512;
 
+	/**
+	 * The size of the largest event, with what precedes it after the last event that had
+	 * an id.
+	 */
+	private static final int MAX_EVENT_BYTES = 65_536;
+
 	private byte[] buffer = new byte[INITIAL_CAPACITY_BYTES];
 
 	private int bufferedLength;
 
+	private long bytesSinceId;
+
 	private Optional<String> lastEventId = Optional.empty();
 
 	/**
 	 * Adds bytes of the stream.
 	 * @param chunk the bytes
 	 * @return the events that are complete now, empty if none is
+	 * @throws EventTooLargeException if the bytes before this chunk exceed the size limit
 	 */
 	public byte[] accept(byte[] chunk) {
+		if (this.bytesSinceId > MAX_EVENT_BYTES) {
+			throw new EventTooLargeException("no event with an id in " + this.bytesSinceId + " bytes");
+		}
+		int scannedLength = this.bufferedLength;
 		append(chunk);
-		int end = endOfLastEvent();
+		this.bytesSinceId += chunk.length;
+		int end = endOfLastEvent(scannedLength);
 		if (end == 0) {
 			return new byte[0];
 		}
@@ -43,6 +58,7 @@
 	/** Discards the buffered part of an incomplete event. */
 	public void reset() {
 		this.bufferedLength = 0;
+		this.bytesSinceId = 0;
 	}
 
 	/**
@@ -70,8 +86,8 @@
 		this.bufferedLength = needed;
 	}
 
-	private int endOfLastEvent() {
-		for (int index = this.bufferedLength - 1; index > 0; index--) {
+	private int endOfLastEvent(int scannedLength) {
+		for (int index = this.bufferedLength - 1; index >= Math.max(1, scannedLength); index--) {
 			if (this.buffer[index] != '\n') {
 				continue;
 			}
@@ -105,6 +121,7 @@
 			}
 		}
 		int start = from + ID_FIELD.length;
+		this.bytesSinceId = this.bufferedLength;
 		this.lastEventId = Optional.of(new String(events, start, to - start, StandardCharsets.UTF_8).trim());
 	}
 
--- a/router/src/test/java/org/burdocktray/request/forward/EventFramerTests.java
+++ b/router/src/test/java/org/burdocktray/request/forward/EventFramerTests.java
@@ -2,17 +2,21 @@
 
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.Arrays;
 import java.util.Random;
 
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 class EventFramerTests {
 
 	private static final String STREAM = "id: 1\ndata: a\n\nid: 2\ndata: bb\n\nid:3\r\ndata: c\r\n\r\n";
 
+	private static final int MAX_EVENT_BYTES = 65_536;
+
 	private final EventFramer framer = new EventFramer();
 
 	@Test
@@ -50,6 +54,45 @@
 		}
 	}
 
+	/** The events before the one that is too large must not be lost. */
+	@Test
+	void returnsCompleteEventsBeforeEventWithoutEnd() {
+		assertThat(accept("id: 1\ndata: a\n\ndata: " + "x".repeat(MAX_EVENT_BYTES + 1)))
+			.isEqualTo("id: 1\ndata: a\n\n");
+		assertThatThrownBy(() -> accept("x")).isInstanceOf(EventTooLargeException.class);
+		assertThat(this.framer.lastEventId()).contains("1");
+		this.framer.reset();
+		assertThat(accept("id: 2\n\n")).isEqualTo("id: 2\n\n");
+	}
+
+	@Test
+	void throwsWhenCommentsContinueWithoutEvent() {
+		assertThatThrownBy(() -> {
+			for (int index = 0; index < MAX_EVENT_BYTES; index++) {
+				accept(": x\n\n");
+			}
+		}).isInstanceOf(EventTooLargeException.class);
+	}
+
+	@Test
+	void acceptsStreamOfAnySizeWithIds() {
+		for (int index = 0; index < MAX_EVENT_BYTES; index++) {
+			accept("id: 1\ndata: some text\n\n");
+		}
+		assertThat(this.framer.hasPartialEvent()).isFalse();
+	}
+
+	/** Guards against a search for the end that starts again with each chunk. */
+	@Test
+	void timePerByteDoesNotGrowWithEvent() {
+		byte[] chunk = { 'x' };
+		long startNanos = System.nanoTime();
+		for (int index = 0; index < MAX_EVENT_BYTES; index++) {
+			this.framer.accept(chunk);
+		}
+		assertThat(Duration.ofNanos(System.nanoTime() - startNanos)).isLessThan(Duration.ofMillis(300));
+	}
+
 	private String accept(String text) {
 		return new String(this.framer.accept(text.getBytes(StandardCharsets.US_ASCII)), StandardCharsets.US_ASCII);
 	}
