--- a/soak/src/main/java/org/burdocktray/soak/SoakPlatform.java
+++ b/soak/src/main/java/org/burdocktray/soak/SoakPlatform.java
@@ -100,7 +100,7 @@
 
 	private void startReplica(int index, String id) throws IOException {
 		PlainReplicaStandIn replica = new PlainReplicaStandIn(id);
-		replica.setEnd(ReplicaEnd.EXIT, this.endedReplicas::add);
+		replica.setEnd(ReplicaEnd.EXIT, (ended, requestId) -> this.endedReplicas.add(ended));
 		replica.start(0);
 		LoopbackProxy proxy = new LoopbackProxy(replica.port());
 		this.replicas.set(index, replica);
@@ -146,7 +146,7 @@
 	void addEngine() {
 		String id = "engine-" + this.engineCount++;
 		LayeredEngineStandIn engine = new LayeredEngineStandIn(id, this.network, EVENTS_PER_STREAM);
-		engine.setEnd(ReplicaEnd.EXIT, this.endedReplicas::add);
+		engine.setEnd(ReplicaEnd.EXIT, (ended, requestId) -> this.endedReplicas.add(ended));
 		engine.startAndJoin();
 		this.engines.put(id, engine);
 		this.standIns.add(engine);
--- a/standins/src/main/java/org/burdocktray/standins/gateway/EngineNetwork.java
+++ b/standins/src/main/java/org/burdocktray/standins/gateway/EngineNetwork.java
@@ -22,8 +22,8 @@
 		this.endingFirstStages = isFirst;
 	}
 
-	void endOneOf(List<String> path) {
-		this.engines.get(path.get(this.endingFirstStages ? 0 : path.size() - 1)).endBecauseOfRequest();
+	void endOneOf(List<String> path, String requestId) {
+		this.engines.get(path.get(this.endingFirstStages ? 0 : path.size() - 1)).endBecauseOfRequest(requestId);
 	}
 
 	void add(LayeredEngineStandIn engine) {
--- a/standins/src/main/java/org/burdocktray/standins/gateway/LayeredEngineStandIn.java
+++ b/standins/src/main/java/org/burdocktray/standins/gateway/LayeredEngineStandIn.java
@@ -193,6 +193,7 @@
 	}
 
 	private void handleRequest(RoutingContext context) {
+		recordArrival(context);
 		String target = context.request().getHeader("X-Burdocktray-Target-Instance");
 		List<PathStage> path = parsePath(context.request().getHeader("X-Burdocktray-Hop-Count"));
 		if (!id().equals(target) || path.stream()
@@ -228,13 +229,22 @@
 		}
 		int firstEvent = (lastEventId != null) ? Integer.parseInt(lastEventId) + 1 : 1;
 		if (isEnding(context)) {
-			endOneStage(response, requestId);
+			beginToEnd(response, requestId);
 			return;
 		}
 		String tail = LONG_EVENTS_BODY.equals(context.body().asString()) ? LONG_EVENT_TAIL : "";
 		sendNextEvent(response, requestId, firstEvent, tail);
 	}
 
+	private void beginToEnd(HttpServerResponse response, String requestId) {
+		if (endMoment() == EndMoment.BEFORE_HEAD) {
+			endOneStage(response, requestId);
+			return;
+		}
+		response.write((endMoment() == EndMoment.INSIDE_EVENT) ? "id: 1\ndata: beg" : "");
+		continueAfter(EVENT_INTERVAL_MILLIS, () -> endOneStage(response, requestId));
+	}
+
 	// Ends one stage of the path, and after each change of the path one of the new path.
 	private void endOneStage(HttpServerResponse response, String requestId) {
 		List<PathStage> path = this.paths.get(requestId);
@@ -242,7 +252,7 @@
 			return;
 		}
 		if (findFailedStage(path).isEmpty()) {
-			this.network.endOneOf(path.stream().map(PathStage::address).toList());
+			this.network.endOneOf(path.stream().map(PathStage::address).toList(), requestId);
 		}
 		continueAfter(EVENT_INTERVAL_MILLIS, () -> endOneStage(response, requestId));
 	}
--- a/standins/src/main/java/org/burdocktray/standins/gateway/PlainReplicaStandIn.java
+++ b/standins/src/main/java/org/burdocktray/standins/gateway/PlainReplicaStandIn.java
@@ -84,6 +84,7 @@
 	}
 
 	private void handleRequest(RoutingContext context) {
+		recordArrival(context);
 		if (this.behaviour == Behaviour.REJECT) {
 			context.response().setStatusCode(503).putHeader("X-Burdocktray-Not-Executed", "1").end();
 			return;
@@ -91,7 +92,7 @@
 		String requestId = context.request().getHeader("X-Burdocktray-Request-Id");
 		this.executedRequestIds.add(requestId);
 		if (isEnding(context)) {
-			endBecauseOfRequest();
+			endBecauseOfRequest(requestId);
 			return;
 		}
 		if (this.behaviour == Behaviour.NEVER_RESPOND) {
--- a/standins/src/main/java/org/burdocktray/standins/gateway/ReplicaStandIn.java
+++ b/standins/src/main/java/org/burdocktray/standins/gateway/ReplicaStandIn.java
@@ -1,7 +1,9 @@
 package org.burdocktray.standins.gateway;
 
+import java.util.Arrays;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 
 import io.vertx.ext.web.Router;
@@ -11,22 +13,31 @@
 
 /**
  * A stand-in for a replica, which can end at any time, also because of a request: one
- * whose body is {@link #ENDING_BODY} ends each replica that begins to run it. A sound
- * replica can also fall silent for a while: it sends nothing and handles nothing that
- * arrives, its connections stay open, and afterwards it goes on with all of that in
- * order. Thread safety: see {@link HttpStandIn}; what ends or silences the replica may be
- * called from any thread.
+ * whose body is {@link #ENDING_BODY}, or with a prompt part whose id begins with
+ * {@link #ENDING_PART_PREFIX}, ends each replica that begins to run it. A sound replica
+ * can also fall silent for a while: it sends nothing and handles nothing that arrives,
+ * its connections stay open, and afterwards it goes on with all of that in order. Thread
+ * safety: see {@link HttpStandIn}; what ends or silences the replica may be called from
+ * any thread.
  */
 public abstract class ReplicaStandIn extends HttpStandIn {
 
 	/** The body of requests that end replicas. */
 	public static final String ENDING_BODY = "ends the replicas that run it";
 
+	/** The beginning of the ids of prompt parts that end replicas. */
+	public static final String ENDING_PART_PREFIX = "dead";
+
 	private final String id;
 
 	private volatile ReplicaEnd howItEnds = ReplicaEnd.EXIT;
 
-	private volatile Optional<Consumer<ReplicaStandIn>> endListener = Optional.empty();
+	private volatile EndMoment endMoment = EndMoment.BEFORE_HEAD;
+
+	private volatile Optional<BiConsumer<ReplicaStandIn, String>> endListener = Optional.empty();
+
+	private volatile Consumer<String> arrivalListener = (requestId) -> {
+	};
 
 	private final FreezeGate gate = new FreezeGate(this::hasFailed);
 
@@ -45,9 +56,10 @@
 	/**
 	 * Sets how the replica ends. Must be called before the start.
 	 * @param how how the replica ends
-	 * @param listener is told when a request has ended the replica
+	 * @param listener is told when a request has ended the replica, with the id of the
+	 * request
 	 */
-	public final void setEnd(ReplicaEnd how, Consumer<ReplicaStandIn> listener) {
+	public final void setEnd(ReplicaEnd how, BiConsumer<ReplicaStandIn, String> listener) {
 		this.howItEnds = how;
 		this.endListener = Optional.of(listener);
 		if (how == ReplicaEnd.RESET) {
@@ -55,6 +67,23 @@
 		}
 	}
 
+	/**
+	 * Sets when a request ends the replica.
+	 * @param moment the moment, relative to the response of the first replica
+	 */
+	public final void setEndMoment(EndMoment moment) {
+		this.endMoment = moment;
+	}
+
+	/**
+	 * Sets who is told of each request that reaches the replica, also one that it
+	 * rejects.
+	 * @param listener receives the id of the request
+	 */
+	public final void setArrivalListener(Consumer<String> listener) {
+		this.arrivalListener = listener;
+	}
+
 	/**
 	 * Lets the replica fall silent, and go on afterwards. Where silences overlap, it goes
 	 * on after the last one.
@@ -84,10 +113,10 @@
 		}
 	}
 
-	final void endBecauseOfRequest() {
+	final void endBecauseOfRequest(String requestId) {
 		if (!this.failed) {
 			end();
-			this.endListener.ifPresent((listener) -> listener.accept(this));
+			this.endListener.ifPresent((listener) -> listener.accept(this, requestId));
 		}
 	}
 
@@ -108,8 +137,22 @@
 		runAfter(delayMillis, () -> this.gate.submit(action));
 	}
 
+	final EndMoment endMoment() {
+		return this.endMoment;
+	}
+
+	final void recordArrival(RoutingContext context) {
+		this.arrivalListener.accept(context.request().getHeader(WireHeaders.REQUEST_ID));
+	}
+
 	static boolean isEnding(RoutingContext context) {
-		return context.body() != null && ENDING_BODY.equals(context.body().asString());
+		boolean hasEndingBody = context.body() != null && ENDING_BODY.equals(context.body().asString());
+		return hasEndingBody || hasEndingPart(context.request().getHeader(WireHeaders.PROMPT_PARTS));
+	}
+
+	private static boolean hasEndingPart(String parts) {
+		return parts != null
+				&& Arrays.stream(parts.split(",")).anyMatch((part) -> part.trim().startsWith(ENDING_PART_PREFIX));
 	}
 
 	@Override
--- a/standins/src/main/java/org/burdocktray/standins/gateway/WireHeaders.java
+++ b/standins/src/main/java/org/burdocktray/standins/gateway/WireHeaders.java
@@ -14,6 +14,9 @@
 	/** The number of prompt tokens and the max number of output tokens. */
 	public static final String TOKEN_COUNT = "X-Burdocktray-Token-Count";
 
+	/** The parts of the prompt in order, as a list of ids with their lengths. */
+	public static final String PROMPT_PARTS = "X-Burdocktray-Prompt-Prefix";
+
 	/** The signature of the upstream that produced a complete response. */
 	public static final String SIGNATURE = "X-Burdocktray-Response-Signature";
 
