--- a/router/src/main/java/org/burdocktray/process/quarantine/Quarantine.java
+++ b/router/src/main/java/org/burdocktray/process/quarantine/Quarantine.java
@@ -2,14 +2,12 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Comparator;
-import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Predicate;
 
 import org.burdocktray.connection.peer.generated.Gossip;
@@ -54,14 +52,11 @@
 
 	private final String vmName;
 
-	private final Map<Fingerprint, Suspect> suspects = new LinkedHashMap<>();
+	private final SuspectTable suspects;
 
 	private final RunTable runs = new RunTable();
 
-	private final Set<Fingerprint> changedEntries = new LinkedHashSet<>();
-
-	/** The times from which entries may be written. */
-	private final Map<Fingerprint, Long> entriesToStore = new LinkedHashMap<>();
+	private final EntryOutbox outbox;
 
 	private long lastRun;
 
@@ -73,6 +68,8 @@
 	public Quarantine(QuarantineSettings settings, String vmName) {
 		this.settings = settings;
 		this.vmName = vmName;
+		this.suspects = new SuspectTable(settings.maxEntries());
+		this.outbox = new EntryOutbox(this.suspects, settings.storesSuspects());
 	}
 
 	/**
@@ -83,22 +80,21 @@
 	 */
 	public synchronized QuarantineDecision check(Fingerprint fingerprint, long nowNanos) {
 		confirmOverdue(fingerprint, nowNanos);
-		Suspect suspect = this.suspects.get(fingerprint);
-		boolean isSuspected = suspect != null && suspect.isSuspected() && suspect.expiresAtNanos() - nowNanos > 0;
-		if (isSuspected && suspect.isQuarantined()) {
-			return new QuarantineDecision.Refuse(suspect.expiresAtNanos());
+		Optional<Suspect> suspect = this.suspects.findCurrent(fingerprint, nowNanos).filter(Suspect::isSuspected);
+		if (suspect.isPresent() && suspect.get().isQuarantined()) {
+			return new QuarantineDecision.Refuse(suspect.get().expiresAtNanos());
 		}
-		int knownCrashes = isSuspected ? suspect.countedCrashes().size() : 0;
+		int knownCrashes = suspect.map((known) -> known.countedCrashes().size()).orElse(0);
 		if (knownCrashes + this.runs.lostRuns(fingerprint) >= Suspect.CRASHES_TO_QUARANTINE) {
 			return new QuarantineDecision.Wait(nowNanos + LOSS_CHECK_NANOS);
 		}
-		if (!isSuspected) {
+		if (suspect.isEmpty()) {
 			return new QuarantineDecision.Run();
 		}
-		if (suspect.isRunning(nowNanos)) {
-			return new QuarantineDecision.Wait(suspect.runningUntilNanos());
+		if (suspect.get().isRunning(nowNanos)) {
+			return new QuarantineDecision.Wait(suspect.get().runningUntilNanos());
 		}
-		return new QuarantineDecision.RunAlone(upstreamsOfSuspects());
+		return new QuarantineDecision.RunAlone(this.runs.upstreamsOf(this.suspects::isSuspected));
 	}
 
 	/**
@@ -112,10 +108,9 @@
 	public synchronized String recordStart(Fingerprint fingerprint, Set<String> upstreams, long nowNanos) {
 		String runId = this.vmName + '#' + ++this.lastRun;
 		this.runs.add(runId, fingerprint, upstreams);
-		Suspect suspect = this.suspects.get(fingerprint);
-		if (suspect != null && suspect.isSuspected()) {
-			announceRun(fingerprint, suspect, nowNanos);
-		}
+		this.suspects.find(fingerprint)
+			.filter(Suspect::isSuspected)
+			.ifPresent((suspect) -> announceRun(fingerprint, suspect, nowNanos));
 		return runId;
 	}
 
@@ -146,37 +141,38 @@
 	 * @param nowNanos the time
 	 */
 	public synchronized void recordEnd(String runId, RunOutcome outcome, long nowNanos) {
-		Optional<Fingerprint> ended = this.runs.remove(runId).map(RunTable.Run::fingerprint);
-		Suspect suspect = ended.map(this.suspects::get).orElse(null);
-		if (suspect == null) {
-			return;
-		}
-		Fingerprint fingerprint = ended.get();
-		if (outcome == RunOutcome.SUCCEEDED) {
-			clear(fingerprint, nowNanos);
-		}
-		boolean announced = suspect.runningVm().equals(this.vmName) && !this.runs.contains(fingerprint);
-		if (announced) {
+		this.runs.remove(runId).map(RunTable.Run::fingerprint).ifPresent((fingerprint) -> {
+			if (outcome == RunOutcome.SUCCEEDED) {
+				clear(fingerprint, nowNanos);
+			}
+			this.suspects.find(fingerprint).ifPresent((suspect) -> announceEnd(fingerprint, suspect));
+		});
+	}
+
+	private void announceEnd(Fingerprint fingerprint, Suspect suspect) {
+		boolean isAnnounced = suspect.runningVm().equals(this.vmName) && !this.runs.contains(fingerprint);
+		if (isAnnounced) {
 			suspect.setRunning("", 0);
-			markForGossip(fingerprint);
+			this.outbox.addToGossip(fingerprint);
 		}
 	}
 
 	// Clears quarantined requests too: a run that succeeds shows that the crashes had
 	// other reasons.
 	private void clear(Fingerprint fingerprint, long nowNanos) {
-		Suspect suspect = this.suspects.get(fingerprint);
-		if (suspect == null || suspect.update((crash) -> true, EvidenceState.DISMISSED) == 0) {
-			return;
-		}
-		markDismissal(fingerprint, suspect, nowNanos);
+		this.suspects.find(fingerprint)
+			.ifPresent((suspect) -> dismiss(fingerprint, suspect, (crash) -> true, nowNanos));
 	}
 
-	private void markDismissal(Fingerprint fingerprint, Suspect suspect, long nowNanos) {
-		markForGossip(fingerprint);
-		if (suspect.isStored()) {
-			this.entriesToStore.put(fingerprint, nowNanos);
+	private int dismiss(Fingerprint fingerprint, Suspect suspect, Predicate<CrashEvidence> condition, long nowNanos) {
+		int dismissed = suspect.update(condition, EvidenceState.DISMISSED);
+		if (dismissed > 0) {
+			this.outbox.addToGossip(fingerprint);
+			if (suspect.isStored()) {
+				this.outbox.addToStore(fingerprint, nowNanos);
+			}
 		}
+		return dismissed;
 	}
 
 	/**
@@ -215,16 +211,10 @@
 	 * @return the number of runs that are cleared of the silence
 	 */
 	public synchronized int recordResponse(String upstream, long nowNanos) {
-		int dismissed = 0;
-		for (Map.Entry<Fingerprint, Suspect> entry : this.suspects.entrySet()) {
-			int changes = entry.getValue()
-				.update((crash) -> crash.isProvisional() && crash.upstream().equals(upstream), EvidenceState.DISMISSED);
-			if (changes > 0) {
-				markDismissal(entry.getKey(), entry.getValue(), nowNanos);
-			}
-			dismissed += changes;
-		}
-		return dismissed;
+		AtomicInteger dismissed = new AtomicInteger();
+		this.suspects.forEach((fingerprint, suspect) -> dismissed.addAndGet(dismiss(fingerprint, suspect,
+				(crash) -> crash.isProvisional() && crash.upstream().equals(upstream), nowNanos)));
+		return dismissed.get();
 	}
 
 	private int addEvidence(String upstream, EvidenceState state, long nowNanos) {
@@ -234,25 +224,24 @@
 		int newEvidence = 0;
 		for (Map.Entry<String, RunTable.Run> entry : affected.entrySet()) {
 			Fingerprint fingerprint = entry.getValue().fingerprint();
-			Suspect suspect = this.suspects.computeIfAbsent(fingerprint, (key) -> new Suspect(nowNanos));
+			Suspect suspect = this.suspects.findOrAdd(fingerprint, nowNanos);
 			if (suspect.add(new CrashEvidence(entry.getKey(), upstream, nowNanos, sharedBy, state))) {
 				newEvidence++;
 			}
 			extend(suspect, nowNanos);
 			announceRun(fingerprint, suspect, nowNanos);
 		}
-		evict(nowNanos);
+		this.suspects.evict(nowNanos);
 		return newEvidence;
 	}
 
 	// The entries of requests that have become quarantined by it are kept for longer, and
 	// written at once.
 	private int confirm(Predicate<CrashEvidence> condition, long nowNanos) {
-		int confirmed = 0;
-		for (Map.Entry<Fingerprint, Suspect> entry : this.suspects.entrySet()) {
-			confirmed += confirm(entry.getKey(), entry.getValue(), condition, nowNanos);
-		}
-		return confirmed;
+		AtomicInteger confirmed = new AtomicInteger();
+		this.suspects
+			.forEach((fingerprint, suspect) -> confirmed.addAndGet(confirm(fingerprint, suspect, condition, nowNanos)));
+		return confirmed.get();
 	}
 
 	private int confirm(Fingerprint fingerprint, Suspect suspect, Predicate<CrashEvidence> condition, long nowNanos) {
@@ -260,17 +249,15 @@
 				EvidenceState.CONFIRMED);
 		if (confirmed > 0) {
 			extend(suspect, nowNanos);
-			markForGossip(fingerprint);
+			this.outbox.addToGossip(fingerprint);
 			markForStore(fingerprint, suspect, nowNanos);
 		}
 		return confirmed;
 	}
 
 	private void confirmOverdue(Fingerprint fingerprint, long nowNanos) {
-		Suspect suspect = this.suspects.get(fingerprint);
-		if (suspect != null && suspect.expiresAtNanos() - nowNanos > 0) {
-			confirm(fingerprint, suspect, (crash) -> crash.isOverdue(nowNanos), nowNanos);
-		}
+		this.suspects.findCurrent(fingerprint, nowNanos)
+			.ifPresent((suspect) -> confirm(fingerprint, suspect, (crash) -> crash.isOverdue(nowNanos), nowNanos));
 	}
 
 	@Override
@@ -280,13 +267,13 @@
 			.stream()
 			.filter((entry) -> merge(entry, nowNanos))
 			.forEach((entry) -> changes.add(QuarantineCodec.fingerprint(entry)));
-		evict(nowNanos);
+		this.suspects.evict(nowNanos);
 		return items(changes, nowNanos);
 	}
 
 	@Override
 	public synchronized Gossip table(long nowNanos) {
-		removeExpired(nowNanos);
+		this.suspects.removeExpired(nowNanos);
 		Gossip.Builder table = Gossip.newBuilder();
 		this.suspects.forEach(
 				(fingerprint, suspect) -> table.addQuarantine(QuarantineCodec.encode(fingerprint, suspect, nowNanos)));
@@ -295,9 +282,7 @@
 
 	@Override
 	public synchronized List<GossipItem> takeLocalChanges(long nowNanos) {
-		List<GossipItem> items = items(this.changedEntries, nowNanos);
-		this.changedEntries.clear();
-		return items;
+		return items(this.outbox.takeForGossip(), nowNanos);
 	}
 
 	/**
@@ -309,24 +294,15 @@
 	 * @return the entries
 	 */
 	public synchronized List<QuarantineEntry> takeEntriesToStore(int limit, long nowNanos) {
-		this.entriesToStore.keySet().retainAll(this.suspects.keySet());
-		this.entriesToStore.keySet().removeIf((fingerprint) -> !isWorthStoring(this.suspects.get(fingerprint)));
-		List<Fingerprint> taken = this.entriesToStore.entrySet()
+		return this.outbox.takeForStore(limit, this::isSettled, nowNanos)
 			.stream()
-			.filter((entry) -> entry.getValue() - nowNanos <= 0)
-			.map(Map.Entry::getKey)
-			.filter(this::isSettled)
-			.sorted(Comparator
-				.comparingInt((Fingerprint fingerprint) -> this.suspects.get(fingerprint).countedCrashes().size())
-				.reversed())
-			.limit(limit)
+			.flatMap((fingerprint) -> takeEntry(fingerprint, nowNanos).stream())
 			.toList();
-		taken.forEach(this.entriesToStore::remove);
-		return taken.stream().map((fingerprint) -> {
-			Suspect suspect = this.suspects.get(fingerprint);
-			suspect.markStored();
-			return QuarantineCodec.encodeEvidence(fingerprint, suspect, nowNanos);
-		}).toList();
+	}
+
+	private Optional<QuarantineEntry> takeEntry(Fingerprint fingerprint, long nowNanos) {
+		this.suspects.find(fingerprint).ifPresent(Suspect::markStored);
+		return entry(fingerprint, nowNanos);
 	}
 
 	/**
@@ -335,7 +311,7 @@
 	 * @param nowNanos the time
 	 */
 	synchronized void returnEntryToStore(Fingerprint fingerprint, long nowNanos) {
-		this.entriesToStore.put(fingerprint, nowNanos);
+		this.outbox.addToStore(fingerprint, nowNanos);
 	}
 
 	/**
@@ -345,7 +321,7 @@
 	 * @param nowNanos the time
 	 */
 	public synchronized void recordGivenUp(Fingerprint fingerprint, long nowNanos) {
-		this.entriesToStore.computeIfPresent(fingerprint, (key, dueNanos) -> nowNanos);
+		this.outbox.hasten(fingerprint, nowNanos);
 	}
 
 	/**
@@ -355,7 +331,7 @@
 	 * @return the entry, empty if there is none any more
 	 */
 	synchronized Optional<QuarantineEntry> entry(Fingerprint fingerprint, long nowNanos) {
-		return Optional.ofNullable(this.suspects.get(fingerprint))
+		return this.suspects.find(fingerprint)
 			.map((suspect) -> QuarantineCodec.encodeEvidence(fingerprint, suspect, nowNanos));
 	}
 
@@ -366,7 +342,7 @@
 		Fingerprint fingerprint = QuarantineCodec.fingerprint(entry);
 		Suspect received = new Suspect(nowNanos);
 		entry.getCrashesList().forEach((crash) -> received.add(QuarantineCodec.crash(crash, nowNanos)));
-		Suspect suspect = this.suspects.computeIfAbsent(fingerprint, (key) -> new Suspect(nowNanos));
+		Suspect suspect = this.suspects.findOrAdd(fingerprint, nowNanos);
 		boolean quarantinedBefore = suspect.isQuarantined();
 		boolean changed = suspect.mergeRunning(entry.getRunningVm(),
 				nowNanos + QuarantineCodec.nanos(entry.getRunningForMillis()), entry.getRunningRevision());
@@ -398,63 +374,32 @@
 
 	private void announceRun(Fingerprint fingerprint, Suspect suspect, long nowNanos) {
 		suspect.setRunning(this.vmName, nowNanos + this.settings.maxRunNanos());
-		markForGossip(fingerprint);
+		this.outbox.addToGossip(fingerprint);
 		markForStore(fingerprint, suspect, nowNanos);
 	}
 
-	private void markForGossip(Fingerprint fingerprint) {
-		if (!this.settings.storesSuspects()) {
-			this.changedEntries.add(fingerprint);
-		}
-	}
-
 	// Only the VMs that observed one of the crashes store the entry, not all that receive
 	// it.
 	private void markForStore(Fingerprint fingerprint, Suspect suspect, long nowNanos) {
-		if (isWorthStoring(suspect)
+		if (this.outbox.isWorthStoring(fingerprint)
 				&& suspect.crashes().stream().anyMatch((crash) -> crash.runId().startsWith(this.vmName + '#'))) {
-			this.entriesToStore.put(fingerprint, nowNanos + (suspect.isHeldBack() ? 0 : RETRY_NANOS));
+			this.outbox.addToStore(fingerprint, nowNanos + (suspect.isHeldBack() ? 0 : RETRY_NANOS));
 		}
 	}
 
 	private boolean isSettled(Fingerprint fingerprint) {
-		Suspect suspect = this.suspects.get(fingerprint);
-		return !this.runs.isInProgress(fingerprint) || suspect.isHeldBack() || !suspect.isSuspected();
-	}
-
-	private boolean isWorthStoring(Suspect suspect) {
-		boolean isSuspected = this.settings.storesSuspects() ? suspect.isSuspected() : suspect.isQuarantined();
-		return isSuspected || suspect.isStored();
-	}
-
-	private Set<String> upstreamsOfSuspects() {
-		return this.runs.upstreamsOf((fingerprint) -> {
-			Suspect suspect = this.suspects.get(fingerprint);
-			return suspect != null && suspect.isSuspected();
-		});
-	}
-
-	private void removeExpired(long nowNanos) {
-		this.suspects.values().removeIf((suspect) -> suspect.expiresAtNanos() - nowNanos <= 0);
-	}
-
-	private void evict(long nowNanos) {
-		removeExpired(nowNanos);
-		while (this.suspects.size() > this.settings.maxEntries()) {
-			this.suspects.entrySet()
-				.stream()
-				.min(Comparator.<Map.Entry<Fingerprint, Suspect>>comparingDouble((entry) -> entry.getValue().score())
-					.thenComparingLong((entry) -> entry.getValue().expiresAtNanos()))
-				.map(Map.Entry::getKey)
-				.ifPresent(this.suspects::remove);
-		}
+		boolean willChange = this.suspects.find(fingerprint)
+			.filter((suspect) -> !suspect.isHeldBack() && suspect.isSuspected())
+			.isPresent();
+		return !willChange || !this.runs.isInProgress(fingerprint);
 	}
 
 	private List<GossipItem> items(Collection<Fingerprint> fingerprints, long nowNanos) {
 		return fingerprints.stream()
 			.distinct()
-			.filter(this.suspects::containsKey)
-			.map((fingerprint) -> item(fingerprint, this.suspects.get(fingerprint), nowNanos))
+			.flatMap((fingerprint) -> this.suspects.find(fingerprint)
+				.map((suspect) -> item(fingerprint, suspect, nowNanos))
+				.stream())
 			.toList();
 	}
 
--- /dev/null
+++ b/router/src/main/java/org/burdocktray/process/quarantine/SuspectTable.java
@@ -0,0 +1,69 @@
+package org.burdocktray.process.quarantine;
+
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.BiConsumer;
+
+/**
+ * The suspects that a VM remembers. Invariant: after {@link #evict} there are not more of
+ * them than the limit; those with the least suspicion go first. Thread safety: none.
+ */
+final class SuspectTable {
+
+	private final int maxEntries;
+
+	private final Map<Fingerprint, Suspect> suspects = new LinkedHashMap<>();
+
+	SuspectTable(int maxEntries) {
+		this.maxEntries = maxEntries;
+	}
+
+	Optional<Suspect> find(Fingerprint fingerprint) {
+		return Optional.ofNullable(this.suspects.get(fingerprint));
+	}
+
+	/**
+	 * Returns a suspect that has not expired.
+	 * @param fingerprint the request
+	 * @param nowNanos the time
+	 * @return the suspect, empty if there is none
+	 */
+	Optional<Suspect> findCurrent(Fingerprint fingerprint, long nowNanos) {
+		return find(fingerprint).filter((suspect) -> suspect.expiresAtNanos() - nowNanos > 0);
+	}
+
+	Suspect findOrAdd(Fingerprint fingerprint, long nowNanos) {
+		return this.suspects.computeIfAbsent(fingerprint, (absent) -> new Suspect(nowNanos));
+	}
+
+	boolean isSuspected(Fingerprint fingerprint) {
+		return find(fingerprint).filter(Suspect::isSuspected).isPresent();
+	}
+
+	void forEach(BiConsumer<Fingerprint, Suspect> action) {
+		this.suspects.forEach(action);
+	}
+
+	void removeExpired(long nowNanos) {
+		this.suspects.values().removeIf((suspect) -> suspect.expiresAtNanos() - nowNanos <= 0);
+	}
+
+	/**
+	 * Removes expired entries, and further ones until the limit holds.
+	 * @param nowNanos the time
+	 */
+	void evict(long nowNanos) {
+		removeExpired(nowNanos);
+		while (this.suspects.size() > this.maxEntries) {
+			this.suspects.entrySet()
+				.stream()
+				.min(Comparator.<Map.Entry<Fingerprint, Suspect>>comparingDouble((entry) -> entry.getValue().score())
+					.thenComparingLong((entry) -> entry.getValue().expiresAtNanos()))
+				.map(Map.Entry::getKey)
+				.ifPresent(this.suspects::remove);
+		}
+	}
+
+}
