Gateway: the log names the prompt parts of each request it sends

The log of the incident could not tell which of the hypotheses holds: nothing in it says what the requests that crash replicas have in common.

--- a/router/src/main/java/org/burdocktray/process/serve/gateway/RequestEventLog.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/RequestEventLog.java
@@ -1,5 +1,6 @@
 package org.burdocktray.process.serve.gateway;
 
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.stream.Collectors;
@@ -23,13 +24,18 @@
 
 	private static final long NANOS_PER_MILLI = 1_000_000;
 
+	private static final int MAX_LOGGED_PARTS = 16;
+
+	private static final int MAX_PART_CHARACTERS = 32;
+
 	private RequestEventLog() {
 	}
 
 	static void logSent(AdmittedRequest admitted, Target target, ForwardState state) {
-		LOGGER.infof("Request sent: request=%s content=%s route=%s rules=%d replica=%s path=%s ranBefore=%s",
-				requestId(admitted), admitted.fingerprint().shortDigest(), admitted.route().name(),
-				admitted.rulesVersion(), target.replica().id(), formatPath(target.path()), state.verdict().wireName());
+		LOGGER.infof("Request sent: request=%s content=%s parts=%s route=%s rules=%d replica=%s path=%s ranBefore=%s",
+				requestId(admitted), admitted.fingerprint().shortDigest(), formatParts(admitted.head().promptParts()),
+				admitted.route().name(), admitted.rulesVersion(), target.replica().id(), formatPath(target.path()),
+				state.verdict().wireName());
 	}
 
 	static void logAttemptFailed(AdmittedRequest admitted, Target target, AttemptOutcome outcome, String cause,
@@ -98,6 +104,13 @@
 		return admitted.head().requestId().orElse("");
 	}
 
+	private static String formatParts(List<String> parts) {
+		return parts.stream()
+			.limit(MAX_LOGGED_PARTS)
+			.map((id) -> id.substring(0, Math.min(MAX_PART_CHARACTERS, id.length())))
+			.collect(Collectors.joining(","));
+	}
+
 	private static String formatPath(Optional<LayerPath> path) {
 		return path
 			.map((layerPath) -> layerPath.stages()
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/RequestHead.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/RequestHead.java
@@ -1,5 +1,6 @@
 package org.burdocktray.process.serve.gateway;
 
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
@@ -15,9 +16,15 @@
  * @param maxOutputTokens the maximum length of the output in tokens
  * @param expectedOutputTokens the caller's estimate of the length of the output in tokens
  * @param lastEventId the id of the event after which a resumed stream continues
+ * @param promptParts the ids of the parts of the prompt in order; all but the last one
+ * may be shared with other requests
  */
 public record RequestHead(Optional<String> requestId, OptionalLong deadlineMillis, Optional<String> key,
 		OptionalInt promptTokens, OptionalInt maxOutputTokens, OptionalInt expectedOutputTokens,
-		Optional<String> lastEventId) {
+		Optional<String> lastEventId, List<String> promptParts) {
+
+	public RequestHead {
+		promptParts = List.copyOf(promptParts);
+	}
 
 }
