Quarantine: parts of prompts are held responsible for crashes as well as whole requests

Cause: the quarantine knew requests as a whole only, so that each of them was a stranger, and sound ones beside them were in two crashes and refused.

A run now makes suspects of its request and of the parts of its prompt but the last. A part is quarantined after three independent crashes under two requests or more, of which runs began one after the other; one crash more if answers with it have begun well in the last ten minutes. A request is refused only if the parts that it does not have can't explain the crashes of those that it has; a crash that a quarantined part explains counts against no request. An answer that goes on for 0.5 s, or ends well, clears its parts. Entries spread, expire and are limited as those of requests.

Ruled out: entries forgotten or a way round the check (the record has no quarantined content that was sent again).

--- a/router/src/main/java/org/burdocktray/process/explain/EndCause.java
+++ b/router/src/main/java/org/burdocktray/process/explain/EndCause.java
@@ -19,6 +19,9 @@
 	QUARANTINED("request is quarantined",
 			"Replicas crashed under two runs of a request with this path, organisation and body, so it is not sent again."),
 
+	PART_QUARANTINED("a part of the prompt is quarantined",
+			"Replicas crashed under several requests that share a part of their prompts, so no request with that part is sent."),
+
 	OTHER_RUN("another run of the request is in progress",
 			"A replica crashed under a request with this path, organisation and body, and its next run had not ended."),
 
--- a/router/src/main/java/org/burdocktray/process/quarantine/CrashEvidence.java
+++ b/router/src/main/java/org/burdocktray/process/quarantine/CrashEvidence.java
@@ -1,5 +1,8 @@
 package org.burdocktray.process.quarantine;
 
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -12,13 +15,34 @@
  * @param sharedBy the number of requests that the reporting VM was running on the
  * upstream
  * @param state what is known of the crash
+ * @param run what is known of the run
  */
-record CrashEvidence(String runId, String upstream, long crashedAtNanos, int sharedBy, EvidenceState state) {
+record CrashEvidence(String runId, String upstream, long crashedAtNanos, int sharedBy, EvidenceState state,
+		CrashedRun run) {
 
 	// VMs detect the same crash at different times, and by a timeout if the host has
 	// failed.
 	private static final long SAME_CRASH_NANOS = TimeUnit.SECONDS.toNanos(10);
 
+	CrashEvidence(String runId, String upstream, long crashedAtNanos, int sharedBy, EvidenceState state) {
+		this(runId, upstream, crashedAtNanos, sharedBy, state, CrashedRun.UNKNOWN);
+	}
+
+	/**
+	 * Selects crashes that are independent of each other.
+	 * @param crashes the crashes
+	 * @return the first of each group of crashes that depend on each other
+	 */
+	static List<CrashEvidence> independent(Collection<CrashEvidence> crashes) {
+		List<CrashEvidence> counted = new ArrayList<>();
+		for (CrashEvidence crash : crashes) {
+			if (counted.stream().allMatch(crash::isIndependentOf)) {
+				counted.add(crash);
+			}
+		}
+		return counted;
+	}
+
 	boolean isSameCrash(CrashEvidence other) {
 		return this.upstream.equals(other.upstream)
 				&& Math.abs(this.crashedAtNanos - other.crashedAtNanos) < SAME_CRASH_NANOS;
@@ -28,6 +52,15 @@
 		return !isSameCrash(other) && !this.runId.equals(other.runId);
 	}
 
+	/**
+	 * Returns whether the run began after another crash.
+	 * @param other the other crash
+	 * @return false if the run was in progress then
+	 */
+	boolean beganAfter(CrashEvidence other) {
+		return this.crashedAtNanos - this.run.ageNanos() - other.crashedAtNanos > 0;
+	}
+
 	boolean isProvisional() {
 		return this.state == EvidenceState.PROVISIONAL;
 	}
@@ -62,7 +95,8 @@
 	 */
 	CrashEvidence merge(EvidenceState other) {
 		return (other.compareTo(this.state) > 0)
-				? new CrashEvidence(this.runId, this.upstream, this.crashedAtNanos, this.sharedBy, other) : this;
+				? new CrashEvidence(this.runId, this.upstream, this.crashedAtNanos, this.sharedBy, other, this.run)
+				: this;
 	}
 
 	String id() {
--- a/router/src/main/java/org/burdocktray/process/quarantine/Fingerprint.java
+++ b/router/src/main/java/org/burdocktray/process/quarantine/Fingerprint.java
@@ -1,17 +1,42 @@
 package org.burdocktray.process.quarantine;
 
+import java.nio.charset.StandardCharsets;
+
+import org.burdocktray.request.service.RequestDigest;
+
 /**
- * Identifies a request in the quarantine. Requests with equal fingerprints are treated as
- * the same request. Thread safety: immutable.
+ * Identifies a request, or a part of prompts, in the quarantine. Requests with equal
+ * fingerprints are treated as the same request. Thread safety: immutable.
  *
- * @param organisation the name of the organisation, empty if it is unknown
- * @param bodyDigest SHA-256 of the body, or of all that identifies the request,
- * lower-case hex
+ * @param organisation the name of the organisation, empty if it is unknown and for parts,
+ * which are the same for all organisations
+ * @param bodyDigest the SHA-256 digest of the body, or of all that identifies the request
+ * or the part, lower-case hex
+ * @param isPart whether it identifies a part of prompts
  */
-public record Fingerprint(String organisation, String bodyDigest) {
+public record Fingerprint(String organisation, String bodyDigest, boolean isPart) {
 
 	private static final int SHORT_DIGEST_LENGTH = 16;
 
+	/**
+	 * Creates the fingerprint of a request.
+	 * @param organisation the name of the organisation, empty if it is unknown
+	 * @param bodyDigest the SHA-256 digest of the body, or of all that identifies the
+	 * request, lower-case hex
+	 */
+	public Fingerprint(String organisation, String bodyDigest) {
+		this(organisation, bodyDigest, false);
+	}
+
+	/**
+	 * Returns the fingerprint of a part of prompts.
+	 * @param partId the id of the part
+	 * @return the fingerprint
+	 */
+	public static Fingerprint ofPart(String partId) {
+		return new Fingerprint("", RequestDigest.of(("part:" + partId).getBytes(StandardCharsets.UTF_8)), true);
+	}
+
 	/**
 	 * Returns the beginning of the digest, for logs.
 	 * @return the first 16 digits
--- a/router/src/main/java/org/burdocktray/process/quarantine/Quarantine.java
+++ b/router/src/main/java/org/burdocktray/process/quarantine/Quarantine.java
@@ -16,15 +16,15 @@
 import org.burdocktray.process.membership.GossipTopic;
 
 /**
- * Detects requests that crash upstreams. When an upstream crashes, all requests that it
- * was running become suspects, except those that had run on it long enough to be
- * harmless. A suspect has one run at a time across all VMs that can reach each other, on
- * upstreams that do not run another suspect. A successful run clears it; a second,
- * independent crash quarantines it. While it is being found out whether upstreams have
- * crashed under runs, no run of the request begins that could be one too many. The same
- * holds while upstreams are silent that ran it: silence is provisional evidence, which
- * suspects the request and holds it back like a crash, but quarantines it only once it is
- * confirmed.
+ * Detects requests, and parts of prompts, that crash upstreams. When an upstream crashes,
+ * all requests that it was running become suspects with all parts of their prompts,
+ * except those that had run on it long enough to be harmless. A suspect has one run at a
+ * time across all VMs that can reach each other, on upstreams that do not run another
+ * suspect. A successful run clears it; a second, independent crash quarantines it. While
+ * it is being found out whether upstreams have crashed under runs, no run of the request
+ * begins that could be one too many. The same holds while upstreams are silent that ran
+ * it: silence is provisional evidence, which suspects the request and holds it back like
+ * a crash, but quarantines it only once it is confirmed.
  *
  * Invariants: a crash of an upstream and a run are each counted once, regardless of how
  * many VMs report them; the number of entries is limited, and when the limit is exceeded
@@ -48,6 +48,8 @@
 	 */
 	public static final long UNDECIDED_MILLIS = 5_000;
 
+	private static final ConvictionRule WHOLE_REQUEST = new WholeRequestRule();
+
 	private final QuarantineSettings settings;
 
 	private final String vmName;
@@ -56,6 +58,8 @@
 
 	private final RunTable runs = new RunTable();
 
+	private final PartQuarantine partQuarantine;
+
 	private final EntryOutbox outbox;
 
 	private long lastRun;
@@ -69,6 +73,7 @@
 		this.settings = settings;
 		this.vmName = vmName;
 		this.suspects = new SuspectTable(settings.maxEntries());
+		this.partQuarantine = new PartQuarantine(this.suspects, this.runs);
 		this.outbox = new EntryOutbox(this.suspects, settings.storesSuspects());
 	}
 
@@ -78,14 +83,33 @@
 	 * @param nowNanos the time
 	 * @return the decision
 	 */
-	public synchronized QuarantineDecision check(Fingerprint fingerprint, long nowNanos) {
-		confirmOverdue(fingerprint, nowNanos);
-		Optional<Suspect> suspect = this.suspects.findCurrent(fingerprint, nowNanos).filter(Suspect::isSuspected);
-		if (suspect.isPresent() && suspect.get().isQuarantined()) {
-			return new QuarantineDecision.Refuse(suspect.get().expiresAtNanos());
+	public QuarantineDecision check(Fingerprint fingerprint, long nowNanos) {
+		return check(RequestIdentity.withoutParts(fingerprint), nowNanos);
+	}
+
+	/**
+	 * Decides whether a request may run.
+	 * @param request the request
+	 * @param nowNanos the time
+	 * @return the decision
+	 */
+	public synchronized QuarantineDecision check(RequestIdentity request, long nowNanos) {
+		request.suspects().forEach((fingerprint) -> confirmOverdue(fingerprint, nowNanos));
+		QuarantineDecision byParts = this.partQuarantine.check(request, nowNanos);
+		return byParts.mayRun() ? checkWhole(request.request(), nowNanos) : byParts;
+	}
+
+	private QuarantineDecision checkWhole(Fingerprint fingerprint, long nowNanos) {
+		List<CrashEvidence> crashes = this.suspects.findCurrent(fingerprint, nowNanos)
+			.map((suspect) -> suspect
+				.select((crash) -> !crash.isDismissed() && !this.partQuarantine.explains(crash, nowNanos)))
+			.orElse(List.of());
+		Optional<Suspect> suspect = this.suspects.find(fingerprint).filter((found) -> !crashes.isEmpty());
+		if (WHOLE_REQUEST.isConvicting(crashes.stream().filter(CrashEvidence::isConfirmed).toList())) {
+			return new QuarantineDecision.Refuse(suspect.get().expiresAtNanos(), QuarantineDecision.Culprit.REQUEST);
 		}
-		int knownCrashes = suspect.map((known) -> known.countedCrashes().size()).orElse(0);
-		if (knownCrashes + this.runs.lostRuns(fingerprint) >= Suspect.CRASHES_TO_QUARANTINE) {
+		int knownCrashes = CrashEvidence.independent(crashes).size();
+		if (knownCrashes + this.runs.lostRuns(fingerprint) >= WholeRequestRule.CRASHES) {
 			return new QuarantineDecision.Wait(nowNanos + LOSS_CHECK_NANOS);
 		}
 		if (suspect.isEmpty()) {
@@ -105,9 +129,22 @@
 	 * @param nowNanos the time
 	 * @return the id of the run
 	 */
-	public synchronized String recordStart(Fingerprint fingerprint, Set<String> upstreams, long nowNanos) {
+	public String recordStart(Fingerprint fingerprint, Set<String> upstreams, long nowNanos) {
+		return recordStart(RequestIdentity.withoutParts(fingerprint), upstreams, nowNanos);
+	}
+
+	/**
+	 * Records the start of a run. Must be called before the first byte of the request is
+	 * sent.
+	 * @param request the request
+	 * @param upstreams the upstreams of its route
+	 * @param nowNanos the time
+	 * @return the id of the run
+	 */
+	public synchronized String recordStart(RequestIdentity request, Set<String> upstreams, long nowNanos) {
 		String runId = this.vmName + '#' + ++this.lastRun;
-		this.runs.add(runId, fingerprint, upstreams);
+		this.runs.add(runId, request, upstreams, nowNanos);
+		Fingerprint fingerprint = request.request();
 		this.suspects.find(fingerprint)
 			.filter(Suspect::isSuspected)
 			.ifPresent((suspect) -> announceRun(fingerprint, suspect, nowNanos));
@@ -116,12 +153,13 @@
 
 	/**
 	 * Records that a run has gone on for so long after the beginning of its response that
-	 * a crash from now on has another reason. Clears the request like a success.
+	 * a crash from now on has another reason. Clears the request and the parts of its
+	 * prompt like a success.
 	 * @param runId the run
 	 * @param nowNanos the time
 	 */
 	public synchronized void recordHarmless(String runId, long nowNanos) {
-		this.runs.markHarmless(runId).ifPresent((run) -> clear(run.fingerprint(), nowNanos));
+		this.runs.markHarmless(runId).ifPresent((run) -> clear(run.identity(), nowNanos));
 	}
 
 	/**
@@ -141,11 +179,14 @@
 	 * @param nowNanos the time
 	 */
 	public synchronized void recordEnd(String runId, RunOutcome outcome, long nowNanos) {
-		this.runs.remove(runId).map(RunTable.Run::fingerprint).ifPresent((fingerprint) -> {
+		this.runs.remove(runId).map(RunTable.Run::identity).ifPresent((request) -> {
 			if (outcome == RunOutcome.SUCCEEDED) {
-				clear(fingerprint, nowNanos);
+				clear(request, nowNanos);
+			}
+			else if (outcome == RunOutcome.RESPONDED) {
+				clear(RequestIdentity.withoutParts(request.request()), nowNanos);
 			}
-			this.suspects.find(fingerprint).ifPresent((suspect) -> announceEnd(fingerprint, suspect));
+			this.suspects.find(request.request()).ifPresent((suspect) -> announceEnd(request.request(), suspect));
 		});
 	}
 
@@ -159,14 +200,17 @@
 
 	// Clears quarantined requests too: a run that succeeds shows that the crashes had
 	// other reasons.
-	private void clear(Fingerprint fingerprint, long nowNanos) {
-		this.suspects.find(fingerprint)
-			.ifPresent((suspect) -> dismiss(fingerprint, suspect, (crash) -> true, nowNanos));
+	private void clear(RequestIdentity request, long nowNanos) {
+		request.parts().forEach((part) -> this.partQuarantine.recordBegunWell(part, nowNanos));
+		request.suspects()
+			.forEach((fingerprint) -> this.suspects.find(fingerprint)
+				.ifPresent((suspect) -> dismiss(fingerprint, suspect, (crash) -> true, nowNanos)));
 	}
 
 	private int dismiss(Fingerprint fingerprint, Suspect suspect, Predicate<CrashEvidence> condition, long nowNanos) {
 		int dismissed = suspect.update(condition, EvidenceState.DISMISSED);
 		if (dismissed > 0) {
+			this.partQuarantine.onEvidenceChange();
 			this.outbox.addToGossip(fingerprint);
 			if (suspect.isStored()) {
 				this.outbox.addToStore(fingerprint, nowNanos);
@@ -223,18 +267,35 @@
 		affected.values().removeIf(RunTable.Run::harmless);
 		int newEvidence = 0;
 		for (Map.Entry<String, RunTable.Run> entry : affected.entrySet()) {
-			Fingerprint fingerprint = entry.getValue().fingerprint();
-			Suspect suspect = this.suspects.findOrAdd(fingerprint, nowNanos);
-			if (suspect.add(new CrashEvidence(entry.getKey(), upstream, nowNanos, sharedBy, state))) {
-				newEvidence++;
+			RequestIdentity request = entry.getValue().identity();
+			long ageNanos = nowNanos - entry.getValue().startNanos();
+			for (Fingerprint fingerprint : request.suspects().toList()) {
+				CrashedRun run = new CrashedRun(request.request().shortDigest(), ageNanos,
+						this.partQuarantine.hasBegunWell(fingerprint, nowNanos));
+				CrashEvidence crash = new CrashEvidence(entry.getKey(), upstream, nowNanos, sharedBy, state, run);
+				boolean isNew = addEvidence(fingerprint, crash, nowNanos);
+				newEvidence += (isNew && !fingerprint.isPart()) ? 1 : 0;
 			}
-			extend(suspect, nowNanos);
-			announceRun(fingerprint, suspect, nowNanos);
 		}
+		this.partQuarantine.onEvidenceChange();
 		this.suspects.evict(nowNanos);
 		return newEvidence;
 	}
 
+	private boolean addEvidence(Fingerprint fingerprint, CrashEvidence crash, long nowNanos) {
+		Suspect suspect = this.suspects.findOrAdd(fingerprint, nowNanos);
+		boolean isNew = suspect.add(crash);
+		extend(suspect, nowNanos);
+		if (fingerprint.isPart()) {
+			this.outbox.addToGossip(fingerprint);
+			markForStore(fingerprint, suspect, nowNanos);
+		}
+		else {
+			announceRun(fingerprint, suspect, nowNanos);
+		}
+		return isNew;
+	}
+
 	// The entries of requests that have become quarantined by it are kept for longer, and
 	// written at once.
 	private int confirm(Predicate<CrashEvidence> condition, long nowNanos) {
@@ -248,6 +309,7 @@
 		int confirmed = suspect.update((crash) -> crash.isProvisional() && condition.test(crash),
 				EvidenceState.CONFIRMED);
 		if (confirmed > 0) {
+			this.partQuarantine.onEvidenceChange();
 			extend(suspect, nowNanos);
 			this.outbox.addToGossip(fingerprint);
 			markForStore(fingerprint, suspect, nowNanos);
@@ -316,12 +378,12 @@
 
 	/**
 	 * Records that this VM has ended a request and will not run it again, so that its
-	 * entry is stored at once.
-	 * @param fingerprint the request
+	 * entries are stored at once.
+	 * @param request the request
 	 * @param nowNanos the time
 	 */
-	public synchronized void recordGivenUp(Fingerprint fingerprint, long nowNanos) {
-		this.outbox.hasten(fingerprint, nowNanos);
+	public synchronized void recordGivenUp(RequestIdentity request, long nowNanos) {
+		request.suspects().forEach((fingerprint) -> this.outbox.hasten(fingerprint, nowNanos));
 	}
 
 	/**
@@ -349,6 +411,7 @@
 		for (CrashEvidence crash : received.crashes()) {
 			changed |= suspect.add(crash);
 		}
+		this.partQuarantine.onEvidenceChange();
 		suspect.extendTo(nowNanos + QuarantineCodec.nanos(entry.getExpiresInMillis()));
 		// Only new evidence extends an entry. If receiving it by gossip did, it would
 		// never expire.
--- a/router/src/main/java/org/burdocktray/process/quarantine/QuarantineCodec.java
+++ b/router/src/main/java/org/burdocktray/process/quarantine/QuarantineCodec.java
@@ -19,6 +19,7 @@
 		QuarantineEntry.Builder entry = QuarantineEntry.newBuilder()
 			.setOrganisation(fingerprint.organisation())
 			.setBodyDigest(ByteString.copyFrom(HexFormat.of().parseHex(fingerprint.bodyDigest())))
+			.setPromptPart(fingerprint.isPart())
 			.setExpiresInMillis(millis(suspect.expiresAtNanos() - nowNanos))
 			.setRunningRevision(suspect.runningRevision());
 		if (suspect.isRunning(nowNanos)) {
@@ -31,7 +32,10 @@
 				.setAgeMillis(millis(nowNanos - crash.crashedAtNanos()))
 				.setSharedBy(crash.sharedBy())
 				.setDismissed(crash.isDismissed())
-				.setProvisional(crash.isProvisional())));
+				.setProvisional(crash.isProvisional())
+				.setRunAgeMillis(millis(crash.run().ageNanos()))
+				.setRequest(crash.run().request())
+				.setBegunWellBefore(crash.run().begunWellBefore())));
 		return entry.build();
 	}
 
@@ -45,12 +49,14 @@
 	}
 
 	static Fingerprint fingerprint(QuarantineEntry entry) {
-		return new Fingerprint(entry.getOrganisation(), HexFormat.of().formatHex(entry.getBodyDigest().toByteArray()));
+		return new Fingerprint(entry.getOrganisation(), HexFormat.of().formatHex(entry.getBodyDigest().toByteArray()),
+				entry.getPromptPart());
 	}
 
 	static CrashEvidence crash(org.burdocktray.connection.peer.generated.CrashEvidence wire, long nowNanos) {
 		return new CrashEvidence(wire.getRunId(), wire.getUpstream(), nowNanos - nanos(wire.getAgeMillis()),
-				wire.getSharedBy(), state(wire));
+				wire.getSharedBy(), state(wire),
+				new CrashedRun(wire.getRequest(), nanos(wire.getRunAgeMillis()), wire.getBegunWellBefore()));
 	}
 
 	private static EvidenceState state(org.burdocktray.connection.peer.generated.CrashEvidence wire) {
--- a/router/src/main/java/org/burdocktray/process/quarantine/QuarantineDecision.java
+++ b/router/src/main/java/org/burdocktray/process/quarantine/QuarantineDecision.java
@@ -46,8 +46,9 @@
 	 * The request is quarantined.
 	 *
 	 * @param untilNanos the time at which the quarantine ends
+	 * @param culprit what is held responsible for the crashes
 	 */
-	record Refuse(long untilNanos) implements QuarantineDecision {
+	record Refuse(long untilNanos, Culprit culprit) implements QuarantineDecision {
 
 		@Override
 		public boolean mayRun() {
@@ -56,6 +57,19 @@
 
 	}
 
+	/**
+	 * What is held responsible for crashes.
+	 */
+	enum Culprit {
+
+		/** The request as a whole. */
+		REQUEST,
+
+		/** A part of its prompt. */
+		PROMPT_PART
+
+	}
+
 	/**
 	 * The request is a suspect and another run of it is in progress, or it is not known
 	 * yet whether upstreams have crashed under it.
--- a/router/src/main/java/org/burdocktray/process/quarantine/RunTable.java
+++ b/router/src/main/java/org/burdocktray/process/quarantine/RunTable.java
@@ -18,8 +18,8 @@
 
 	private final Set<String> lostRunIds = new LinkedHashSet<>();
 
-	void add(String runId, Fingerprint fingerprint, Set<String> upstreams) {
-		this.runs.put(runId, new Run(fingerprint, Set.copyOf(upstreams), false));
+	void add(String runId, RequestIdentity identity, Set<String> upstreams, long nowNanos) {
+		this.runs.put(runId, new Run(identity, Set.copyOf(upstreams), nowNanos, false));
 	}
 
 	Optional<Run> remove(String runId) {
@@ -54,6 +54,13 @@
 					&& !this.lostRunIds.contains(entry.getKey()));
 	}
 
+	boolean isInProgress(Predicate<RequestIdentity> condition) {
+		return this.runs.entrySet()
+			.stream()
+			.anyMatch((entry) -> !entry.getValue().harmless() && !this.lostRunIds.contains(entry.getKey())
+					&& condition.test(entry.getValue().identity()));
+	}
+
 	// Runs that were lost on the same upstreams can be lost by one crash only.
 	int lostRuns(Fingerprint fingerprint) {
 		return (int) this.lostRunIds.stream()
@@ -75,14 +82,19 @@
 	/**
 	 * A run of a request. Thread safety: immutable.
 	 *
-	 * @param fingerprint the request
+	 * @param identity the request
 	 * @param upstreams the upstreams on which it runs
+	 * @param startNanos when it began
 	 * @param harmless whether a crash of these upstreams has another reason
 	 */
-	record Run(Fingerprint fingerprint, Set<String> upstreams, boolean harmless) {
+	record Run(RequestIdentity identity, Set<String> upstreams, long startNanos, boolean harmless) {
+
+		Fingerprint fingerprint() {
+			return this.identity.request();
+		}
 
 		private Run asHarmless() {
-			return new Run(this.fingerprint, this.upstreams, true);
+			return new Run(this.identity, this.upstreams, this.startNanos, true);
 		}
 
 	}
--- a/router/src/main/java/org/burdocktray/process/quarantine/Suspect.java
+++ b/router/src/main/java/org/burdocktray/process/quarantine/Suspect.java
@@ -1,6 +1,5 @@
 package org.burdocktray.process.quarantine;
 
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -14,13 +13,13 @@
  */
 final class Suspect {
 
-	static final int CRASHES_TO_QUARANTINE = 2;
-
 	// Further crashes do not change the decision.
 	private static final int MAX_CRASHES = 16;
 
 	private final Map<String, CrashEvidence> crashes = new TreeMap<>();
 
+	private final ConvictionRule rule;
+
 	private String runningVm = "";
 
 	private long runningUntilNanos;
@@ -32,6 +31,11 @@
 	private boolean stored;
 
 	Suspect(long nowNanos) {
+		this(new WholeRequestRule(), nowNanos);
+	}
+
+	Suspect(ConvictionRule rule, long nowNanos) {
+		this.rule = rule;
 		this.expiresAtNanos = nowNanos;
 	}
 
@@ -68,17 +72,16 @@
 	 * @return the crashes that the request is not cleared of
 	 */
 	List<CrashEvidence> countedCrashes() {
-		return independent((crash) -> !crash.isDismissed());
+		return CrashEvidence.independent(select((crash) -> !crash.isDismissed()));
 	}
 
-	private List<CrashEvidence> independent(Predicate<CrashEvidence> condition) {
-		List<CrashEvidence> counted = new ArrayList<>();
-		for (CrashEvidence crash : this.crashes.values()) {
-			if (condition.test(crash) && counted.stream().allMatch(crash::isIndependentOf)) {
-				counted.add(crash);
-			}
-		}
-		return counted;
+	/**
+	 * Returns crashes that meet a condition.
+	 * @param condition the condition
+	 * @return the crashes
+	 */
+	List<CrashEvidence> select(Predicate<CrashEvidence> condition) {
+		return this.crashes.values().stream().filter(condition).toList();
 	}
 
 	boolean isSuspected() {
@@ -86,7 +89,7 @@
 	}
 
 	boolean isQuarantined() {
-		return independent(CrashEvidence::isConfirmed).size() >= CRASHES_TO_QUARANTINE;
+		return this.rule.isConvicting(select(CrashEvidence::isConfirmed));
 	}
 
 	/**
@@ -95,7 +98,7 @@
 	 * @return true if it must not run now
 	 */
 	boolean isHeldBack() {
-		return isQuarantined() || countedCrashes().size() >= CRASHES_TO_QUARANTINE;
+		return isQuarantined() || this.rule.isConvicting(select((crash) -> !crash.isDismissed()));
 	}
 
 	/**
--- a/router/src/main/java/org/burdocktray/process/quarantine/SuspectTable.java
+++ b/router/src/main/java/org/burdocktray/process/quarantine/SuspectTable.java
@@ -7,8 +7,9 @@
 import java.util.function.BiConsumer;
 
 /**
- * The suspects that a VM remembers. Invariant: after {@link #evict} there are not more of
- * them than the limit; those with the least suspicion go first. Thread safety: none.
+ * The suspects that a VM remembers. Invariant: after {@link #evict(long)} there are not
+ * more requests than the limit, nor more parts of prompts; those with the least suspicion
+ * go first. Thread safety: none.
  */
 final class SuspectTable {
 
@@ -35,7 +36,8 @@
 	}
 
 	Suspect findOrAdd(Fingerprint fingerprint, long nowNanos) {
-		return this.suspects.computeIfAbsent(fingerprint, (absent) -> new Suspect(nowNanos));
+		return this.suspects.computeIfAbsent(fingerprint,
+				(absent) -> new Suspect(ConvictionRule.of(fingerprint), nowNanos));
 	}
 
 	boolean isSuspected(Fingerprint fingerprint) {
@@ -56,9 +58,16 @@
 	 */
 	void evict(long nowNanos) {
 		removeExpired(nowNanos);
-		while (this.suspects.size() > this.maxEntries) {
+		evict(false);
+		evict(true);
+	}
+
+	private void evict(boolean isPart) {
+		long excess = this.suspects.keySet().stream().filter((key) -> key.isPart() == isPart).count() - this.maxEntries;
+		for (long count = 0; count < excess; count++) {
 			this.suspects.entrySet()
 				.stream()
+				.filter((entry) -> entry.getKey().isPart() == isPart)
 				.min(Comparator.<Map.Entry<Fingerprint, Suspect>>comparingDouble((entry) -> entry.getValue().score())
 					.thenComparingLong((entry) -> entry.getValue().expiresAtNanos()))
 				.map(Map.Entry::getKey)
--- /dev/null
+++ b/router/src/main/java/org/burdocktray/process/quarantine/WholeRequestRule.java
@@ -0,0 +1,17 @@
+package org.burdocktray.process.quarantine;
+
+import java.util.Collection;
+
+/**
+ * Convicts a request after two crashes that are independent of each other.
+ */
+final class WholeRequestRule implements ConvictionRule {
+
+	static final int CRASHES = 2;
+
+	@Override
+	public boolean isConvicting(Collection<CrashEvidence> crashes) {
+		return CrashEvidence.independent(crashes).size() >= CRASHES;
+	}
+
+}
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/AdmittedRequest.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/AdmittedRequest.java
@@ -2,7 +2,7 @@
 
 import java.util.Optional;
 
-import org.burdocktray.process.quarantine.Fingerprint;
+import org.burdocktray.process.quarantine.RequestIdentity;
 import org.burdocktray.version.rules.OrganisationRule;
 import org.burdocktray.version.rules.RouteRule;
 import org.burdocktray.version.rules.ServiceRule;
@@ -17,11 +17,11 @@
  * @param service the service that runs it
  * @param organisation the caller's organisation, empty on public routes
  * @param request the request to forward
- * @param fingerprint the same for each request with the same method, path, organisation
- * and body
+ * @param identity what the quarantine knows it by: one fingerprint for method, path,
+ * organisation and body, and those of the parts of its prompt
  */
 record AdmittedRequest(long rulesVersion, RequestHead head, RouteRule route, ServiceRule service,
-		Optional<OrganisationRule> organisation, ForwardedRequest request, Fingerprint fingerprint) {
+		Optional<OrganisationRule> organisation, ForwardedRequest request, RequestIdentity identity) {
 
 	private static final int ORGANISATION_PRIORITY_FACTOR = 1_000;
 
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/CrashDetector.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/CrashDetector.java
@@ -6,9 +6,9 @@
 import io.reactivex.rxjava3.core.Flowable;
 import io.reactivex.rxjava3.core.Single;
 import org.burdocktray.process.directory.Replica;
-import org.burdocktray.process.quarantine.Fingerprint;
 import org.burdocktray.process.quarantine.Quarantine;
 import org.burdocktray.process.quarantine.QuarantineDecision;
+import org.burdocktray.process.quarantine.RequestIdentity;
 import org.burdocktray.process.quarantine.RunOutcome;
 import org.jboss.logging.Logger;
 
@@ -59,19 +59,19 @@
 	 * Probes the replicas of a lost run, and ends the run when they are known. Those that
 	 * are silent are watched beyond that.
 	 * @param runId the run
-	 * @param fingerprint its request
+	 * @param request its request
 	 * @param replicas the replicas that may have crashed
 	 * @param healthPath the path of their health check
 	 * @return completes when the run has ended; must be subscribed to
 	 */
-	Completable checkLostRun(String runId, Fingerprint fingerprint, List<Replica> replicas, String healthPath) {
+	Completable checkLostRun(String runId, RequestIdentity request, List<Replica> replicas, String healthPath) {
 		this.quarantine.recordLoss(runId);
 		long sentNanos = System.nanoTime();
 		return Flowable.fromIterable(replicas)
 			.flatMapSingle((replica) -> this.probe.probe(replica, healthPath)
 				.doOnSuccess((result) -> recordProbe(replica, healthPath, result, sentNanos)))
 			.ignoreElements()
-			.doOnComplete(() -> endLostRun(runId, fingerprint));
+			.doOnComplete(() -> endLostRun(runId, request));
 	}
 
 	/**
@@ -90,10 +90,10 @@
 
 	/**
 	 * Records that this VM will not run a request again that was lost.
-	 * @param fingerprint the request
+	 * @param request the request
 	 */
-	void recordGivenUp(Fingerprint fingerprint) {
-		this.quarantine.recordGivenUp(fingerprint, System.nanoTime());
+	void recordGivenUp(RequestIdentity request) {
+		this.quarantine.recordGivenUp(request, System.nanoTime());
 		this.changeListener.run();
 	}
 
@@ -146,11 +146,11 @@
 		}
 	}
 
-	private void endLostRun(String runId, Fingerprint fingerprint) {
+	private void endLostRun(String runId, RequestIdentity request) {
 		this.quarantine.recordEnd(runId, RunOutcome.ENDED, System.nanoTime());
-		if (this.quarantine.check(fingerprint, System.nanoTime()) instanceof QuarantineDecision.Refuse) {
-			LOGGER.warnf("Request quarantined: content=%s organisation=%s run=%s", fingerprint.shortDigest(),
-					fingerprint.organisation(), runId);
+		if (this.quarantine.check(request, System.nanoTime()) instanceof QuarantineDecision.Refuse refuse) {
+			LOGGER.warnf("Request quarantined: content=%s organisation=%s run=%s culprit=%s",
+					request.request().shortDigest(), request.request().organisation(), runId, refuse.culprit());
 		}
 		this.changeListener.run();
 	}
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/FinalResponse.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/FinalResponse.java
@@ -4,6 +4,7 @@
 import io.vertx.core.http.HttpClientResponse;
 import org.burdocktray.model.Verdict;
 import org.burdocktray.process.directory.Replica;
+import org.burdocktray.process.quarantine.QuarantineDecision;
 import org.burdocktray.request.forward.ForwardState;
 import org.burdocktray.request.forward.ResponseTiming;
 
@@ -30,6 +31,8 @@
 
 	private static final String QUARANTINED = "request is quarantined";
 
+	private static final String PART_QUARANTINED = "a part of the prompt is quarantined";
+
 	private final GatewayMetrics metrics;
 
 	private final AdmittedRequest admitted;
@@ -95,12 +98,15 @@
 	}
 
 	/**
-	 * Ends the request because it crashed replicas before.
-	 * @param remainingNanos how long the quarantine still lasts
+	 * Ends the request because it, or a part of its prompt, crashed replicas before.
+	 * @param refusal until when, and for what
+	 * @param nowNanos the monotonic time
 	 */
-	void refuseQuarantined(long remainingNanos) {
+	void refuseQuarantined(QuarantineDecision.Refuse refusal, long nowNanos) {
 		this.metrics.recordQuarantineRefusal();
-		end(TOO_MANY_REQUESTS, BAD_GATEWAY, QUARANTINED, Math.max(1, remainingNanos / NANOS_PER_SECOND));
+		String cause = (refusal.culprit() == QuarantineDecision.Culprit.PROMPT_PART) ? PART_QUARANTINED : QUARANTINED;
+		double remainingSeconds = (refusal.untilNanos() - nowNanos) / NANOS_PER_SECOND;
+		end(TOO_MANY_REQUESTS, BAD_GATEWAY, cause, Math.max(1, remainingSeconds));
 	}
 
 	private void end(int notRunStatus, int otherStatus, String cause, double retryAfterSeconds) {
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/ForwardExchange.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/ForwardExchange.java
@@ -144,7 +144,7 @@
 		}
 		else if (result instanceof RunPreparation.Result.Quarantined quarantined) {
 			finish();
-			this.finalResponse.refuseQuarantined(quarantined.untilNanos() - System.nanoTime());
+			this.finalResponse.refuseQuarantined(quarantined.refusal(), System.nanoTime());
 		}
 		else if (result instanceof RunPreparation.Result.Blocked blocked) {
 			onBlocked(blocked.obstacle());
@@ -227,7 +227,7 @@
 			return;
 		}
 		endSilence();
-		this.runGuard.recordSuccess(currentAttempt());
+		this.runGuard.recordResponse(currentAttempt(), head.statusCode());
 		deliver(head, body, replica);
 	}
 
@@ -297,7 +297,7 @@
 		}
 		this.health.recordResponse(replica, false);
 		endSilence();
-		this.runGuard.recordSuccess(currentAttempt());
+		this.runGuard.recordResponse(currentAttempt(), this.stream.head().statusCode());
 		finish();
 		this.finalResponse.completeStream(this.stream.head(), replica);
 	}
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayRequestHandler.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayRequestHandler.java
@@ -11,6 +11,7 @@
 import org.burdocktray.process.freshness.RulesFreshness.Timestamp;
 import org.burdocktray.process.freshness.RulesPollInterval;
 import org.burdocktray.process.quarantine.Fingerprint;
+import org.burdocktray.process.quarantine.RequestIdentity;
 import org.burdocktray.request.service.RequestDigest;
 import org.burdocktray.version.rules.OrganisationRule;
 import org.burdocktray.version.rules.RequestKind;
@@ -110,7 +111,8 @@
 			ForwardedRequest forwardedRequest = createForwardedRequest(request, head, route.get(), callerOrganisation,
 					body, arrivedNanos);
 			AdmittedRequest admittedRequest = new AdmittedRequest(rules.get().version(), head, route.get(),
-					service.get(), callerOrganisation, forwardedRequest, fingerprint(forwardedRequest));
+					service.get(), callerOrganisation, forwardedRequest,
+					RequestIdentity.of(fingerprint(forwardedRequest), head.promptParts()));
 			this.requestsInProgress
 				.start(new ForwardExchange(this.context, admittedRequest, response, this.requestsInProgress));
 		});
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/RequestEventLog.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/RequestEventLog.java
@@ -33,9 +33,9 @@
 
 	static void logSent(AdmittedRequest admitted, Target target, ForwardState state) {
 		LOGGER.infof("Request sent: request=%s content=%s parts=%s route=%s rules=%d replica=%s path=%s ranBefore=%s",
-				requestId(admitted), admitted.fingerprint().shortDigest(), formatParts(admitted.head().promptParts()),
-				admitted.route().name(), admitted.rulesVersion(), target.replica().id(), formatPath(target.path()),
-				state.verdict().wireName());
+				requestId(admitted), admitted.identity().request().shortDigest(),
+				formatParts(admitted.head().promptParts()), admitted.route().name(), admitted.rulesVersion(),
+				target.replica().id(), formatPath(target.path()), state.verdict().wireName());
 	}
 
 	static void logAttemptFailed(AdmittedRequest admitted, Target target, AttemptOutcome outcome, String cause,
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/RunGuard.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/RunGuard.java
@@ -12,9 +12,9 @@
 import io.reactivex.rxjava3.core.Completable;
 import io.reactivex.rxjava3.core.Single;
 import org.burdocktray.process.directory.Replica;
-import org.burdocktray.process.quarantine.Fingerprint;
 import org.burdocktray.process.quarantine.Quarantine;
 import org.burdocktray.process.quarantine.QuarantineDecision;
+import org.burdocktray.process.quarantine.RequestIdentity;
 import org.burdocktray.process.quarantine.RunOutcome;
 import org.burdocktray.request.forward.AttemptOutcome;
 import org.burdocktray.version.rules.RequestKind;
@@ -43,7 +43,7 @@
 
 	private final Quarantine quarantine;
 
-	private final Fingerprint fingerprint;
+	private final RequestIdentity request;
 
 	private final String healthPath;
 
@@ -66,7 +66,7 @@
 	RunGuard(CrashDetector detector, AdmittedRequest admitted) {
 		this.detector = detector;
 		this.quarantine = detector.quarantine();
-		this.fingerprint = admitted.fingerprint();
+		this.request = admitted.identity();
 		this.healthPath = admitted.service().healthPath();
 		this.streaming = admitted.route().kind() == RequestKind.STREAMING;
 	}
@@ -76,7 +76,7 @@
 	 * @return the decision
 	 */
 	QuarantineDecision check() {
-		return this.quarantine.check(this.fingerprint, System.nanoTime());
+		return this.quarantine.check(this.request, System.nanoTime());
 	}
 
 	/**
@@ -112,7 +112,7 @@
 		end(attempt, RunOutcome.ENDED);
 		this.harmless = false;
 		Set<String> upstreams = UpstreamNames.of(target.replicas());
-		String runId = this.quarantine.recordStart(this.fingerprint, upstreams, System.nanoTime());
+		String runId = this.quarantine.recordStart(this.request, upstreams, System.nanoTime());
 		this.runs.put(attempt, new GuardedRun(runId));
 	}
 
@@ -163,7 +163,7 @@
 		this.lostAttempts.add(attempt);
 		this.hasLostRun = true;
 		this.unresolvedLosses++;
-		Completable check = this.detector.checkLostRun(lost.id, this.fingerprint, replicas, this.healthPath)
+		Completable check = this.detector.checkLostRun(lost.id, this.request, replicas, this.healthPath)
 			.doOnComplete(() -> this.unresolvedLosses--)
 			.cache();
 		check.subscribe(this::tellOthersIfClosed);
@@ -188,11 +188,12 @@
 	}
 
 	/**
-	 * Records that a run has succeeded.
-	 * @param attempt its attempt
+	 * Records that a complete response was received.
+	 * @param attempt the attempt
+	 * @param status its status
 	 */
-	void recordSuccess(Attempt attempt) {
-		end(attempt, RunOutcome.SUCCEEDED);
+	void recordResponse(Attempt attempt, int status) {
+		end(attempt, (status / 100 == 2) ? RunOutcome.SUCCEEDED : RunOutcome.RESPONDED);
 	}
 
 	/**
@@ -212,7 +213,7 @@
 
 	private void tellOthersIfClosed() {
 		if (this.closed && this.hasLostRun && this.unresolvedLosses == 0) {
-			this.detector.recordGivenUp(this.fingerprint);
+			this.detector.recordGivenUp(this.request);
 		}
 	}
 
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/RunPreparation.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/RunPreparation.java
@@ -46,7 +46,7 @@
 			BooleanSupplier isNeeded) {
 		QuarantineDecision decision = this.runGuard.check();
 		if (decision instanceof QuarantineDecision.Refuse refuse) {
-			return Single.just(new Result.Quarantined(refuse.untilNanos()));
+			return Single.just(new Result.Quarantined(refuse));
 		}
 		if (this.runGuard.isCheckingLostRun()) {
 			return blocked(Obstacle.LOST_RUN_UNEXPLAINED);
@@ -98,9 +98,9 @@
 		/**
 		 * The request is quarantined.
 		 *
-		 * @param untilNanos the time at which the quarantine ends
+		 * @param refusal until when, and for what
 		 */
-		record Quarantined(long untilNanos) implements Result {
+		record Quarantined(QuarantineDecision.Refuse refusal) implements Result {
 
 		}
 
--- a/router/src/test/java/org/burdocktray/process/quarantine/QuarantineStoreTests.java
+++ b/router/src/test/java/org/burdocktray/process/quarantine/QuarantineStoreTests.java
@@ -84,7 +84,7 @@
 	void entriesOfTwoVmsAreMerged() {
 		for (String vm : List.of("vm-1", "vm-2")) {
 			Quarantine quarantine = quarantineWithCrashes(vm, "engine-of-" + vm);
-			quarantine.recordGivenUp(CRASHING_REQUEST, 0);
+			quarantine.recordGivenUp(RequestIdentity.withoutParts(CRASHING_REQUEST), 0);
 			QuarantineStore quarantineStore = quarantineStore(quarantine);
 			quarantineStore.save(quarantineStore.takeEntries()).blockingGet();
 		}
--- a/router/src/test/java/org/burdocktray/process/quarantine/QuarantineTests.java
+++ b/router/src/test/java/org/burdocktray/process/quarantine/QuarantineTests.java
@@ -214,7 +214,7 @@
 		Quarantine shared = new Quarantine(QuarantineSettings.sharedThroughStore(), "vm-1");
 		crashWith(shared, "engine-1", 0, CRASHING_REQUEST);
 		assertThat(shared.takeEntriesToStore(8, 0)).isEmpty();
-		shared.recordGivenUp(CRASHING_REQUEST, 0);
+		shared.recordGivenUp(RequestIdentity.withoutParts(CRASHING_REQUEST), 0);
 		assertThat(shared.takeEntriesToStore(8, 0)).hasSize(1);
 	}
 
@@ -245,8 +245,9 @@
 		assertThat(this.quarantine.recordCrash("engine-1", SECOND_NANOS)).isEqualTo(1);
 		assertThat(this.quarantine.check(CRASHING_REQUEST, SECOND_NANOS)).isInstanceOf(QuarantineDecision.Wait.class);
 		this.quarantine.recordCrash("engine-2", SECOND_NANOS);
-		assertThat(this.quarantine.check(CRASHING_REQUEST, SECOND_NANOS)).isEqualTo(new QuarantineDecision.Refuse(
-				SECOND_NANOS + TimeUnit.MILLISECONDS.toNanos(SETTINGS.quarantineMillis())));
+		assertThat(this.quarantine.check(CRASHING_REQUEST, SECOND_NANOS)).isEqualTo(
+				new QuarantineDecision.Refuse(SECOND_NANOS + TimeUnit.MILLISECONDS.toNanos(SETTINGS.quarantineMillis()),
+						QuarantineDecision.Culprit.REQUEST));
 	}
 
 	@Test
@@ -290,7 +291,7 @@
 	void decisionOnSilenceIsStoredWhileAnotherRunIsInProgress() {
 		Quarantine shared = new Quarantine(QuarantineSettings.sharedThroughStore(), "vm-1");
 		silenceWith(shared, "engine-1", 0, HARMLESS_REQUEST);
-		shared.recordGivenUp(HARMLESS_REQUEST, 0);
+		shared.recordGivenUp(RequestIdentity.withoutParts(HARMLESS_REQUEST), 0);
 		assertThat(shared.takeEntriesToStore(8, 0)).hasSize(1);
 		shared.recordStart(HARMLESS_REQUEST, Set.of("engine-2"), 0);
 		shared.recordResponse("engine-1", SECOND_NANOS);
