Product's own way: messages of a prompt are held responsible for crashes too

Chat requests with one message that crashes engines, and no two alike, crashed one engine after the other. All messages but the last are the parts of a prompt; a token half a second after the first one clears them.

--- a/router/src/main/java/org/burdocktray/process/serve/ChatExchange.java
+++ b/router/src/main/java/org/burdocktray/process/serve/ChatExchange.java
@@ -101,6 +101,7 @@
 		}
 		this.services.metrics().recordNextToken(this.model, elapsedNanos);
 		this.tokenCount++;
+		this.crashGuard.recordToken(nowNanos);
 		recordRecovery(elapsedNanos);
 		return this.responseWriter.writeToken(text);
 	}
--- a/router/src/main/java/org/burdocktray/process/serve/ChatHandler.java
+++ b/router/src/main/java/org/burdocktray/process/serve/ChatHandler.java
@@ -54,7 +54,8 @@
 	 */
 	void handle(RequestScope scope, HttpServerRequest request, byte[] body, Runnable completion) {
 		Either<Refusal, ChatRequest> chat = this.reader.read(body).flatMap((parsed) -> checkModel(scope, parsed));
-		CrashGuard crashGuard = this.services.crashGuard(scope, chat.map(ChatRequest::model).getOrElse(""), body);
+		CrashGuard crashGuard = this.services.crashGuard(scope, chat.map(ChatRequest::model).getOrElse(""), body,
+				chat.map(ChatRequest::messages).getOrElse(List.of()));
 		ChatExchange exchange = new ChatExchange(scope, request.response(), this.services, crashGuard, completion);
 		if (chat.isLeft()) {
 			exchange.refuse(chat.getLeft());
--- a/router/src/main/java/org/burdocktray/process/serve/CrashGuard.java
+++ b/router/src/main/java/org/burdocktray/process/serve/CrashGuard.java
@@ -10,9 +10,9 @@
 import org.burdocktray.model.Refusal;
 import org.burdocktray.model.RefusalReason;
 import org.burdocktray.model.Verdict;
-import org.burdocktray.process.quarantine.Fingerprint;
 import org.burdocktray.process.quarantine.Quarantine;
 import org.burdocktray.process.quarantine.QuarantineDecision;
+import org.burdocktray.process.quarantine.RequestIdentity;
 import org.burdocktray.process.quarantine.RunOutcome;
 import org.burdocktray.request.route.PipelineRoute;
 import org.burdocktray.request.route.RouteQuery;
@@ -29,9 +29,12 @@
  */
 final class CrashGuard implements RetryGuard {
 
+	/** The time between tokens after which no part of the prompt crashes upstreams. */
+	private static final long BEGUN_WELL_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
 	private final Quarantine quarantine;
 
-	private final Fingerprint fingerprint;
+	private final RequestIdentity request;
 
 	private final RetryGuard budget;
 
@@ -39,16 +42,21 @@
 
 	private Optional<String> runId = Optional.empty();
 
+	/** When the first token of the present run came. */
+	private OptionalLong firstTokenNanos = OptionalLong.empty();
+
+	private boolean begunWell;
+
 	/**
 	 * Creates a guard.
 	 * @param quarantine the quarantine of this VM
-	 * @param fingerprint identifies the request
+	 * @param request identifies the request and the parts of its prompt
 	 * @param budget limits the retries that the quarantine permits
 	 * @param propagateChanges sends quarantine changes to the other VMs immediately
 	 */
-	CrashGuard(Quarantine quarantine, Fingerprint fingerprint, RetryGuard budget, Runnable propagateChanges) {
+	CrashGuard(Quarantine quarantine, RequestIdentity request, RetryGuard budget, Runnable propagateChanges) {
 		this.quarantine = quarantine;
-		this.fingerprint = fingerprint;
+		this.request = request;
 		this.budget = budget;
 		this.propagateChanges = propagateChanges;
 	}
@@ -60,8 +68,9 @@
 	Optional<Refusal> checkStart() {
 		QuarantineDecision decision = checkQuarantine();
 		if (decision instanceof QuarantineDecision.Refuse refuse) {
-			return Optional
-				.of(quarantineRefusal("The request crashed upstreams and is quarantined", refuse.untilNanos()));
+			return Optional.of(quarantineRefusal((refuse.culprit() == QuarantineDecision.Culprit.PROMPT_PART)
+					? "A part of the prompt crashed upstreams and is quarantined"
+					: "The request crashed upstreams and is quarantined", refuse.untilNanos()));
 		}
 		if (decision instanceof QuarantineDecision.Wait wait) {
 			return Optional
@@ -101,7 +110,9 @@
 		endRun(RunOutcome.ENDED);
 		Set<String> upstreams = new HashSet<>();
 		stages.forEach((stage) -> upstreams.add(stage.name()));
-		this.runId = Optional.of(this.quarantine.recordStart(this.fingerprint, upstreams, System.nanoTime()));
+		this.firstTokenNanos = OptionalLong.empty();
+		this.begunWell = false;
+		this.runId = Optional.of(this.quarantine.recordStart(this.request, upstreams, System.nanoTime()));
 	}
 
 	@Override
@@ -113,13 +124,28 @@
 		this.propagateChanges.run();
 	}
 
+	/**
+	 * Records a token of the response.
+	 * @param nowNanos the monotonic time
+	 */
+	void recordToken(long nowNanos) {
+		if (this.firstTokenNanos.isEmpty()) {
+			this.firstTokenNanos = OptionalLong.of(nowNanos);
+			return;
+		}
+		if (!this.begunWell && nowNanos - this.firstTokenNanos.getAsLong() >= BEGUN_WELL_NANOS) {
+			this.begunWell = true;
+			this.runId.ifPresent((id) -> this.quarantine.recordBegunWell(id, nowNanos));
+		}
+	}
+
 	void endRun(RunOutcome outcome) {
 		this.runId.ifPresent((id) -> this.quarantine.recordEnd(id, outcome, System.nanoTime()));
 		this.runId = Optional.empty();
 	}
 
 	private QuarantineDecision checkQuarantine() {
-		return this.quarantine.check(this.fingerprint, System.nanoTime());
+		return this.quarantine.check(this.request, System.nanoTime());
 	}
 
 	private static Refusal quarantineRefusal(String detail, long untilNanos) {
--- a/router/src/main/java/org/burdocktray/process/serve/RequestServices.java
+++ b/router/src/main/java/org/burdocktray/process/serve/RequestServices.java
@@ -18,6 +18,7 @@
 import org.burdocktray.process.metrics.RouterMetrics;
 import org.burdocktray.process.quarantine.Fingerprint;
 import org.burdocktray.process.quarantine.Quarantine;
+import org.burdocktray.process.quarantine.RequestIdentity;
 import org.burdocktray.request.admission.AdmissionControl;
 import org.burdocktray.request.route.PipelineRoute;
 import org.burdocktray.request.route.ReplicaSelector;
@@ -66,11 +67,12 @@
 				ThreadLocalRandom.current());
 	}
 
-	CrashGuard crashGuard(RequestScope scope, String model, byte[] body) {
+	CrashGuard crashGuard(RequestScope scope, String model, byte[] body, List<String> messages) {
 		Fingerprint fingerprint = new Fingerprint(scope.organisation().name(), RequestDigest.of(body));
 		RetryGuard budget = new BudgetedRetryGuard(this.retryBudgets, retryParameters(scope),
 				scope.organisation().name(), model, System::nanoTime);
-		return new CrashGuard(this.quarantine, fingerprint, budget, this.propagateChanges);
+		return new CrashGuard(this.quarantine, RequestIdentity.of(fingerprint, messages), budget,
+				this.propagateChanges);
 	}
 
 	RetryBudgetParameters retryParameters(RequestScope scope) {
--- a/router/src/main/java/org/burdocktray/request/chat/ChatRequestReader.java
+++ b/router/src/main/java/org/burdocktray/request/chat/ChatRequestReader.java
@@ -1,6 +1,8 @@
 package org.burdocktray.request.chat;
 
 import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.OptionalInt;
 
 import com.fasterxml.jackson.databind.DeserializationFeature;
@@ -52,8 +54,8 @@
 		if (!isAbsent(choiceCount) && choiceCount.asInt() != 1) {
 			return malformed("n: only 1 is supported");
 		}
-		return readMaxTokens(root).flatMap((maxTokens) -> readPrompt(root.path("messages"))
-			.map((prompt) -> new ChatRequest(model.textValue(), prompt, stream.asBoolean(false), maxTokens)));
+		return readMaxTokens(root).flatMap((maxTokens) -> readMessages(root.path("messages"))
+			.map((messages) -> new ChatRequest(model.textValue(), messages, stream.asBoolean(false), maxTokens)));
 	}
 
 	private static Either<Refusal, OptionalInt> readMaxTokens(JsonNode root) {
@@ -68,11 +70,11 @@
 		return Either.right(OptionalInt.of(value.intValue()));
 	}
 
-	private static Either<Refusal, String> readPrompt(JsonNode messages) {
+	private static Either<Refusal, List<String>> readMessages(JsonNode messages) {
 		if (!messages.isArray() || messages.isEmpty()) {
 			return malformed("messages: expected a list with at least one message");
 		}
-		StringBuilder prompt = new StringBuilder();
+		List<String> texts = new ArrayList<>();
 		for (int index = 0; index < messages.size(); index++) {
 			JsonNode message = messages.get(index);
 			String path = "messages[" + index + "]";
@@ -81,11 +83,11 @@
 			}
 			Either<Refusal, String> content = readContent(message.path("content"), path + ".content");
 			if (content.isLeft()) {
-				return content;
+				return Either.left(content.getLeft());
 			}
-			prompt.append(message.path("role").textValue()).append(": ").append(content.get()).append('\n');
+			texts.add(message.path("role").textValue() + ": " + content.get() + '\n');
 		}
-		return Either.right(prompt.toString());
+		return Either.right(texts);
 	}
 
 	private static Either<Refusal, String> readContent(JsonNode content, String path) {
--- a/router/src/test/java/org/burdocktray/process/serve/FleetFaultTests.java
+++ b/router/src/test/java/org/burdocktray/process/serve/FleetFaultTests.java
@@ -28,6 +28,9 @@
 
 	private static final String CRASHING_PROMPT = "poison";
 
+	/** The number after which the users' rule counts further requests. */
+	private static final int MAX_ENGINES_OF_A_MESSAGE = 5;
+
 	private static final PlatformFaults OUTAGE = new PlatformFaults(true, false, 0, 0, 0, 0);
 
 	@Test
@@ -52,6 +55,33 @@
 		}
 	}
 
+	/**
+	 * Requests of which no two are alike, but with one message that crashes engines,
+	 * crashed them all.
+	 */
+	@Test
+	void messageThatCrashesEnginesIsQuarantinedAndTheMessagesBesideItAreNot() {
+		try (TestFleet fleet = new TestFleet(2, 12, 4, 0)) {
+			EngineFaults crash = new EngineFaults(false, 0, CRASHING_PROMPT, 0, 0, false, false, 0, false);
+			List<EngineStandIn> heads = IntStream.range(0, 12).mapToObj(fleet::head).toList();
+			heads.forEach((head) -> head.applyFaults(crash));
+			fleet.awaitMembers(2);
+			HttpResponse<String> response = null;
+			HttpResponse<String> sound = null;
+			for (int number = 0; number < 24; number++) {
+				TestCaller caller = fleet.caller(number % 2);
+				response = caller.chatWithMessages("taste", CRASHING_PROMPT, "question " + number);
+				sound = caller.chatWithMessages("taste", "sound question " + number);
+				assertThat(sound.statusCode()).isNotEqualTo(422);
+			}
+			assertThat(sound.statusCode()).isEqualTo(200);
+			assertThat(heads.stream().filter((head) -> !isRunning(head)))
+				.hasSizeLessThanOrEqualTo(MAX_ENGINES_OF_A_MESSAGE);
+			assertThat(response.statusCode()).isEqualTo(422);
+			assertThat(new JsonObject(response.body()).getString("type")).endsWith("quarantined");
+		}
+	}
+
 	@Test
 	void routerStartedDuringPlatformOutageFetchesTheBundleFromAPeer() {
 		try (TestFleet fleet = new TestFleet(0, 1, 1, 0)) {
--- a/router/src/test/java/org/burdocktray/process/serve/TestCaller.java
+++ b/router/src/test/java/org/burdocktray/process/serve/TestCaller.java
@@ -33,6 +33,20 @@
 			.put("messages", new JsonArray().add(new JsonObject().put("role", "user").put("content", userText)));
 	}
 
+	/**
+	 * Sends a request whose prompt has several messages.
+	 * @param texts the texts of the messages in order
+	 * @return the response
+	 */
+	HttpResponse<String> chatWithMessages(String... texts) {
+		JsonArray messages = new JsonArray();
+		for (String text : texts) {
+			messages.add(new JsonObject().put("role", "user").put("content", text));
+		}
+		JsonObject body = new JsonObject().put("model", TestFleet.MODEL).put("messages", messages);
+		return send("POST", "/v1/chat/completions", body.encode()).join();
+	}
+
 	HttpResponse<String> chat(String userText) {
 		return chatAsync(userText).join();
 	}
