--- a/router/src/main/java/org/burdocktray/process/quarantine/Fingerprint.java
+++ b/router/src/main/java/org/burdocktray/process/quarantine/Fingerprint.java
@@ -1,8 +1,9 @@
 package org.burdocktray.process.quarantine;
 
 import java.nio.charset.StandardCharsets;
-
-import org.burdocktray.request.service.RequestDigest;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
 
 /**
  * Identifies a request, or a part of prompts, in the quarantine. Requests with equal
@@ -34,7 +35,17 @@
 	 * @return the fingerprint
 	 */
 	public static Fingerprint ofPart(String partId) {
-		return new Fingerprint("", RequestDigest.of(("part:" + partId).getBytes(StandardCharsets.UTF_8)), true);
+		return new Fingerprint("", digest(partId), true);
+	}
+
+	private static String digest(String partId) {
+		try {
+			byte[] digest = MessageDigest.getInstance("SHA-256").digest(partId.getBytes(StandardCharsets.UTF_8));
+			return HexFormat.of().formatHex(digest);
+		}
+		catch (NoSuchAlgorithmException ex) {
+			throw new IllegalStateException("SHA-256 is not available", ex);
+		}
 	}
 
 	/**
