Gateway: replicas get no more requests than the limit that they name

Callers and replicas saw: a replica that named 2.9 requests a second got 47 in 4 s (allowed 22).

Each VM paces itself to its part of the limit, by the registered VMs; of the requests to engines, those that begin there. Reports, probes and orders count. With no room anywhere a request waits 250 ms at most, if that is enough, or is refused at once with the time until there is room.

Nothing changes for services whose replicas name no limit.

--- a/router/src/main/java/org/burdocktray/process/explain/EndCause.java
+++ b/router/src/main/java/org/burdocktray/process/explain/EndCause.java
@@ -16,6 +16,9 @@
 	NO_CAPACITY("no replica can take the request",
 			"No replica of the service, or no complete path of engines, had free capacity while the request could wait."),
 
+	LIMITED("replicas take no more requests now",
+			"Each replica that could take the request names a limit, of which this VM's share was used up for now."),
+
 	QUARANTINED("request is quarantined",
 			"Replicas crashed under two runs of a request with this path, organisation and body, so it is not sent again."),
 
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/Attempt.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/Attempt.java
@@ -49,6 +49,7 @@
 
 	void start() {
 		this.target.recordSend(this.context.loads());
+		this.context.limits().recordRequest(this.target.replica());
 		this.context.connections()
 			.open(this.target.replica(), this.request.method(), this.request.uri(), this.request.repeatable())
 			.onSuccess(this::onConnected)
@@ -154,6 +155,7 @@
 		}
 		this.replicaResponse = Optional.of(response);
 		ResponseHead head = this.context.headers().readResponse(response.statusCode(), response.headers());
+		this.context.limits().recordResponse(this.target.replica(), head);
 		boolean isMismatched = head.requestId().isPresent() && !head.requestId().equals(this.request.requestId());
 		if (isMismatched) {
 			failInvalidResponse("answer of another request");
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/EngineMonitor.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/EngineMonitor.java
@@ -36,6 +36,8 @@
 
 	private final ReplicaLoads loads;
 
+	private final LimitedReplicas limits;
+
 	private final Map<String, Single<Either<String, LoadReport>>> pendingReports = new HashMap<>();
 
 	private final Map<String, CachedReport> lastReports = new HashMap<>();
@@ -43,7 +45,9 @@
 	private BiConsumer<Replica, Either<String, LoadReport>> reportListener = (engine, report) -> {
 	};
 
-	EngineMonitor(ReportPollScheduler pollScheduler, EngineControl control, ReplicaLoads loads) {
+	EngineMonitor(ReportPollScheduler pollScheduler, EngineControl control, ReplicaLoads loads,
+			LimitedReplicas limits) {
+		this.limits = limits;
 		this.pollScheduler = pollScheduler;
 		this.control = control;
 		this.loads = loads;
@@ -59,12 +63,16 @@
 	}
 
 	/**
-	 * Requests the reports that are due from this VM.
+	 * Requests the reports that are due from this VM, but for engines whose limit leaves
+	 * it no request now.
 	 * @param engines the engines that may receive requests
 	 * @param nowNanos the monotonic time
 	 */
 	void tick(List<Replica> engines, long nowNanos) {
-		this.pollScheduler.due(engines, nowNanos).forEach((engine) -> requestReport(engine).subscribe());
+		this.pollScheduler.due(engines, nowNanos)
+			.stream()
+			.filter(this.limits::hasRoom)
+			.forEach((engine) -> requestReport(engine).subscribe());
 	}
 
 	/**
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/ForwardExchange.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/ForwardExchange.java
@@ -49,6 +49,16 @@
 	 */
 	private static final double SILENT_ATTEMPT_SHARE = 0.45;
 
+	/**
+	 * The share of the route's target latency for which a new request waits for a replica
+	 * that limits its requests.
+	 */
+	private static final double LIMIT_WAIT_SHARE = 0.5;
+
+	private static final long MAX_LIMIT_WAIT_MILLIS = 250;
+
+	private static final double NANOS_PER_SECOND = 1e9;
+
 	private static final long MIN_SILENT_MILLIS = 25;
 
 	private final GatewayContext context;
@@ -83,6 +93,12 @@
 
 	private boolean waiting;
 
+	/** Whether the request has waited for a replica that limits its requests. */
+	private boolean hasWaitedForRoom;
+
+	private Runnable onWaitEnd = () -> {
+	};
+
 	private boolean ended;
 
 	private long timeLimitMillis;
@@ -133,7 +149,7 @@
 	}
 
 	private void dispatch() {
-		this.waiting = false;
+		endWait();
 		this.preparation.prepare(this.targetSelector::select, this.state.isRetry(), () -> !this.ended)
 			.subscribe(this::onPrepared);
 	}
@@ -161,11 +177,43 @@
 			}
 			case OTHER_RUN, TARGET_UNRESPONSIVE -> waitOrGiveUp(obstacle.text(), true);
 			case BUDGET_SPENT -> waitOrGiveUp(obstacle.text(), this.callerResponse.isStarted());
-			case NO_TARGET ->
-				waitOrGiveUp(obstacle.text(), this.callerResponse.isStarted() || this.targetSelector.canWait());
+			case NO_TARGET -> onNoTarget(obstacle.text());
 		}
 	}
 
+	private void onNoTarget(String cause) {
+		long nanosUntilRoom = this.callerResponse.isStarted() ? 0 : this.targetSelector.nanosUntilRoom();
+		if (nanosUntilRoom == 0) {
+			waitOrGiveUp(cause, this.callerResponse.isStarted() || this.targetSelector.canWait());
+			return;
+		}
+		long waitedNanos = System.nanoTime() - this.timing.startNanos();
+		long expectedNanos = this.hasWaitedForRoom ? waitedNanos : waitedNanos + nanosUntilRoom;
+		if (expectedNanos <= maxLimitWaitNanos()) {
+			this.waiting = true;
+			this.hasWaitedForRoom = true;
+			this.context.limits().addWaiting();
+			this.onWaitEnd = this.context.limits()::removeWaiting;
+			return;
+		}
+		finish();
+		// Spread, since all that are refused now would come back at the same time.
+		double spread = 1 + this.context.random().nextDouble();
+		this.finalResponse.giveUp("replicas take no more requests now", spread * nanosUntilRoom / NANOS_PER_SECOND);
+	}
+
+	private double maxLimitWaitNanos() {
+		double waitMillis = LIMIT_WAIT_SHARE * this.admitted.route().targetLatencyMillis();
+		return NANOS_PER_MILLI * Math.min(MAX_LIMIT_WAIT_MILLIS, waitMillis);
+	}
+
+	private void endWait() {
+		this.waiting = false;
+		this.onWaitEnd.run();
+		this.onWaitEnd = () -> {
+		};
+	}
+
 	private void waitOrGiveUp(String cause, boolean isWorthWaiting) {
 		double share = this.callerResponse.isStarted() ? RESUME_WAIT_SHARE : INITIAL_WAIT_SHARE;
 		long waitStartNanos = this.callerResponse.isStarted() ? this.streamRecovery.progressNanos()
@@ -496,7 +544,7 @@
 
 	private void finish() {
 		this.ended = true;
-		this.waiting = false;
+		endWait();
 		this.handover.cancel();
 		this.runGuard.close();
 		this.attempt = Optional.empty();
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayContext.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayContext.java
@@ -22,6 +22,7 @@
  * @param freshness bounds the age of the rules
  * @param directory the replicas
  * @param loads the load and health of the replicas
+ * @param limits the limits that replicas name
  * @param monitor requests load reports from engines
  * @param engineControl sends orders to engines
  * @param connections the connections to replicas
@@ -32,8 +33,8 @@
  * @param metrics the metrics of the process
  */
 record GatewayContext(Vertx vertx, DataCentre localDataCentre, HeaderCodec headers, RulesGate rules,
-		RulesFreshness freshness, ReplicaDirectory directory, ReplicaLoads loads, EngineMonitor monitor,
-		EngineControl engineControl, ReplicaConnections connections, PathSearch pathSearch,
+		RulesFreshness freshness, ReplicaDirectory directory, ReplicaLoads loads, LimitedReplicas limits,
+		EngineMonitor monitor, EngineControl engineControl, ReplicaConnections connections, PathSearch pathSearch,
 		FleetRetryBudget retryBudget, CrashDetector crashes, RandomGenerator random, GatewayMetrics metrics) {
 
 }
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayServer.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayServer.java
@@ -24,6 +24,7 @@
 import org.burdocktray.process.freshness.RulesFreshness.Timestamp;
 import org.burdocktray.process.freshness.RulesPollInterval;
 import org.burdocktray.process.limits.FleetRetryBudget;
+import org.burdocktray.process.limits.ReplicaLimits;
 import org.burdocktray.process.quarantine.Quarantine;
 import org.burdocktray.process.quarantine.QuarantineSettings;
 import org.burdocktray.request.path.PathSearch;
@@ -150,22 +151,24 @@
 		SplittableRandom random = new SplittableRandom(
 				this.settings.vmName().hashCode() * 31L + System.currentTimeMillis());
 		ReportPollScheduler pollScheduler = new ReportPollScheduler(this.settings.vmName(), this.settings.dataCentre());
-		EngineMonitor monitor = new EngineMonitor(pollScheduler, this.adapter.engineControl(), loads);
+		ReplicaLimits replicaLimits = new ReplicaLimits(this.settings.vmName());
+		LimitedReplicas limits = new LimitedReplicas(replicaLimits);
+		EngineControl engineControl = new CountedEngineControl(this.adapter.engineControl(), limits);
+		EngineMonitor monitor = new EngineMonitor(pollScheduler, engineControl, loads, limits);
 		GatewaySettings.Bounds bounds = this.settings.bounds();
 		FleetRetryBudget retryBudget = new FleetRetryBudget(bounds.retryRatio(), bounds.retryExtra(),
 				TimeUnit.MILLISECONDS.toNanos(bounds.retryWindowMillis()), nowNanos);
 		ReplicaConnections connections = new ReplicaConnections(this.vertx, this.metrics);
-		ReplicaProbe probe = new ReplicaProbe(this.vertx, connections, this.adapter.headers());
+		ReplicaProbe probe = new ReplicaProbe(this.vertx, connections, this.adapter.headers(), limits);
 		CrashDetector crashes = new CrashDetector(this.quarantine, probe,
 				new SilenceWatch(this.vertx, probe, System::nanoTime), this.metrics);
 		GatewayContext context = new GatewayContext(this.vertx, this.settings.dataCentre(), this.adapter.headers(),
-				this.rules, this.freshness, this.directory, loads, monitor, this.adapter.engineControl(), connections,
+				this.rules, this.freshness, this.directory, loads, limits, monitor, engineControl, connections,
 				new PathSearch(this.settings.dataCentre(), loads, random), retryBudget, crashes, random, this.metrics);
 		GatewayRequestHandler requestHandler = new GatewayRequestHandler(context, this.requestsInProgress,
 				this.rulesPollInterval, () -> this.stopping, () -> this.rejecting);
 		PlacementLease placementLease = new PlacementLease(this.adapter.store(), this.settings.vmName());
-		PlacementLoop placementLoop = new PlacementLoop(this.rules, this.directory, this.adapter.engineControl(),
-				placementLease);
+		PlacementLoop placementLoop = new PlacementLoop(this.rules, this.directory, engineControl, placementLease);
 		VmDatagrams datagrams = new VmDatagrams(this.vertx, this.settings.peerAddress());
 		LoadReportBroadcaster loadBroadcaster = new LoadReportBroadcaster(datagrams,
 				(id, startedAtMillis, report) -> this.directory.findById(id)
@@ -184,8 +187,10 @@
 				new FleetRegistry.RegisteredVm(this.settings.vmName(), this.settings.dataCentre(),
 						Optional.of(this.settings.peerAddress())),
 				(vms) -> {
+					List<String> vmNames = vms.stream().map(FleetRegistry.RegisteredVm::name).toList();
 					retryBudget.setVmCount(vms.size());
-					placementLease.setVms(vms.stream().map(FleetRegistry.RegisteredVm::name).toList());
+					replicaLimits.setVms(vmNames);
+					placementLease.setVms(vmNames);
 					List<FleetRegistry.RegisteredVm> localVms = vms.stream()
 						.filter((vm) -> vm.dataCentre().equals(this.settings.dataCentre()))
 						.toList();
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/ReplicaProbe.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/ReplicaProbe.java
@@ -30,9 +30,12 @@
 
 	private final HeaderCodec headers;
 
+	private final LimitedReplicas limits;
+
 	private final Map<String, Single<Result>> pending = new HashMap<>();
 
-	ReplicaProbe(Vertx vertx, ReplicaConnections connections, HeaderCodec headers) {
+	ReplicaProbe(Vertx vertx, ReplicaConnections connections, HeaderCodec headers, LimitedReplicas limits) {
+		this.limits = limits;
 		this.vertx = vertx;
 		this.connections = connections;
 		this.headers = headers;
@@ -67,6 +70,7 @@
 
 	private Future<Result> call(Replica replica, String healthPath, long timeoutMillis) {
 		Promise<Result> result = Promise.promise();
+		this.limits.recordRequest(replica);
 		Future<HttpClientRequest> opened = this.connections.open(replica, HttpMethod.GET, healthPath, false);
 		opened.flatMap(HttpClientRequest::send)
 			.onSuccess(this.connections.responses()::discard)
@@ -81,10 +85,11 @@
 	}
 
 	private Result resultOf(Replica replica, HttpClientResponse response) {
-		boolean isOther = this.headers.readResponse(response.statusCode(), response.headers())
-			.instanceId()
-			.filter((id) -> !id.equals(replica.id()))
-			.isPresent();
+		ResponseHead head = this.headers.readResponse(response.statusCode(), response.headers());
+		boolean isOther = head.instanceId().filter((id) -> !id.equals(replica.id())).isPresent();
+		if (!isOther) {
+			this.limits.recordResponse(replica, head);
+		}
 		return isOther ? Result.OTHER_INSTANCE : Result.RESPONDS;
 	}
 
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/ResponseHead.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/ResponseHead.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 
 import org.burdocktray.model.NetworkAddress;
+import org.burdocktray.process.limits.RequestLimit;
 
 /**
  * The header fields of a replica's response that the gateway uses. Thread safety:
@@ -14,8 +15,9 @@
  * @param faultAddress the address of the failed engine, if an engine of the path reports
  * another one
  * @param instanceId the id of the replica, in responses to health checks
+ * @param requestLimit what it says of the number of requests that the replica takes
  */
 public record ResponseHead(Optional<String> requestId, boolean signed, boolean notExecuted,
-		Optional<NetworkAddress> faultAddress, Optional<String> instanceId) {
+		Optional<NetworkAddress> faultAddress, Optional<String> instanceId, RequestLimit requestLimit) {
 
 }
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/TargetSelector.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/TargetSelector.java
@@ -102,6 +102,30 @@
 			.isPresent();
 	}
 
+	/**
+	 * Returns how long the limits that replicas name keep this VM from sending the
+	 * request.
+	 * @return the time until a replica takes it that could take it otherwise, 0 if there
+	 * is none
+	 */
+	long nanosUntilRoom() {
+		if (!this.context.limits().isAnyLimited()) {
+			return 0;
+		}
+		List<Replica> replicas = candidates();
+		if (this.service.engine().isEmpty()) {
+			return this.context.limits().nanosUntilRoom(replicas);
+		}
+		EngineProfile profile = this.service.engine().get();
+		List<Replica> heads = replicas.stream()
+			.filter((engine) -> engine.layers().filter((held) -> held.from() == 0).isPresent())
+			.filter((engine) -> this.context.pathSearch()
+				.find(replicas, createPathDemand(profile, KV_SHARE), profile, engine::equals)
+				.isPresent())
+			.toList();
+		return this.context.limits().nanosUntilRoom(heads);
+	}
+
 	/**
 	 * Selects another path behind the first engine of the current one.
 	 * @param current the current target
@@ -122,7 +146,7 @@
 	private Optional<Target> selectEngines(EngineProfile profile, List<Replica> engines) {
 		PathDemand demand = createPathDemand(profile, KV_SHARE);
 		return this.context.pathSearch()
-			.find(engines, demand, profile)
+			.find(engines, demand, profile, this.context.limits()::hasRoom)
 			.map((path) -> new Target(path.head(), Optional.of(path), demand.totalTokens()));
 	}
 
@@ -131,11 +155,12 @@
 		List<Replica> preferred = candidates();
 		long nowNanos = System.nanoTime();
 		List<Replica> untried = listed.stream().filter((replica) -> !isExcluded(replica, nowNanos)).toList();
-		return selectAmong(preferred.isEmpty() ? untried : preferred);
+		return selectAmong(preferred).or(() -> selectAmong(untried));
 	}
 
 	private Optional<Target> selectAmong(List<Replica> selectable) {
 		return selectable.stream()
+			.filter(this.context.limits()::hasRoom)
 			.map((replica) -> new ScoredReplica(replica, score(replica)))
 			.min(Comparator.comparingDouble(ScoredReplica::score))
 			.map((scored) -> new Target(scored.replica(), Optional.empty(), 0));
--- a/router/src/main/java/org/burdocktray/request/path/PathSearch.java
+++ b/router/src/main/java/org/burdocktray/request/path/PathSearch.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 
 import org.burdocktray.model.DataCentre;
@@ -63,6 +64,19 @@
 	 * layers
 	 */
 	public Optional<LayerPath> find(List<Replica> engines, PathDemand demand, EngineProfile profile) {
+		return find(engines, demand, profile, (engine) -> true);
+	}
+
+	/**
+	 * Finds the path with the lowest cost that begins at one of some engines.
+	 * @param engines the engines that may be used
+	 * @param demand the resources that the request needs
+	 * @param profile the performance profile of the engines
+	 * @param mayBeFirst whether the request may be sent to an engine
+	 * @return the path, or empty if there is none
+	 */
+	public Optional<LayerPath> find(List<Replica> engines, PathDemand demand, EngineProfile profile,
+			Predicate<Replica> mayBeFirst) {
 		List<Candidate> allCandidates = candidates(engines, demand, profile);
 		Map<DataCentre, List<Candidate>> byDataCentre = new HashMap<>();
 		allCandidates.forEach((candidate) -> byDataCentre
@@ -71,10 +85,10 @@
 		PartialPath best = null;
 		for (Map.Entry<DataCentre, List<Candidate>> local : byDataCentre.entrySet()) {
 			double surcharge = local.getKey().equals(this.localDataCentre) ? 0 : REMOTE_DATA_CENTRE_COST_MILLIS;
-			best = cheaper(best, search(0, local.getValue(), demand, profile, surcharge));
+			best = cheaper(best, search(0, local.getValue(), demand, profile, surcharge, mayBeFirst));
 		}
 		if (best == null) {
-			best = search(0, allCandidates, demand, profile, 0);
+			best = search(0, allCandidates, demand, profile, 0, mayBeFirst);
 		}
 		return Optional.ofNullable(best).map((found) -> new LayerPath(found.stages()));
 	}
@@ -106,25 +120,32 @@
 
 	private static PartialPath search(int layer, List<Candidate> candidates, PathDemand demand, EngineProfile profile,
 			double surcharge) {
+		return search(layer, candidates, demand, profile, surcharge, (engine) -> true);
+	}
+
+	private static PartialPath search(int layer, List<Candidate> candidates, PathDemand demand, EngineProfile profile,
+			double surcharge, Predicate<Replica> mayBeFirst) {
 		PartialPath[] cheapest = new PartialPath[profile.layers() + 1];
 		cheapest[profile.layers()] = new PartialPath(surcharge, null, null);
-		return searchFrom(layer, candidates, demand, cheapest, new boolean[profile.layers() + 1]);
+		boolean[] isSolved = new boolean[profile.layers() + 1];
+		List<Candidate> first = candidates.stream().filter((candidate) -> mayBeFirst.test(candidate.engine())).toList();
+		return searchFrom(layer, first, candidates, demand, cheapest, isSolved);
 	}
 
 	// Returns the cheapest stages from a layer on, or null if there are none. Solves each
 	// layer once.
-	private static PartialPath searchFrom(int layer, List<Candidate> candidates, PathDemand demand,
-			PartialPath[] cheapest, boolean[] isSolved) {
+	private static PartialPath searchFrom(int layer, List<Candidate> next, List<Candidate> candidates,
+			PathDemand demand, PartialPath[] cheapest, boolean[] isSolved) {
 		if (cheapest[layer] != null || isSolved[layer]) {
 			return cheapest[layer];
 		}
 		isSolved[layer] = true;
 		PartialPath best = null;
-		for (Candidate candidate : candidates) {
+		for (Candidate candidate : next) {
 			if (!candidate.canRunFrom(layer, demand)) {
 				continue;
 			}
-			PartialPath rest = searchFrom(candidate.held().to(), candidates, demand, cheapest, isSolved);
+			PartialPath rest = searchFrom(candidate.held().to(), candidates, candidates, demand, cheapest, isSolved);
 			if (rest == null) {
 				continue;
 			}
--- a/router/src/test/java/org/burdocktray/process/serve/gateway/ReplicaProbeTests.java
+++ b/router/src/test/java/org/burdocktray/process/serve/gateway/ReplicaProbeTests.java
@@ -21,6 +21,8 @@
 import org.burdocktray.model.DataCentre;
 import org.burdocktray.model.NetworkAddress;
 import org.burdocktray.process.directory.Replica;
+import org.burdocktray.process.limits.ReplicaLimits;
+import org.burdocktray.process.limits.RequestLimit;
 import org.burdocktray.process.serve.gateway.ReplicaProbe.Result;
 import org.burdocktray.process.serve.gateway.SilentReplica.Verdict;
 import org.junit.jupiter.api.AfterEach;
@@ -42,7 +44,8 @@
 	private final Vertx vertx = Vertx.vertx();
 
 	private final ReplicaProbe probe = new ReplicaProbe(this.vertx,
-			new ReplicaConnections(this.vertx, new GatewayMetrics()), new InstanceHeader());
+			new ReplicaConnections(this.vertx, new GatewayMetrics()), new InstanceHeader(),
+			new LimitedReplicas(new ReplicaLimits("vm-1")));
 
 	private final SilenceWatch silenceWatch = new SilenceWatch(this.vertx, this.probe, System::nanoTime);
 
@@ -215,7 +218,7 @@
 		@Override
 		public ResponseHead readResponse(int statusCode, MultiMap headers) {
 			return new ResponseHead(Optional.empty(), false, false, Optional.empty(),
-					Optional.ofNullable(headers.get(INSTANCE_ID)));
+					Optional.ofNullable(headers.get(INSTANCE_ID)), new RequestLimit.None());
 		}
 
 		@Override
--- a/standins/src/main/java/org/burdocktray/standins/gateway/ReplicaStandIn.java
+++ b/standins/src/main/java/org/burdocktray/standins/gateway/ReplicaStandIn.java
@@ -36,6 +36,8 @@
 
 	private volatile Optional<BiConsumer<ReplicaStandIn, String>> endListener = Optional.empty();
 
+	private volatile Optional<String> namedLimit = Optional.empty();
+
 	private volatile Consumer<String> arrivalListener = (requestId) -> {
 	};
 
@@ -75,6 +77,15 @@
 		this.endMoment = moment;
 	}
 
+	/**
+	 * Sets what the replica names in its responses as the number of requests a second
+	 * that it takes.
+	 * @param limit the value, empty for none
+	 */
+	public final void setNamedLimit(Optional<String> limit) {
+		this.namedLimit = limit;
+	}
+
 	/**
 	 * Sets who is told of each request that reaches the replica, also one that it
 	 * rejects.
@@ -157,7 +168,10 @@
 
 	@Override
 	protected final void addRoutes(Router router) {
-		router.route().handler((context) -> this.gate.submit(context::next));
+		router.route().handler((context) -> this.gate.submit(() -> {
+			this.namedLimit.ifPresent((limit) -> context.response().putHeader(WireHeaders.REQUEST_LIMIT, limit));
+			context.next();
+		}));
 		router.get("/health").handler((context) -> respondEmpty(context, 200));
 		addReplicaRoutes(router);
 	}
--- a/standins/src/main/java/org/burdocktray/standins/gateway/WireHeaders.java
+++ b/standins/src/main/java/org/burdocktray/standins/gateway/WireHeaders.java
@@ -17,6 +17,9 @@
 	/** The parts of the prompt in order, as a list of ids with their lengths. */
 	public static final String PROMPT_PARTS = "X-Burdocktray-Prompt-Prefix";
 
+	/** The requests a second that a replica takes from all callers together. */
+	public static final String REQUEST_LIMIT = "Server-Limit";
+
 	/** The signature of the upstream that produced a complete response. */
 	public static final String SIGNATURE = "X-Burdocktray-Response-Signature";
 
