--- a/router/src/test/java/org/burdocktray/process/limits/ReplicaLimitsTests.java
+++ b/router/src/test/java/org/burdocktray/process/limits/ReplicaLimitsTests.java
@@ -64,6 +64,20 @@
 		assertThat(mostInAWindow(CONTACT_MILLIS)).isLessThanOrEqualTo(allowed(15));
 	}
 
+	@ParameterizedTest
+	@ValueSource(ints = { 2, 9 })
+	void vmThatLeavesGivesItsShareToTheOthersOnceItIsNotListed(int vmCount) {
+		addVms(vmCount);
+		nameLimitWithinASecond("15");
+		runUntil(20_000);
+		this.vms.remove(0);
+		this.vmNames.remove(0);
+		runUntil(36_000);
+		this.vms.forEach((vm) -> vm.setVms(this.vmNames));
+		runUntil(RUN_MILLIS);
+		assertThat(mostInAWindow(CONTACT_MILLIS)).isLessThanOrEqualTo(allowed(15));
+	}
+
 	@Test
 	void changedLimitIsInForceAtOnce() {
 		addVms(9);
