--- a/review/harness/Fleet.java
+++ b/review/harness/Fleet.java
@@ -58,20 +58,27 @@
 		return gateway;
 	}
 
-	/** Writes a configuration with one service, {@code desk}; returns its revision. */
+	/** Writes a configuration with two services, {@code desk} and {@code annex}; returns its revision. */
 	long configure(long version, List<String> keys, int maxBodyBytes, String... routes) {
 		String keyList = keys.stream().map(Json::quote).collect(Collectors.joining(","));
 		return this.store.put("config", "main", "{\"version\":" + version + ",\"routes\":["
 				+ String.join(",", routes)
-				+ "],\"services\":[{\"name\":\"desk\",\"healthPath\":\"/health\",\"maxConnections\":96,\"protocol\":\"h1\","
-				+ "\"tls\":false}],\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":" + maxBodyBytes
+				+ "],\"services\":[" + service("desk") + "," + service("annex") + "],\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":" + maxBodyBytes
 				+ ",\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000},\"tenants\":[{\"name\":\"t1\",\"apiKeys\":["
 				+ keyList + "],\"priority\":1}]}");
 	}
 
+	private static String service(String name) {
+		return "{\"name\":\"" + name + "\",\"healthPath\":\"/health\",\"maxConnections\":96,\"protocol\":\"h1\",\"tls\":false}";
+	}
+
 	static String route(String name, String kind, int timeoutMillis, int attempts) {
+		return route(name, kind, timeoutMillis, attempts, "desk");
+	}
+
+	static String route(String name, String kind, int timeoutMillis, int attempts, String service) {
 		return "{\"name\":\"" + name + "\",\"host\":\"" + HOST + "\",\"pathPrefix\":\"/" + name + "/\",\"kind\":\"" + kind
-				+ "\",\"timeoutMs\":" + timeoutMillis + ",\"targetLatencyMs\":121,\"priority\":1,\"service\":\"desk\","
+				+ "\",\"timeoutMs\":" + timeoutMillis + ",\"targetLatencyMs\":121,\"priority\":1,\"service\":\"" + service + "\","
 				+ "\"maxAttempts\":" + attempts + ",\"public\":false}";
 	}
 
--- a/review/harness/Store.java
+++ b/review/harness/Store.java
@@ -7,7 +7,9 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
 
 /**
  * A stand-in for the platform's metadata store, as PROTOCOL.md tells it: objects by kind and name,
@@ -41,8 +43,13 @@
 
 	private final List<Event> history = new ArrayList<>();
 
+	private final Map<String, Integer> listings = new ConcurrentHashMap<>();
+
 	private long revision = 100;
 
+	/** Connections on which nothing comes back any more, though they stay open. */
+	private final Set<Http.Connection> silent = ConcurrentHashMap.newKeySet();
+
 	Store(String ip) throws IOException {
 		this.server = new Http.Server(ip, 0, this::handle);
 	}
@@ -74,6 +81,16 @@
 		}
 	}
 
+	/** Returns how often objects of a kind were listed. */
+	int listings(String kind) {
+		return this.listings.getOrDefault(kind, 0);
+	}
+
+	/** Lets all open connections go silent for good; new ones work. */
+	void silenceConnections() {
+		this.silent.addAll(this.server.connections);
+	}
+
 	synchronized int count(String kind) {
 		return objects(kind).size();
 	}
@@ -97,6 +114,7 @@
 			answer = watch(kind, Long.parseLong(query.get("watch")), Long.parseLong(query.getOrDefault("waitMs", "0")));
 		}
 		else if ("GET".equals(request.method())) {
+			this.listings.merge(kind, 1, Integer::sum);
 			answer = list(kind, query.getOrDefault("after", ""));
 		}
 		else if ("POST".equals(request.method())) {
@@ -108,6 +126,9 @@
 		else {
 			answer = new Answer(404, "{}");
 		}
+		while (this.silent.contains(connection)) {
+			Thread.sleep(1_000);
+		}
 		connection.respond(answer.status, Map.of("Content-Type", "application/json", "Store-Era", "1"), answer.body);
 		return true;
 	}
