--- a/review/harness/Fleet.java
+++ b/review/harness/Fleet.java
@@ -52,8 +52,12 @@
 	}
 
 	Gateway addGateway(String zone) throws IOException {
+		return addGateway(zone, this.store.address());
+	}
+
+	Gateway addGateway(String zone, String storeAddress) throws IOException {
 		Gateway gateway = new Gateway(this.folder, "front-" + zone + "-" + this.gateways.size(), nextIp(), zone,
-				this.store.address());
+				storeAddress);
 		this.gateways.add(gateway);
 		return gateway;
 	}
--- a/review/harness/Store.java
+++ b/review/harness/Store.java
@@ -43,6 +43,8 @@
 
 	private final List<Event> history = new ArrayList<>();
 
+	private final List<Http.Server> views = new ArrayList<>();
+
 	private final Map<String, Integer> listings = new ConcurrentHashMap<>();
 
 	private long revision = 100;
@@ -58,6 +60,16 @@
 		return this.server.address();
 	}
 
+	/**
+	 * Opens another address of the store, for a machine that reaches the replicas through proxies.
+	 * @param addresses the addresses that its answers name in place of those of the replicas
+	 */
+	String openView(String ip, Map<String, String> addresses) throws IOException {
+		Http.Server view = new Http.Server(ip, 0, (request, connection) -> handle(request, connection, addresses));
+		this.views.add(view);
+		return view.address();
+	}
+
 	/** Writes an object as the operator, a replica or another writer does; returns its revision. */
 	synchronized long put(String kind, String name, String spec) {
 		TreeMap<String, Stored> objects = objects(kind);
@@ -100,6 +112,11 @@
 	}
 
 	private boolean handle(Http.Message request, Http.Connection connection) throws IOException, InterruptedException {
+		return handle(request, connection, Map.of());
+	}
+
+	private boolean handle(Http.Message request, Http.Connection connection, Map<String, String> addresses)
+			throws IOException, InterruptedException {
 		Thread.sleep(ANSWER_MILLIS);
 		String[] target = request.target().split("\\?", 2);
 		Map<String, String> query = query((target.length > 1) ? target[1] : "");
@@ -129,7 +146,11 @@
 		while (this.silent.contains(connection)) {
 			Thread.sleep(1_000);
 		}
-		connection.respond(answer.status, Map.of("Content-Type", "application/json", "Store-Era", "1"), answer.body);
+		String body = answer.body;
+		for (Map.Entry<String, String> address : addresses.entrySet()) {
+			body = body.replace('"' + address.getKey() + '"', '"' + address.getValue() + '"');
+		}
+		connection.respond(answer.status, Map.of("Content-Type", "application/json", "Store-Era", "1"), body);
 		return true;
 	}
 
@@ -209,6 +230,7 @@
 	@Override
 	public void close() {
 		this.server.close();
+		this.views.forEach(Http.Server::close);
 	}
 
 }
