--- a/router/src/main/java/org/burdocktray/process/serve/gateway/DirectoryListener.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/DirectoryListener.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 
 import io.vavr.control.Either;
 import org.burdocktray.connection.platform.ObjectChanges;
@@ -20,6 +21,9 @@
 
 	private static final Logger LOGGER = Logger.getLogger(DirectoryListener.class);
 
+	/** Entries are read on the event loop, so that requests wait meanwhile. */
+	private static final long LOGGED_READ_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+
 	private final ObjectCodec codec;
 
 	private final ReplicaDirectory directory;
@@ -33,8 +37,7 @@
 	public void onListing(ObjectListing listing, Timestamp sentAt) {
 		List<Replica> replicas = new ArrayList<>();
 		for (StoredObject object : listing.objects()) {
-			Either<String, Replica> decoded = this.codec.readReplica(object);
-			decoded.peek(replicas::add).peekLeft((fault) -> handleInvalidEntry(object, fault));
+			read(object).peek(replicas::add).peekLeft((fault) -> handleInvalidEntry(object, fault));
 		}
 		this.directory.replaceAll(replicas, System.nanoTime());
 	}
@@ -59,13 +62,24 @@
 			this.directory.remove(change.object().key(), nowNanos);
 			return;
 		}
-		this.codec.readReplica(change.object()).peek((replica) -> {
+		read(change.object()).peek((replica) -> {
 			LOGGER.infof("Replica entry changed: replica=%s draining=%s layers=%s", replica.id(), replica.draining(),
 					replica.layers());
 			this.directory.put(replica, nowNanos);
 		}).peekLeft((fault) -> handleInvalidEntry(change.object(), fault));
 	}
 
+	private Either<String, Replica> read(StoredObject object) {
+		long startNanos = System.nanoTime();
+		Either<String, Replica> decoded = this.codec.readReplica(object);
+		long elapsedNanos = System.nanoTime() - startNanos;
+		if (elapsedNanos > LOGGED_READ_NANOS) {
+			LOGGER.warnf("Replica entry took long to read: entry=%s characters=%d millis=%d", object.key(),
+					object.value().length(), TimeUnit.NANOSECONDS.toMillis(elapsedNanos));
+		}
+		return decoded;
+	}
+
 	private void handleInvalidEntry(StoredObject object, String fault) {
 		LOGGER.warnf("Replica entry names no replica to use: entry=%s fault=%s", object.key(), fault);
 		this.directory.invalidate(object.key());
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayMetrics.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayMetrics.java
@@ -22,6 +22,8 @@
 	private static final double[] LATENCY_BUCKET_BOUNDS_SECONDS = { 0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10,
 			20 };
 
+	private static final double[] DELAY_BUCKET_BOUNDS_SECONDS = { 0.01, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10 };
+
 	private final PrometheusRegistry registry = new PrometheusRegistry();
 
 	private final Counter requests = Counter.builder()
@@ -68,6 +70,13 @@
 		.classicUpperBounds(LATENCY_BUCKET_BOUNDS_SECONDS)
 		.register(this.registry);
 
+	private final Histogram eventLoopDelay = Histogram.builder()
+		.name("burdocktray_gateway_event_loop_delay_seconds")
+		.help("How late the periodic work of the event loop runs")
+		.classicOnly()
+		.classicUpperBounds(DELAY_BUCKET_BOUNDS_SECONDS)
+		.register(this.registry);
+
 	private final Gauge inProgress = Gauge.builder()
 		.name("burdocktray_gateway_requests_in_progress")
 		.help("Requests without their final answer")
@@ -152,6 +161,14 @@
 		this.firstByte.observe(elapsedNanos / NANOS_PER_SECOND);
 	}
 
+	/**
+	 * Records how late the event loop is.
+	 * @param delayNanos the delay, negative if it is early
+	 */
+	void recordEventLoopDelay(long delayNanos) {
+		this.eventLoopDelay.observe(Math.max(0, delayNanos) / NANOS_PER_SECOND);
+	}
+
 	void setInProgress(int count) {
 		this.inProgress.set(count);
 	}
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayServer.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayServer.java
@@ -51,6 +51,8 @@
 	 */
 	private static final long LAPSE_GRACE_NANOS = TimeUnit.MILLISECONDS.toNanos(1_900);
 
+	private static final long LOGGED_DELAY_NANOS = TimeUnit.SECONDS.toNanos(1);
+
 	/** The share of the revocation time limit for which rules count as fresh. */
 	private static final double RULES_MAX_AGE_SHARE = 0.88;
 
@@ -240,7 +242,9 @@
 				return;
 			}
 			long tickNanos = System.nanoTime();
-			relayLimit.recordDelay(this.eventLoopDelay.recordTick(tickNanos));
+			long delayNanos = this.eventLoopDelay.recordTick(tickNanos);
+			relayLimit.recordDelay(delayNanos);
+			recordEventLoopDelay(delayNanos);
 			runTick("reach", () -> reach.tick(tickNanos));
 			runTick("relays", () -> relays.tick(tickNanos));
 			runTick("directory", () -> this.directory.tick(tickNanos));
@@ -263,6 +267,13 @@
 		}
 	}
 
+	private void recordEventLoopDelay(long delayNanos) {
+		this.metrics.recordEventLoopDelay(delayNanos);
+		if (delayNanos > LOGGED_DELAY_NANOS) {
+			LOGGER.warnf("Event loop was held up: millis=%d", TimeUnit.NANOSECONDS.toMillis(delayNanos));
+		}
+	}
+
 	private static void runTick(String part, Runnable action) {
 		try {
 			action.run();
