--- a/router/src/main/java/org/burdocktray/model/NetworkAddress.java
+++ b/router/src/main/java/org/burdocktray/model/NetworkAddress.java
@@ -6,7 +6,9 @@
 
 /**
  * An IP address and a TCP port. Host names are not supported, because processes reach
- * each other by IP address only. Thread safety: immutable.
+ * each other by IP address only. Addresses come from outside, some from writers that this
+ * product does not know: the time that it takes to read one is linear in its length, and
+ * bounded. Thread safety: immutable.
  *
  * @param ip an IPv4 address in dotted form or an IPv6 address without brackets
  * @param port the TCP port, 1 to 65535
@@ -15,10 +17,13 @@
 
 	private static final int MAX_PORT = 65535;
 
+	/** An IPv6 address whose last part is in dotted form, in brackets, and a port. */
+	private static final int MAX_TEXT_LENGTH = "[0000:0000:0000:0000:0000:0000:255.255.255.255]:65535".length();
+
 	private static final Pattern IP_V4 = Pattern
 		.compile("((25[0-5]|2[0-4]\\d|1?\\d?\\d)(\\.(?!:)|(?=:))){4}:(\\d{1,5})");
 
-	private static final Pattern IP_V6 = Pattern.compile("\\[([0-9a-fA-F:.]*:[0-9a-fA-F:.]*)]:(\\d{1,5})");
+	private static final Pattern IP_V6 = Pattern.compile("\\[([0-9a-fA-F.]*+:[0-9a-fA-F:.]*+)]:(\\d{1,5})");
 
 	public NetworkAddress {
 		if (port < 1 || port > MAX_PORT) {
@@ -32,6 +37,9 @@
 	 * @return the address, or empty when the text is not an IP address with a port
 	 */
 	public static Optional<NetworkAddress> parse(String text) {
+		if (text.length() > MAX_TEXT_LENGTH) {
+			return Optional.empty();
+		}
 		Matcher v4 = IP_V4.matcher(text);
 		if (v4.matches()) {
 			return create(text.substring(0, text.lastIndexOf(':')), Integer.parseInt(v4.group(4)));
