Stored quarantine entries far larger than those of VMs are not kept

Cause: the quarantine keeps the texts of up to 4,000 entries, and another writer's entry may have 1 MiB: far more than the heap together.

Fix: an entry of over 16,384 characters is skipped with a log line that names it. An entry of VMs with the most crashes and names of 80 characters is far below (a test). A VM that has evidence for the same key replaces it, as it does with entries that can't be read.

Evidence: QuarantineStoreTests fails on the code before (the entry is kept).

--- a/router/src/main/java/org/burdocktray/process/quarantine/QuarantineStore.java
+++ b/router/src/main/java/org/burdocktray/process/quarantine/QuarantineStore.java
@@ -24,8 +24,9 @@
  * Stores entries of the quarantine in the platform's store, so that they survive the loss
  * of all VMs. A value consists of the expiry time in milliseconds of the wall clock, a
  * space, and the entry in Base64. Entries are written once for each change and VM; what
- * is stored already is merged, never overwritten. An entry whose write fails is written
- * again with the next call. Thread safety: can be called from any thread.
+ * is stored already is merged, never overwritten, unless it is no entry of a VM. An entry
+ * whose write fails is written again with the next call. Thread safety: can be called
+ * from any thread.
  */
 public final class QuarantineStore {
 
@@ -35,6 +36,9 @@
 
 	private static final int MAX_VERSIONS = 4_096;
 
+	/** The largest value that is kept in memory; those that VMs write are far smaller. */
+	private static final int MAX_VALUE_CHARACTERS = 16_384;
+
 	private final Quarantine quarantine;
 
 	private final ValueFormat format;
@@ -181,6 +185,10 @@
 	}
 
 	private Optional<QuarantineEntry> decode(StoredObject object) {
+		if (object.value().length() > MAX_VALUE_CHARACTERS) {
+			LOGGER.warnf("Quarantine entry too large: key=%s characters=%d", object.key(), object.value().length());
+			return Optional.empty();
+		}
 		try {
 			String[] parts = this.format.decoder().apply(object.value()).split(" ", 2);
 			long remainingMillis = Long.parseLong(parts[0]) - this.wallClockMillis.getAsLong();
--- a/router/src/test/java/org/burdocktray/process/quarantine/QuarantineStoreTests.java
+++ b/router/src/test/java/org/burdocktray/process/quarantine/QuarantineStoreTests.java
@@ -1,15 +1,18 @@
 package org.burdocktray.process.quarantine;
 
 import java.util.ArrayList;
+import java.util.Base64;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
 
+import com.google.protobuf.ByteString;
 import io.reactivex.rxjava3.core.Flowable;
 import io.reactivex.rxjava3.core.Single;
 import io.vavr.control.Either;
+import org.burdocktray.connection.peer.generated.QuarantineEntry;
 import org.burdocktray.connection.platform.PlatformStore;
 import org.burdocktray.connection.platform.StoreError;
 import org.burdocktray.connection.platform.StoredObject;
@@ -61,6 +64,36 @@
 		assertThat(loadAndCheck()).isInstanceOf(QuarantineDecision.Refuse.class);
 	}
 
+	/**
+	 * Guards against VMs that run out of memory by entries as large as a value of the
+	 * store may be: the quarantine keeps the texts of thousands of entries.
+	 */
+	@Test
+	void entryThatIsFarLargerThanThoseOfVmsIsNotKept() {
+		QuarantineEntry large = QuarantineEntry.newBuilder()
+			.setOrganisation("a".repeat(700_000))
+			.setBodyDigest(ByteString.copyFrom(new byte[32]))
+			.addCrashes(org.burdocktray.connection.peer.generated.CrashEvidence.newBuilder()
+				.setRunId("vm-3#1")
+				.setUpstream("engine-1"))
+			.build();
+		this.store.create("quarantine/2", "99999999999 " + Base64.getEncoder().encodeToString(large.toByteArray()));
+		Quarantine quarantine = new Quarantine(QuarantineSettings.sharedThroughStore(), "vm-2");
+		quarantineStore(quarantine).load().blockingAwait();
+		assertThat(quarantine.table(0).getQuarantineList()).isEmpty();
+	}
+
+	@Test
+	void entryWithManyCrashesAndLongNamesIsKept() {
+		Quarantine quarantine = new Quarantine(QuarantineSettings.sharedThroughStore(), "v".repeat(80));
+		for (int crash = 0; crash < 40; crash++) {
+			addCrashes(quarantine, CRASHING_REQUEST, "e".repeat(80) + crash);
+		}
+		QuarantineStore quarantineStore = quarantineStore(quarantine);
+		quarantineStore.save(quarantineStore.takeEntries()).blockingGet();
+		assertThat(loadAndCheck()).isInstanceOf(QuarantineDecision.Refuse.class);
+	}
+
 	@Test
 	void unavailableStoreLeavesQuarantineEmpty() {
 		this.store.unavailable = true;
