Quarantine entries beyond the limit are ranked once a listing

Cause: each merged entry beyond the limit ranked all entries of the table anew, on the event loop, and a ranking compares the crashes of each entry with each other: the time of a listing grew with its entries times the table.

Fix: the entries of one response are merged together, and then as many as are too many are removed in one sort. Which ones stay is decided as before.

--- a/router/src/main/java/org/burdocktray/process/quarantine/QuarantineStore.java
+++ b/router/src/main/java/org/burdocktray/process/quarantine/QuarantineStore.java
@@ -83,7 +83,7 @@
 	 */
 	public Completable load() {
 		return this.store.list(this.format.keyPrefix())
-			.doOnSuccess((listed) -> listed.peek((objects) -> objects.forEach(this::merge))
+			.doOnSuccess((listed) -> listed.peek(this::merge)
 				.peekLeft((error) -> LOGGER.warnf("Quarantine not read: error=%s", error)))
 			.ignoreElement();
 	}
@@ -121,14 +121,17 @@
 	}
 
 	/**
-	 * Merges an entry that was read from the store.
-	 * @param object the stored object
+	 * Merges entries that were read from the store.
+	 * @param objects the stored objects
 	 */
-	public void merge(StoredObject object) {
-		// A watch may show an older state than that which this VM has written.
-		this.knownVersions.merge(object.key(), object.version(), Math::max);
-		decode(object).ifPresent((entry) -> this.quarantine.merge(Gossip.newBuilder().addQuarantine(entry).build(),
-				this.nanoClock.getAsLong()));
+	public void merge(List<StoredObject> objects) {
+		Gossip.Builder entries = Gossip.newBuilder();
+		for (StoredObject object : objects) {
+			// A watch may show an older state than that which this VM has written.
+			this.knownVersions.merge(object.key(), object.version(), Math::max);
+			decode(object).ifPresent(entries::addQuarantine);
+		}
+		this.quarantine.merge(entries.build(), this.nanoClock.getAsLong());
 	}
 
 	private Single<Boolean> write(QuarantineEntry entry) {
@@ -157,7 +160,7 @@
 		}
 		return this.store.read(key).flatMap((read) -> {
 			Optional<StoredObject> current = read.getOrElse(Optional.empty());
-			current.ifPresent(this::merge);
+			current.ifPresent((object) -> merge(List.of(object)));
 			if (current.isEmpty()) {
 				this.knownVersions.remove(key);
 				return Single.just(false);
--- a/router/src/main/java/org/burdocktray/process/quarantine/SuspectTable.java
+++ b/router/src/main/java/org/burdocktray/process/quarantine/SuspectTable.java
@@ -71,18 +71,25 @@
 	}
 
 	private void evict(Map<Fingerprint, Suspect> entries) {
-		while (entries.size() > this.maxEntries) {
-			entries.entrySet()
-				.stream()
-				.min(Comparator.<Map.Entry<Fingerprint, Suspect>>comparingDouble((entry) -> entry.getValue().score())
-					.thenComparingLong((entry) -> entry.getValue().expiresAtNanos()))
-				.map(Map.Entry::getKey)
-				.ifPresent(entries::remove);
+		int excess = entries.size() - this.maxEntries;
+		if (excess <= 0) {
+			return;
 		}
+		entries.entrySet()
+			.stream()
+			.map((entry) -> new Ranked(entry.getKey(), entry.getValue().score(), entry.getValue().expiresAtNanos()))
+			.sorted(Comparator.comparingDouble(Ranked::score).thenComparingLong(Ranked::expiresAtNanos))
+			.limit(excess)
+			.forEach((ranked) -> entries.remove(ranked.fingerprint()));
 	}
 
 	private Map<Fingerprint, Suspect> entries(Fingerprint fingerprint) {
 		return fingerprint.isPart() ? this.parts : this.requests;
 	}
 
+	/** A suspect with what decides how long it stays. Thread safety: immutable. */
+	private record Ranked(Fingerprint fingerprint, double score, long expiresAtNanos) {
+
+	}
+
 }
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayServer.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayServer.java
@@ -286,8 +286,9 @@
 	private void startWatchers() {
 		new StoreWatcher(this.vertx, this.adapter.feed(), this.adapter.hintFeed(), this.adapter.objects().rulesKind(),
 				() -> this.rulesPollInterval.nextWaitMillis(System.nanoTime()), RULES_BATCH_MILLIS,
-				StoreWatcher.Listener.ofObjects(this::applyRules, this.freshness::recordConfirmation), this.storeOutage,
-				StoreWatcher.OutageRole.PROBES)
+				StoreWatcher.Listener.ofObjects((objects) -> objects.forEach(this::applyRules),
+						this.freshness::recordConfirmation),
+				this.storeOutage, StoreWatcher.OutageRole.PROBES)
 			.start();
 		new StoreWatcher(this.vertx, this.adapter.feed(), this.adapter.hintFeed(),
 				this.adapter.objects().replicasKind(), this.settings.bounds()::contactMillis,
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/ObjectListener.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/ObjectListener.java
@@ -1,5 +1,6 @@
 package org.burdocktray.process.serve.gateway;
 
+import java.util.List;
 import java.util.function.Consumer;
 
 import org.burdocktray.connection.platform.ObjectChanges;
@@ -8,28 +9,28 @@
 import org.burdocktray.process.freshness.RulesFreshness.Timestamp;
 
 /**
- * Passes on each listed or changed object separately. Ignores removals. Thread safety:
- * that of its consumers.
+ * Passes on the listed or changed objects of each response. Ignores removals. Thread
+ * safety: that of its consumers.
  *
- * @param onObject consumer of objects
+ * @param onObjects consumer of objects
  * @param onResponse consumer of the times whose state successful calls show
  */
-record ObjectListener(Consumer<StoredObject> onObject,
+record ObjectListener(Consumer<List<StoredObject>> onObjects,
 		Consumer<Timestamp> onResponse) implements StoreWatcher.Listener {
 
 	@Override
 	public void onListing(ObjectListing listing, Timestamp confirmedAt) {
-		listing.objects().forEach(this.onObject);
+		this.onObjects.accept(listing.objects());
 		this.onResponse.accept(confirmedAt);
 	}
 
 	@Override
 	public void onChanges(ObjectChanges changes, Timestamp confirmedAt) {
-		changes.changes()
+		this.onObjects.accept(changes.changes()
 			.stream()
 			.filter((change) -> !change.removed())
 			.map(ObjectChanges.ObjectChange::object)
-			.forEach(this.onObject);
+			.toList());
 		this.onResponse.accept(confirmedAt);
 	}
 
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/QuarantineSync.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/QuarantineSync.java
@@ -7,7 +7,6 @@
 import org.burdocktray.connection.peer.generated.Gossip;
 import org.burdocktray.connection.peer.generated.QuarantineEntry;
 import org.burdocktray.connection.peer.generated.SharedLoads;
-import org.burdocktray.connection.platform.StoredObject;
 import org.burdocktray.process.quarantine.Quarantine;
 import org.burdocktray.process.quarantine.QuarantineStore;
 
@@ -66,7 +65,7 @@
 				new QuarantineStore.ValueFormat(KIND + "/", QuarantineSync::quote, QuarantineSync::unquote),
 				adapter.store(), System::nanoTime, System::currentTimeMillis);
 		this.watcher = new StoreWatcher(vertx, adapter.hintFeed(), adapter.hintFeed(), KIND, () -> WATCH_WAIT_MILLIS,
-				WATCH_BATCH_MILLIS, StoreWatcher.Listener.ofObjects(this::merge, (sentAt) -> {
+				WATCH_BATCH_MILLIS, StoreWatcher.Listener.ofObjects(this.store::merge, (sentAt) -> {
 				}), outage, StoreWatcher.OutageRole.WAITS);
 	}
 
@@ -114,10 +113,6 @@
 		}
 	}
 
-	private void merge(StoredObject object) {
-		this.store.merge(object);
-	}
-
 	// The values of the store are JSON texts.
 	private static String quote(String text) {
 		return '"' + text + '"';
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/StoreWatcher.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/StoreWatcher.java
@@ -1,5 +1,6 @@
 package org.burdocktray.process.serve.gateway;
 
+import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
@@ -223,14 +224,14 @@
 		void onUnavailable();
 
 		/**
-		 * Returns a listener that passes on each object separately.
-		 * @param onObject consumer of the objects of listings and changes, except
-		 * removals
+		 * Returns a listener of the objects alone.
+		 * @param onObjects consumer of the objects of each listing, and of those of each
+		 * call that have changed, except removals
 		 * @param onResponse consumer of the times whose state successful calls show
 		 * @return the listener
 		 */
-		static Listener ofObjects(Consumer<StoredObject> onObject, Consumer<Timestamp> onResponse) {
-			return new ObjectListener(onObject, onResponse);
+		static Listener ofObjects(Consumer<List<StoredObject>> onObjects, Consumer<Timestamp> onResponse) {
+			return new ObjectListener(onObjects, onResponse);
 		}
 
 	}
--- a/router/src/test/java/org/burdocktray/process/quarantine/QuarantineTests.java
+++ b/router/src/test/java/org/burdocktray/process/quarantine/QuarantineTests.java
@@ -3,8 +3,11 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
+import com.google.protobuf.ByteString;
 import org.burdocktray.connection.peer.generated.Gossip;
+import org.burdocktray.connection.peer.generated.QuarantineEntry;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -26,6 +29,37 @@
 
 	private final Quarantine peer = new Quarantine(SETTINGS, "vm-2");
 
+	/**
+	 * Guards against VMs that answer nobody while they forget the entries of one listing,
+	 * which they ranked anew for each entry beyond the limit.
+	 */
+	@Test
+	@Timeout(value = 20, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+	void manyEntriesAreMergedInAboutLinearTime() {
+		Gossip.Builder listing = Gossip.newBuilder();
+		for (int entry = 0; entry < 20_000; entry++) {
+			listing.addQuarantine(entryWithCrashes(entry, 16));
+		}
+		Quarantine merging = new Quarantine(QuarantineSettings.sharedThroughStore(), "vm-9");
+		merging.merge(listing.build(), 0);
+		assertThat(merging.table(0).getQuarantineCount())
+			.isEqualTo(QuarantineSettings.sharedThroughStore().maxEntries());
+	}
+
+	private static QuarantineEntry entryWithCrashes(int entry, int crashes) {
+		QuarantineEntry.Builder builder = QuarantineEntry.newBuilder()
+			.setOrganisation("acme")
+			.setBodyDigest(ByteString.copyFromUtf8(String.format("%032d", entry)))
+			.setExpiresInMillis(60_000);
+		for (int crash = 0; crash < crashes; crash++) {
+			builder.addCrashes(org.burdocktray.connection.peer.generated.CrashEvidence.newBuilder()
+				.setRunId("vm-" + crash + "#" + entry)
+				.setUpstream("engine-" + crash)
+				.setSharedBy(1));
+		}
+		return builder.build();
+	}
+
 	@Test
 	void runsRequestThatIsNotSuspected() {
 		assertThat(this.quarantine.check(CRASHING_REQUEST, 0)).isInstanceOf(QuarantineDecision.Run.class);
