--- a/router/src/main/java/org/burdocktray/process/directory/ReplicaDirectory.java
+++ b/router/src/main/java/org/burdocktray/process/directory/ReplicaDirectory.java
@@ -21,7 +21,9 @@
  * draining. A replica that says that it leaves counts as draining until its address is
  * that of another instance, whatever its entry states. Invariants: a draining or removed
  * replica is not usable; of two entries with the same address, the replica with the
- * latest start time is used. Thread safety: modified by one thread; readers of the usable
+ * latest start time is used. The snapshot of the usable replicas is made anew once for a
+ * group of changes, and not for entries that change nothing, since it takes as long as
+ * there are replicas. Thread safety: modified by one thread; readers of the usable
  * replicas see an immutable snapshot.
  */
 public final class ReplicaDirectory {
@@ -42,6 +44,11 @@
 
 	private boolean storeUnavailable;
 
+	private boolean applyingChanges;
+
+	/** Whether the snapshot is older than the entries. */
+	private boolean changed;
+
 	private long graceEndNanos = Long.MIN_VALUE;
 
 	/**
@@ -53,6 +60,23 @@
 		this.gracePeriodNanos = gracePeriodNanos;
 	}
 
+	/**
+	 * Makes several changes. Readers see them all at once, when the last one is made.
+	 * @param changes calls the methods of this object that change entries
+	 */
+	public void applyTogether(Runnable changes) {
+		this.applyingChanges = true;
+		try {
+			changes.run();
+		}
+		finally {
+			this.applyingChanges = false;
+			if (this.changed) {
+				publish();
+			}
+		}
+	}
+
 	/** Records that the store does not respond. */
 	public void markStoreUnavailable() {
 		this.storeUnavailable = true;
@@ -107,8 +131,9 @@
 	 */
 	public void invalidate(String id) {
 		this.missingSinceNanos.remove(id);
-		this.entries.remove(id);
-		publish();
+		if (this.entries.remove(id) != null) {
+			publish();
+		}
 	}
 
 	/**
@@ -233,6 +258,10 @@
 	}
 
 	private void publish() {
+		this.changed = this.applyingChanges;
+		if (this.applyingChanges) {
+			return;
+		}
 		Map<Object, Replica> byAddress = new LinkedHashMap<>();
 		for (Replica replica : this.entries.values()) {
 			byAddress.merge(replica.address(), replica,
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/DirectoryListener.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/DirectoryListener.java
@@ -36,19 +36,19 @@
 	@Override
 	public void onListing(ObjectListing listing, Timestamp sentAt) {
 		List<Replica> replicas = new ArrayList<>();
-		for (StoredObject object : listing.objects()) {
-			read(object).peek(replicas::add).peekLeft((fault) -> handleInvalidEntry(object, fault));
-		}
-		this.directory.replaceAll(replicas, System.nanoTime());
+		this.directory.applyTogether(() -> {
+			for (StoredObject object : listing.objects()) {
+				read(object).peek(replicas::add).peekLeft((fault) -> handleInvalidEntry(object, fault));
+			}
+			this.directory.replaceAll(replicas, System.nanoTime());
+		});
 	}
 
 	@Override
 	public void onChanges(ObjectChanges changes, Timestamp sentAt) {
 		long nowNanos = System.nanoTime();
 		this.directory.markStoreAvailable(nowNanos);
-		for (ObjectChanges.ObjectChange change : changes.changes()) {
-			apply(change, nowNanos);
-		}
+		this.directory.applyTogether(() -> changes.changes().forEach((change) -> apply(change, nowNanos)));
 	}
 
 	@Override
--- a/router/src/test/java/org/burdocktray/process/directory/ReplicaDirectoryTests.java
+++ b/router/src/test/java/org/burdocktray/process/directory/ReplicaDirectoryTests.java
@@ -1,6 +1,7 @@
 package org.burdocktray.process.directory;
 
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 
 import org.burdocktray.model.DataCentre;
@@ -73,6 +74,31 @@
 		assertThat(this.directory.usable("s")).isEmpty();
 	}
 
+	/**
+	 * Guards against VMs that answer nobody while they read many entries: the snapshot
+	 * was made anew for each entry, so that the time grew with the entries times the
+	 * replicas.
+	 */
+	@Test
+	void snapshotIsMadeAnewOnceForAGroupOfChanges() {
+		this.directory.replaceAll(List.of(this.first), 0);
+		Map<String, List<Replica>> before = this.directory.usable();
+		this.directory.applyTogether(() -> {
+			this.directory.put(this.second, 1);
+			this.directory.remove("first", 1);
+			assertThat(this.directory.usable()).isSameAs(before);
+		});
+		assertThat(this.directory.usable("s")).containsExactly(this.second);
+	}
+
+	@Test
+	void invalidEntryThatNamedNoReplicaLeavesTheSnapshot() {
+		this.directory.replaceAll(List.of(this.first), 0);
+		Map<String, List<Replica>> before = this.directory.usable();
+		this.directory.invalidate("foreign");
+		assertThat(this.directory.usable()).isSameAs(before);
+	}
+
 	@Test
 	void replicaWithTheLatestStartIsUsedWhenTwoHaveTheSameAddress() {
 		Replica latest = new Replica("new", 9, "other", this.first.address(), new DataCentre("ghent"), 4, false,
