Log lines have a bounded length

Cause: up to 2,048 lines wait in memory while standard output isn't read, and a line holds texts from outside whole: names of entries, faults, ids of requests (headers of up to 64 kB, several lines a request). Together that is more than the heap.

Fix: messages of over 8,192 characters are cut before they are queued, and tell their length.

Evidence: LogSetupTests.shortensLongMessages fails with a filter that lets all pass (trial).

--- a/router/src/main/java/org/burdocktray/process/cli/LogSetup.java
+++ b/router/src/main/java/org/burdocktray/process/cli/LogSetup.java
@@ -39,24 +39,31 @@
 		for (Handler handler : root.getHandlers()) {
 			root.removeHandler(handler);
 		}
-		root.addHandler(new ConsoleHandler(ConsoleHandler.Target.SYSTEM_ERR, createFormatter()));
+		ConsoleHandler console = new ConsoleHandler(ConsoleHandler.Target.SYSTEM_ERR, createFormatter());
+		console.setFilter(new LogMessageLimit());
+		root.addHandler(console);
 		root.setLevel(Level.INFO);
 	}
 
 	/**
-	 * Directs all logs to the standard output. Lines pass through a bounded queue, so
-	 * that the router never blocks when the output is not read. Lines that do not fit
-	 * into the queue are dropped.
+	 * Directs all logs to the standard output. Lines of bounded length pass through a
+	 * bounded queue, so that the router neither blocks nor runs out of memory when the
+	 * output is not read. Lines that do not fit into the queue are dropped.
 	 */
 	public static void useStandardOutput() {
 		Logger root = rootLogger();
 		for (Handler handler : root.getHandlers()) {
 			root.removeHandler(handler);
 		}
+		root.addHandler(createQueue(new ConsoleHandler(ConsoleHandler.Target.SYSTEM_OUT, createFormatter())));
+	}
+
+	static AsyncHandler createQueue(Handler output) {
 		AsyncHandler queue = new AsyncHandler(MAX_QUEUED_LINES);
+		queue.setFilter(new LogMessageLimit());
 		queue.setOverflowAction(AsyncHandler.OverflowAction.DISCARD);
-		queue.addHandler(new ConsoleHandler(ConsoleHandler.Target.SYSTEM_OUT, createFormatter()));
-		root.addHandler(queue);
+		queue.addHandler(output);
+		return queue;
 	}
 
 	/**
--- a/router/src/test/java/org/burdocktray/process/cli/LogSetupTests.java
+++ b/router/src/test/java/org/burdocktray/process/cli/LogSetupTests.java
@@ -6,6 +6,8 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import org.jboss.logmanager.ExtLogRecord;
 import org.jboss.logmanager.Level;
+import org.jboss.logmanager.handlers.AsyncHandler;
+import org.jboss.logmanager.handlers.ConsoleHandler;
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -28,4 +30,30 @@
 		assertThat(json.get("stackTrace").asText()).contains("IllegalStateException: broken");
 	}
 
+	/**
+	 * Guards against processes that run out of memory by lines which wait to be written:
+	 * each held a text from outside whole.
+	 */
+	@Test
+	void shortensLongMessages() {
+		ExtLogRecord logged = new ExtLogRecord(Level.WARN, "entry=%s", ExtLogRecord.FormatStyle.PRINTF,
+				LogSetupTests.class.getName());
+		logged.setParameters(new Object[] { "x".repeat(1 << 20) });
+		AsyncHandler queue = LogSetup.createQueue(new ConsoleHandler());
+		assertThat(queue.getFilter().isLoggable(logged)).isTrue();
+		assertThat(logged.getFormattedMessage()).startsWith("entry=xxx")
+			.endsWith("(1048582 characters)")
+			.hasSizeLessThan(10_000);
+		assertThat(logged.getParameters()).isNull();
+	}
+
+	@Test
+	void leavesOtherMessagesAsTheyAre() {
+		ExtLogRecord logged = new ExtLogRecord(Level.WARN, "entry=%s", ExtLogRecord.FormatStyle.PRINTF,
+				LogSetupTests.class.getName());
+		logged.setParameters(new Object[] { "i-1" });
+		assertThat(new LogMessageLimit().isLoggable(logged)).isTrue();
+		assertThat(logged.getFormattedMessage()).isEqualTo("entry=i-1");
+	}
+
 }
