An entry of another writer no longer ends the listing of VMs

Cause: an address or a data centre that is `null` in an entry under `burdocktray-vms` threw out of the handler that schedules the next listing. From then on a VM never learned of others: no new shares of limits and retry budget, no datagrams to VMs that came later, no relays through them.

Fix: a missing text is an entry that can't be read; its VM is only counted, as for the other faults. Texts of over 1,024 characters count as missing.

Evidence: FleetRegistryTests fails on the code before (NullPointerException in the event loop, no listing).

--- a/router/src/main/java/org/burdocktray/process/serve/gateway/FleetRegistry.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/FleetRegistry.java
@@ -29,6 +29,9 @@
 
 	private static final String ADDRESS = "address";
 
+	/** The largest text that is kept; far more than the name of a data centre has. */
+	private static final int MAX_TEXT_CHARACTERS = 1_024;
+
 	private static final long INITIAL_INTERVAL_MILLIS = 1_000;
 
 	private static final long MAX_INTERVAL_MILLIS = 16_000;
@@ -84,8 +87,8 @@
 		String name = object.key().substring(KEY_PREFIX.length());
 		try {
 			JsonObject value = new JsonObject(object.value());
-			Optional<NetworkAddress> address = NetworkAddress.parse(value.getString(ADDRESS, ""));
-			return new RegisteredVm(name, new DataCentre(value.getString(DATA_CENTRE, "")), address);
+			Optional<NetworkAddress> address = text(value, ADDRESS).flatMap(NetworkAddress::parse);
+			return new RegisteredVm(name, new DataCentre(text(value, DATA_CENTRE).orElse("")), address);
 		}
 		catch (DecodeException | ClassCastException ex) {
 			LOGGER.warnf("VM entry is invalid, the VM is only counted: vm=%s cause=%s", name, ex.getMessage());
@@ -93,6 +96,10 @@
 		}
 	}
 
+	private static Optional<String> text(JsonObject value, String field) {
+		return Optional.ofNullable(value.getString(field)).filter((text) -> text.length() <= MAX_TEXT_CHARACTERS);
+	}
+
 	/**
 	 * A registered VM. Thread safety: immutable.
 	 *
--- /dev/null
+++ b/router/src/test/java/org/burdocktray/process/serve/gateway/FleetRegistryTests.java
@@ -0,0 +1,106 @@
+package org.burdocktray.process.serve.gateway;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import io.reactivex.rxjava3.core.Flowable;
+import io.reactivex.rxjava3.core.Single;
+import io.vavr.control.Either;
+import io.vertx.core.Vertx;
+import org.burdocktray.connection.platform.PlatformStore;
+import org.burdocktray.connection.platform.StoreError;
+import org.burdocktray.connection.platform.StoredObject;
+import org.burdocktray.model.DataCentre;
+import org.burdocktray.model.NetworkAddress;
+import org.burdocktray.process.serve.gateway.FleetRegistry.RegisteredVm;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests how the entries of VMs are read.
+ */
+class FleetRegistryTests {
+
+	private static final long TIMEOUT_SECONDS = 10;
+
+	private static final NetworkAddress ADDRESS = new NetworkAddress("10.0.0.1", 7340);
+
+	private final Vertx vertx = Vertx.vertx();
+
+	@AfterEach
+	void close() {
+		this.vertx.close().toCompletionStage().toCompletableFuture().join();
+	}
+
+	/**
+	 * Guards against VMs that never learn of others, since one entry of another writer
+	 * ended the periodic listing.
+	 */
+	@ParameterizedTest
+	@ValueSource(strings = { "{\"address\":null,\"dataCentre\":null}", "{\"address\":7}", "{}", "null", "[]", "\"\"",
+			"7", "{\"address\":{}}" })
+	void entryOfAnotherWriterIsOnlyCounted(String value) throws Exception {
+		assertThat(listWith(value)).contains(new RegisteredVm("vm-0", new DataCentre("ghent"), Optional.of(ADDRESS)))
+			.contains(new RegisteredVm("foreign", new DataCentre(""), Optional.empty()));
+	}
+
+	@Test
+	void longTextsAreNotKept() throws Exception {
+		String text = "[" + ":".repeat(1 << 20);
+		assertThat(listWith("{\"address\":\"" + text + "\",\"dataCentre\":\"" + text + "\"}"))
+			.contains(new RegisteredVm("foreign", new DataCentre(""), Optional.empty()));
+	}
+
+	private List<RegisteredVm> listWith(String foreignValue) throws Exception {
+		CompletableFuture<List<RegisteredVm>> listed = new CompletableFuture<>();
+		RegisteredVm self = new RegisteredVm("vm-0", new DataCentre("ghent"), Optional.of(ADDRESS));
+		FleetRegistry registry = new FleetRegistry(this.vertx, new FakeStore(foreignValue), self, listed::complete);
+		this.vertx.getOrCreateContext().runOnContext((now) -> registry.start());
+		return listed.get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+	}
+
+	private static final class FakeStore implements PlatformStore {
+
+		private final List<StoredObject> objects = new ArrayList<>();
+
+		private FakeStore(String foreignValue) {
+			this.objects.add(new StoredObject("burdocktray-vms/foreign", 1, foreignValue));
+		}
+
+		@Override
+		public Single<Either<StoreError, Optional<StoredObject>>> read(String key) {
+			throw new UnsupportedOperationException();
+		}
+
+		@Override
+		public Single<Either<StoreError, List<StoredObject>>> list(String prefix) {
+			return Single.just(Either.right(List.copyOf(this.objects)));
+		}
+
+		@Override
+		public Single<Either<StoreError, StoredObject>> create(String key, String value) {
+			StoredObject created = new StoredObject(key, 2, value);
+			this.objects.add(created);
+			return Single.just(Either.right(created));
+		}
+
+		@Override
+		public Single<Either<StoreError, StoredObject>> update(String key, long expectedVersion, String value) {
+			throw new UnsupportedOperationException();
+		}
+
+		@Override
+		public Flowable<StoredObject> watch(String prefix, long afterVersion) {
+			return Flowable.never();
+		}
+
+	}
+
+}
