No object of the store ends the watch of its kind

Cause: a fault while the objects of a response were applied, such as rules that name a kind of accelerator twice, threw through the watcher, which then never called the store again. New rules, or replicas that come and go, were not seen for as long as the process lived.

--- a/router/src/main/java/org/burdocktray/process/serve/gateway/StoreWatcher.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/StoreWatcher.java
@@ -17,8 +17,9 @@
 
 /**
  * Watches the objects of one kind: lists them, then waits for changes, and lists them
- * again when a change may have been missed. Invariant: one call is in progress at a time.
- * Thread safety: none, confined to one event loop.
+ * again when a change may have been missed. Invariants: one call is in progress at a
+ * time; no fault of the listener ends the watch. Thread safety: none, confined to one
+ * event loop.
  */
 final class StoreWatcher {
 
@@ -165,7 +166,11 @@
 			this.outage.end();
 		}
 		this.backoffMillis = INITIAL_BACKOFF_MILLIS;
-		notification.run();
+		if (!notifyListener(notification)) {
+			this.revision = Optional.empty();
+			this.vertx.setTimer(MAX_BACKOFF_MILLIS, (timer) -> poll());
+			return;
+		}
 		if (delayMillis == 0) {
 			poll();
 			return;
@@ -173,6 +178,18 @@
 		this.vertx.setTimer(delayMillis, (timer) -> poll());
 	}
 
+	// The watch must go on whatever the objects hold.
+	private boolean notifyListener(Runnable notification) {
+		try {
+			notification.run();
+			return true;
+		}
+		catch (RuntimeException ex) {
+			LOGGER.errorf(ex, "Objects of the store cannot be applied: kind=%s", this.kind);
+			return false;
+		}
+	}
+
 	private void handleFailure(StoreError error) {
 		if (!this.unavailable) {
 			this.unavailable = true;
--- a/router/src/test/java/org/burdocktray/process/serve/gateway/StoreWatcherTests.java
+++ b/router/src/test/java/org/burdocktray/process/serve/gateway/StoreWatcherTests.java
@@ -89,14 +89,31 @@
 		awaitListing(listings);
 	}
 
+	/** Guards against VMs that keep what they know for good after one object. */
+	@Test
+	void watchGoesOnAfterAFaultOfItsListener() throws InterruptedException {
+		AtomicInteger calls = new AtomicInteger();
+		AtomicInteger listings = new AtomicInteger();
+		start(StoreWatcher.OutageRole.PROBES, "rules", StoreWatcher.Listener.ofObjects((objects) -> {
+			if (calls.incrementAndGet() == 1) {
+				throw new IllegalStateException("object that nobody expected");
+			}
+		}, (sentAt) -> listings.incrementAndGet()));
+		awaitListing(listings);
+		assertThat(this.feed.callsOf("rules")).isGreaterThan(1);
+	}
+
 	private AtomicInteger start(StoreWatcher.OutageRole role, String kind) {
 		AtomicInteger listings = new AtomicInteger();
-		StoreWatcher.Listener listener = StoreWatcher.Listener.ofObjects((object) -> {
-		}, (sentAt) -> listings.incrementAndGet());
+		start(role, kind, StoreWatcher.Listener.ofObjects((objects) -> {
+		}, (sentAt) -> listings.incrementAndGet()));
+		return listings;
+	}
+
+	private void start(StoreWatcher.OutageRole role, String kind, StoreWatcher.Listener listener) {
 		StoreWatcher watcher = new StoreWatcher(this.vertx, this.feed, this.probeFeed, kind, () -> TIMEOUT_MILLIS, 0,
 				listener, this.outage, role);
 		this.vertx.getOrCreateContext().runOnContext((now) -> watcher.start());
-		return listings;
 	}
 
 	private static void awaitListing(AtomicInteger listings) throws InterruptedException {
