Observability: which answer was read, on which connection; failed answers that are tried again

Attempt failed and Request ended now have answerStatus, signature and connection; a failed answer that is tried again has a line and counts in burdocktray_gateway_attempts_total; answers that name another request are counted by service, and the line names the id found. No logic changes. ReplicaProbeTests constructs the head with an absent signature where it had false.

--- a/router/src/main/java/org/burdocktray/process/serve/gateway/Attempt.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/Attempt.java
@@ -37,6 +37,8 @@
 
 	private Optional<HttpClientResponse> replicaResponse = Optional.empty();
 
+	private AnswerOrigin answerOrigin = AnswerOrigin.NONE;
+
 	private Optional<StreamOutputs.OpenStream> openStream = Optional.empty();
 
 	private boolean sent;
@@ -100,6 +102,14 @@
 		return this.sentNanos;
 	}
 
+	/**
+	 * Returns which answer was read, for logs.
+	 * @return its origin, {@link AnswerOrigin#NONE} before one has come
+	 */
+	AnswerOrigin answerOrigin() {
+		return this.answerOrigin;
+	}
+
 	boolean isRunningOnEngines() {
 		return this.sent && this.target.path().isPresent();
 	}
@@ -204,7 +214,7 @@
 			return;
 		}
 		this.context.contacts().record(this.target.replica(), System.nanoTime());
-		ResponseHead head = this.context.headers().readResponse(response.statusCode(), response.headers());
+		ResponseHead head = readHead(response);
 		this.context.limits().recordResponse(this.target.replica(), head);
 		onResponse(response, head);
 	}
@@ -212,7 +222,7 @@
 	private void onRelayedResponse(HttpClientResponse response) {
 		Optional<RelayRefusal> refusal = RelayHeaders.readRefusal(response.statusCode(), response.headers());
 		if (refusal.isEmpty()) {
-			onResponse(response, this.context.headers().readResponse(response.statusCode(), response.headers()));
+			onResponse(response, readHead(response));
 			return;
 		}
 		this.context.connections().responses().discard(response);
@@ -224,10 +234,17 @@
 		}
 	}
 
+	private ResponseHead readHead(HttpClientResponse response) {
+		ResponseHead head = this.context.headers().readResponse(response.statusCode(), response.headers());
+		this.answerOrigin = AnswerOrigin.of(response, head.signature());
+		return head;
+	}
+
 	private void onResponse(HttpClientResponse response, ResponseHead head) {
 		boolean isMismatched = head.requestId().isPresent() && !head.requestId().equals(this.request.requestId());
 		if (isMismatched) {
-			failInvalidResponse("answer of another request");
+			this.context.metrics().recordForeignAnswer(this.target.replica().service());
+			failInvalidResponse("answer of another request: " + AnswerOrigin.shorten(head.requestId().get()));
 			return;
 		}
 		if (head.notExecuted() || response.statusCode() == MISDIRECTED) {
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/FinalResponse.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/FinalResponse.java
@@ -62,17 +62,17 @@
 		this.lastCause = cause;
 	}
 
-	void deliver(HttpClientResponse head, Buffer body, Replica replica) {
+	void deliver(HttpClientResponse head, Buffer body, Replica replica, AnswerOrigin origin) {
 		this.callerResponse.send(head, body);
-		log(head.statusCode(), Verdict.RAN, "answered by " + replica.id());
+		log(head.statusCode(), Verdict.RAN, "answered by " + replica.id(), origin);
 	}
 
-	void completeStream(HttpClientResponse head, Replica replica) {
+	void completeStream(HttpClientResponse head, Replica replica, AnswerOrigin origin) {
 		if (!this.callerResponse.isStarted()) {
 			this.callerResponse.startStream(head);
 		}
 		this.callerResponse.endStream();
-		log(head.statusCode(), Verdict.RAN, "stream ended by " + replica.id());
+		log(head.statusCode(), Verdict.RAN, "stream ended by " + replica.id(), origin);
 	}
 
 	void abortStream(String cause) {
@@ -146,7 +146,11 @@
 	}
 
 	private void log(int status, Verdict verdict, String cause) {
-		RequestEventLog.logEnded(this.admitted, status, verdict, cause, this.timing);
+		log(status, verdict, cause, AnswerOrigin.NONE);
+	}
+
+	private void log(int status, Verdict verdict, String cause, AnswerOrigin origin) {
+		RequestEventLog.logEnded(this.admitted, status, verdict, cause, origin, this.timing);
 	}
 
 }
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/ForwardExchange.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/ForwardExchange.java
@@ -226,33 +226,41 @@
 		}
 		endSilence();
 		this.runGuard.recordResponse(currentAttempt(), head.statusCode());
-		deliver(head, body, replica);
+		deliver(head, body, currentAttempt());
 	}
 
 	private void retryAfterFailure(HttpClientResponse head, Buffer body, Replica replica) {
+		Attempt failed = currentAttempt();
 		this.state.recordOutcome(AttemptOutcome.FAILED);
+		this.context.metrics().recordAttempt(AttemptOutcome.FAILED.name());
 		this.targetSelector.exclude(replica);
-		this.runGuard.end(currentAttempt());
-		boolean isRelayed = currentAttempt().target().isRelay();
+		this.runGuard.end(failed);
 		this.attempt = Optional.empty();
 		if (continueWithSuccessor()) {
+			logFailedAnswer(failed);
 			return;
 		}
 		// A VM that relays has tried other replicas already.
-		if (!this.state.canRetry() || isRelayed) {
-			deliver(head, body, replica);
+		if (!this.state.canRetry() || failed.target().isRelay()) {
+			deliver(head, body, failed);
 			return;
 		}
 		this.preparation.prepare(this.targetSelector::select, true, () -> !this.ended).subscribe((result) -> {
 			if (result instanceof RunPreparation.Result.Ready ready) {
+				logFailedAnswer(failed);
 				send(ready.target());
 			}
 			else if (!this.ended) {
-				deliver(head, body, replica);
+				deliver(head, body, failed);
 			}
 		});
 	}
 
+	private void logFailedAnswer(Attempt failed) {
+		RequestEventLog.logAttemptFailed(this.admitted, failed, AttemptOutcome.FAILED,
+				"status " + failed.answerOrigin().status(), Optional.empty());
+	}
+
 	@Override
 	public void onRefusal(RelayRefusal refusal) {
 		if (this.callerResponse.isStarted()) {
@@ -268,9 +276,9 @@
 		this.finalResponse.passOn(refusal);
 	}
 
-	private void deliver(HttpClientResponse head, Buffer body, Replica replica) {
+	private void deliver(HttpClientResponse head, Buffer body, Attempt answered) {
 		finish();
-		this.finalResponse.deliver(head, body, replica);
+		this.finalResponse.deliver(head, body, answered.target().replica(), answered.answerOrigin());
 	}
 
 	@Override
@@ -315,9 +323,10 @@
 		}
 		this.health.recordResponse(replica, false);
 		endSilence();
-		this.runGuard.recordResponse(currentAttempt(), this.stream.head().statusCode());
+		Attempt answered = currentAttempt();
+		this.runGuard.recordResponse(answered, this.stream.head().statusCode());
 		finish();
-		this.finalResponse.completeStream(this.stream.head(), replica);
+		this.finalResponse.completeStream(this.stream.head(), replica, answered.answerOrigin());
 	}
 
 	@Override
@@ -331,7 +340,7 @@
 		this.finalResponse.setLastCause(cause);
 		this.state.recordOutcome(outcome);
 		this.context.metrics().recordAttempt(outcome.name());
-		RequestEventLog.logAttemptFailed(this.admitted, target, outcome, cause, faultAddress);
+		RequestEventLog.logAttemptFailed(this.admitted, failed, outcome, cause, faultAddress);
 		if (this.health.recordFailedAttempt(target.replica(), outcome, faultAddress)) {
 			this.targetSelector.exclude(target.replica());
 		}
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayMetrics.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayMetrics.java
@@ -53,6 +53,12 @@
 		.help("Responses of replicas that this VM gave up for their size")
 		.register(this.registry);
 
+	private final Counter foreignAnswers = Counter.builder()
+		.name("burdocktray_gateway_foreign_answers_total")
+		.help("Answers read on connections to replicas that named another request than the one in progress, by service")
+		.labelNames("service")
+		.register(this.registry);
+
 	private final Counter replicaCrashes = Counter.builder()
 		.name("burdocktray_gateway_replica_crashes_total")
 		.help("Replicas that crashed under requests of this VM")
@@ -141,6 +147,10 @@
 		this.brokenOffResponses.inc();
 	}
 
+	void recordForeignAnswer(String service) {
+		this.foreignAnswers.labelValues(service).inc();
+	}
+
 	void recordOversizedResponse() {
 		this.oversizedResponses.inc();
 	}
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/RequestEventLog.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/RequestEventLog.java
@@ -38,11 +38,11 @@
 				target.replica().id(), formatPath(target.path()), state.verdict().wireName());
 	}
 
-	static void logAttemptFailed(AdmittedRequest admitted, Target target, AttemptOutcome outcome, String cause,
+	static void logAttemptFailed(AdmittedRequest admitted, Attempt failed, AttemptOutcome outcome, String cause,
 			Optional<NetworkAddress> faultAddress) {
-		LOGGER.infof("Attempt failed: request=%s replica=%s path=%s outcome=%s cause=%s faultAt=%s",
-				requestId(admitted), target.replica().id(), formatPath(target.path()), outcome, cause,
-				faultAddress.map(NetworkAddress::toString).orElse(""));
+		LOGGER.infof("Attempt failed: request=%s replica=%s path=%s outcome=%s %s cause=%s faultAt=%s",
+				requestId(admitted), failed.target().replica().id(), formatPath(failed.target().path()), outcome,
+				failed.answerOrigin(), cause, faultAddress.map(NetworkAddress::toString).orElse(""));
 	}
 
 	static void logSuccessorSent(AdmittedRequest admitted, Target silent, Target successor, String cause,
@@ -77,15 +77,16 @@
 				formatPath(next.path()), result);
 	}
 
-	static void logEnded(AdmittedRequest admitted, int status, Verdict verdict, String cause, ResponseTiming timing) {
+	static void logEnded(AdmittedRequest admitted, int status, Verdict verdict, String cause, AnswerOrigin origin,
+			ResponseTiming timing) {
 		LOGGER.infof(
 				"Request ended: request=%s route=%s organisation=%s rules=%d status=%d ran=%s millis=%d "
-						+ "firstEventMillis=%s longestPauseMillis=%d silentMillis=%s cause=%s",
+						+ "firstEventMillis=%s longestPauseMillis=%d silentMillis=%s %s cause=%s",
 				requestId(admitted), admitted.route().name(), admitted.request().organisation().orElse(""),
 				admitted.rulesVersion(), status, verdict.wireName(),
 				(System.nanoTime() - timing.startNanos()) / NANOS_PER_MILLI, firstEventMillis(timing),
 				timing.longestPauseNanos() / NANOS_PER_MILLI, formatMillis(timing.silentNanos(System.nanoTime())),
-				cause);
+				origin, cause);
 	}
 
 	private static String firstEventMillis(ResponseTiming timing) {
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/ResponseHead.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/ResponseHead.java
@@ -11,7 +11,7 @@
  * immutable.
  *
  * @param requestId the id of the request to which it responds
- * @param signed whether it carries the signature of a replica
+ * @param signature the signature of the replica, empty for a response that has none
  * @param notExecuted whether the replica states that it did not run the request
  * @param faultAddress the address of the failed engine, if an engine of the path reports
  * another one
@@ -20,8 +20,16 @@
  * @param retryAfter for how long a replica that rejects the request wants no other one
  * @param leaving whether the replica says that it leaves
  */
-public record ResponseHead(Optional<String> requestId, boolean signed, boolean notExecuted,
+public record ResponseHead(Optional<String> requestId, Optional<String> signature, boolean notExecuted,
 		Optional<NetworkAddress> faultAddress, Optional<String> instanceId, RequestLimit requestLimit,
 		RetryAfter retryAfter, boolean leaving) {
 
+	/**
+	 * Returns whether the response carries the signature of a replica.
+	 * @return false for a response that no replica has signed
+	 */
+	public boolean signed() {
+		return this.signature.isPresent();
+	}
+
 }
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/RunHandover.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/RunHandover.java
@@ -259,7 +259,7 @@
 		if (outcome == AttemptOutcome.NOT_SENT) {
 			this.context.retryBudget().returnRetry(this.admitted.service().name());
 		}
-		RequestEventLog.logAttemptFailed(this.admitted, failed.target(), outcome, cause, faultAddress);
+		RequestEventLog.logAttemptFailed(this.admitted, failed, outcome, cause, faultAddress);
 		if (this.health.recordFailedAttempt(failed.target().replica(), outcome, faultAddress)) {
 			this.targetSelector.exclude(failed.target().replica());
 		}
--- a/router/src/test/java/org/burdocktray/process/serve/gateway/ReplicaProbeTests.java
+++ b/router/src/test/java/org/burdocktray/process/serve/gateway/ReplicaProbeTests.java
@@ -225,7 +225,7 @@
 
 		@Override
 		public ResponseHead readResponse(int statusCode, MultiMap headers) {
-			return new ResponseHead(Optional.empty(), false, false, Optional.empty(),
+			return new ResponseHead(Optional.empty(), Optional.empty(), false, Optional.empty(),
 					Optional.ofNullable(headers.get(INSTANCE_ID)), new RequestLimit.None(), new RetryAfter.None(),
 					false);
 		}
