--- a/router/src/main/java/org/burdocktray/process/serve/gateway/Attempt.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/Attempt.java
@@ -63,7 +63,7 @@
 		this.context.limits().recordRequest(this.target.replica());
 		long startNanos = System.nanoTime();
 		this.context.connections()
-			.open(this.target.replica(), this.request.method(), this.request.uri(), this.request.repeatable())
+			.open(this.target.replica(), this.request.method(), this.request.uri(), this.request.pooled())
 			.onSuccess(this::onConnected)
 			.onFailure((cause) -> failUnreached(AttemptOutcome.NOT_SENT, cause, startNanos));
 	}
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/ForwardExchange.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/ForwardExchange.java
@@ -14,6 +14,7 @@
 import org.burdocktray.request.forward.AttemptOutcome;
 import org.burdocktray.request.forward.ForwardState;
 import org.burdocktray.request.forward.ResponseTiming;
+import org.burdocktray.request.forward.SentAddresses;
 import org.burdocktray.request.forward.WaitingRequest;
 import org.burdocktray.version.rules.RequestKind;
 
@@ -65,6 +66,8 @@
 
 	private final ForwardState state;
 
+	private final SentAddresses sentAddresses = new SentAddresses();
+
 	private final TargetSelector targetSelector;
 
 	private final StreamRecovery streamRecovery;
@@ -179,16 +182,18 @@
 		this.state.recordSend();
 		this.stream.startRun(Optional.empty());
 		this.streamRecovery.onAttemptStart(this.callerResponse.isStarted());
-		Attempt next = new Attempt(this.context, nextRequest(), target, this);
+		Attempt next = new Attempt(this.context, nextRequest(target), target, this);
 		this.attempt = Optional.of(next);
 		RequestEventLog.logSent(this.admitted, target, this.state);
 		next.start();
 	}
 
 	@Override
-	public ForwardedRequest nextRequest() {
+	public ForwardedRequest nextRequest(Target target) {
+		boolean sentBefore = !this.sentAddresses.add(target.replica().address());
 		return this.admitted.request()
-			.resumingAfter(this.stream.lastEventId().or(this.admitted.head()::lastEventId), this.state.runs());
+			.nextAttempt(this.stream.lastEventId().or(this.admitted.head()::lastEventId), this.state.runs(),
+					sentBefore);
 	}
 
 	@Override
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/ReplicaConnections.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/ReplicaConnections.java
@@ -18,8 +18,10 @@
 /**
  * The connections to replicas. A request that must not be repeated gets a connection of
  * its own: if a replica closes a pooled connection while a request is being sent on it,
- * it is unknown whether the replica has read the request. Thread safety: confined to one
- * event loop.
+ * it is unknown whether the replica has read the request. So does a request that was sent
+ * to the replica before: the replica may answer the earlier attempt once more. Invariant:
+ * a connection carries a request at most once, so that the id in an answer identifies the
+ * attempt. Thread safety: confined to one event loop.
  */
 final class ReplicaConnections {
 
@@ -71,18 +73,17 @@
 	 * @param replica the replica
 	 * @param method the HTTP method
 	 * @param uri the path and query
-	 * @param repeatable whether the request may be sent again, so that it can use a
-	 * pooled connection
+	 * @param pooled whether the request can use a connection that has carried others
 	 * @return the request; fails only if nothing was sent
 	 */
-	Future<HttpClientRequest> open(Replica replica, HttpMethod method, String uri, boolean repeatable) {
+	Future<HttpClientRequest> open(Replica replica, HttpMethod method, String uri, boolean pooled) {
 		RequestOptions options = new RequestOptions()
 			.setServer(SocketAddress.inetSocketAddress(replica.address().port(), replica.address().ip()))
 			.setHost(replica.address().ip())
 			.setPort(replica.address().port())
 			.setMethod(method)
 			.setURI(uri);
-		return (repeatable ? this.pooledClient : this.singleUseClient).request(options)
+		return (pooled ? this.pooledClient : this.singleUseClient).request(options)
 			.onSuccess(this.responses::limitInterimResponses);
 	}
 
