What an answer says of its replica counts only once it is known whose it is

What callers saw: nothing yet; a replica's old word took effect again. Cause: limit, pause, leaving and sign of life were recorded from an answer before its id was looked at, so a second answer to an earlier request could mark a replica as leaving, or renew a pause. Evidence: answerOfAnotherRequestSaysNothingOfReplica failed before (the only replica got no request any more, 15 s), passes now. The id is looked at first.

--- a/router/src/main/java/org/burdocktray/process/serve/gateway/Attempt.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/Attempt.java
@@ -213,8 +213,12 @@
 			onRelayedResponse(response);
 			return;
 		}
-		this.context.contacts().record(this.target.replica(), System.nanoTime());
 		ResponseHead head = readHead(response);
+		if (isOfAnotherRequest(head)) {
+			failForeignResponse(head);
+			return;
+		}
+		this.context.contacts().record(this.target.replica(), System.nanoTime());
 		this.context.limits().recordResponse(this.target.replica(), head);
 		onResponse(response, head);
 	}
@@ -240,11 +244,18 @@
 		return head;
 	}
 
+	private boolean isOfAnotherRequest(ResponseHead head) {
+		return head.requestId().isPresent() && !head.requestId().equals(this.request.requestId());
+	}
+
+	private void failForeignResponse(ResponseHead head) {
+		this.context.metrics().recordForeignAnswer(this.target.replica().service());
+		failInvalidResponse("answer of another request: " + AnswerOrigin.shorten(head.requestId().orElse("")));
+	}
+
 	private void onResponse(HttpClientResponse response, ResponseHead head) {
-		boolean isMismatched = head.requestId().isPresent() && !head.requestId().equals(this.request.requestId());
-		if (isMismatched) {
-			this.context.metrics().recordForeignAnswer(this.target.replica().service());
-			failInvalidResponse("answer of another request: " + AnswerOrigin.shorten(head.requestId().get()));
+		if (isOfAnotherRequest(head)) {
+			failForeignResponse(head);
 			return;
 		}
 		if (head.notExecuted() || response.statusCode() == MISDIRECTED) {
