--- a/router/src/main/java/org/burdocktray/process/serve/gateway/Attempt.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/Attempt.java
@@ -63,7 +63,8 @@
 		this.context.limits().recordRequest(this.target.replica());
 		long startNanos = System.nanoTime();
 		this.context.connections()
-			.open(this.target.replica(), this.request.method(), this.request.uri(), this.request.pooled())
+			.open(this.target.replica(), this.request.method(), this.request.uri(),
+					this.request.repeatable() ? this.request.requestId() : Optional.empty())
 			.onSuccess(this::onConnected)
 			.onFailure((cause) -> failUnreached(AttemptOutcome.NOT_SENT, cause, startNanos));
 	}
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/ForwardExchange.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/ForwardExchange.java
@@ -14,7 +14,6 @@
 import org.burdocktray.request.forward.AttemptOutcome;
 import org.burdocktray.request.forward.ForwardState;
 import org.burdocktray.request.forward.ResponseTiming;
-import org.burdocktray.request.forward.SentAddresses;
 import org.burdocktray.request.forward.WaitingRequest;
 import org.burdocktray.version.rules.RequestKind;
 
@@ -66,8 +65,6 @@
 
 	private final ForwardState state;
 
-	private final SentAddresses sentAddresses = new SentAddresses();
-
 	private final TargetSelector targetSelector;
 
 	private final StreamRecovery streamRecovery;
@@ -182,18 +179,16 @@
 		this.state.recordSend();
 		this.stream.startRun(Optional.empty());
 		this.streamRecovery.onAttemptStart(this.callerResponse.isStarted());
-		Attempt next = new Attempt(this.context, nextRequest(target), target, this);
+		Attempt next = new Attempt(this.context, nextRequest(), target, this);
 		this.attempt = Optional.of(next);
 		RequestEventLog.logSent(this.admitted, target, this.state);
 		next.start();
 	}
 
 	@Override
-	public ForwardedRequest nextRequest(Target target) {
-		boolean sentBefore = !this.sentAddresses.add(target.replica().address());
+	public ForwardedRequest nextRequest() {
 		return this.admitted.request()
-			.nextAttempt(this.stream.lastEventId().or(this.admitted.head()::lastEventId), this.state.runs(),
-					sentBefore);
+			.resumingAfter(this.stream.lastEventId().or(this.admitted.head()::lastEventId), this.state.runs());
 	}
 
 	@Override
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/ForwardedRequest.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/ForwardedRequest.java
@@ -16,15 +16,14 @@
  * @param headers the caller's headers
  * @param body the caller's body
  * @param organisation the name of the caller's organisation, empty on public routes
- * @param pooled whether a connection that is kept may carry the request: it may run more
- * than once, and no earlier attempt was sent to the same address
+ * @param repeatable whether the request may run more than once
  * @param streaming whether a successful response is a stream of events
  * @param lastEventId the id of the event after which a resumed stream continues
  * @param deadlineNanos the monotonic time at which the caller or the route stops waiting
  * @param relay what a VM has to know that relays the request
  */
 record ForwardedRequest(Optional<String> requestId, HttpMethod method, String uri, MultiMap headers, Buffer body,
-		Optional<String> organisation, boolean pooled, boolean streaming, Optional<String> lastEventId,
+		Optional<String> organisation, boolean repeatable, boolean streaming, Optional<String> lastEventId,
 		long deadlineNanos, RelayHeaders.RelayedRequest relay) {
 
 	private static final long NANOS_PER_MILLI = 1_000_000;
@@ -37,13 +36,11 @@
 	 * Returns the request as its next attempt sends it.
 	 * @param eventId the id of the event after which a stream continues
 	 * @param runs how often the request may have run already
-	 * @param sentBefore whether an earlier attempt was sent to the same address
 	 * @return the request
 	 */
-	ForwardedRequest nextAttempt(Optional<String> eventId, int runs, boolean sentBefore) {
+	ForwardedRequest resumingAfter(Optional<String> eventId, int runs) {
 		return new ForwardedRequest(this.requestId, this.method, this.uri, this.headers, this.body, this.organisation,
-				this.pooled && !sentBefore, this.streaming, eventId, this.deadlineNanos,
-				this.relay.nextAttempt(runs, sentBefore));
+				this.repeatable, this.streaming, eventId, this.deadlineNanos, this.relay.withRuns(runs));
 	}
 
 }
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayRequestHandler.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayRequestHandler.java
@@ -133,11 +133,9 @@
 		Optional<OrganisationRule> callerOrganisation = organisation;
 		readBody(request, head, response, rules.get(), (body) -> {
 			RelayHeaders.RelayedRequest relay = new RelayHeaders.RelayedRequest(rules.get().version(),
-					service.get().name(), 0, false);
-			boolean pooled = route.get().isRepeatable()
-					&& relayed.filter(RelayHeaders.RelayedRequest::sentBefore).isEmpty();
+					service.get().name(), 0);
 			ForwardedRequest forwardedRequest = createForwardedRequest(request, head, route.get(), callerOrganisation,
-					body, arrivedNanos, pooled, relay);
+					body, arrivedNanos, relay);
 			AdmittedRequest admittedRequest = new AdmittedRequest(rules.get().version(), head, route.get(),
 					service.get(), callerOrganisation, forwardedRequest,
 					RequestIdentity.of(fingerprint(forwardedRequest), head.promptParts()), relayed);
@@ -170,12 +168,13 @@
 	}
 
 	private ForwardedRequest createForwardedRequest(HttpServerRequest request, RequestHead head, RouteRule route,
-			Optional<OrganisationRule> callerOrganisation, Buffer body, long arrivedNanos, boolean pooled,
+			Optional<OrganisationRule> callerOrganisation, Buffer body, long arrivedNanos,
 			RelayHeaders.RelayedRequest relay) {
 		long timeoutMillis = Math.min(route.timeoutMillis(), head.deadlineMillis().orElse(route.timeoutMillis()));
 		return new ForwardedRequest(head.requestId(), request.method(), request.uri(), request.headers(), body,
-				callerOrganisation.map(OrganisationRule::name), pooled, route.kind() == RequestKind.STREAMING,
-				head.lastEventId(), arrivedNanos + TimeUnit.MILLISECONDS.toNanos(timeoutMillis), relay);
+				callerOrganisation.map(OrganisationRule::name), route.isRepeatable(),
+				route.kind() == RequestKind.STREAMING, head.lastEventId(),
+				arrivedNanos + TimeUnit.MILLISECONDS.toNanos(timeoutMillis), relay);
 	}
 
 	private static Fingerprint fingerprint(ForwardedRequest request) {
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/RelayHeaders.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/RelayHeaders.java
@@ -19,8 +19,6 @@
 
 	private static final String RUNS = "Relay-Runs";
 
-	private static final String SENT_BEFORE = "Relay-Sent-Before";
-
 	private static final String VERDICT = "Relay-Verdict";
 
 	private static final String DECLINED = "Relay-Declined";
@@ -41,9 +39,6 @@
 		headers.set(RULES_VERSION, Long.toString(relayed.rulesVersion()));
 		headers.set(SERVICE, relayed.service());
 		headers.set(RUNS, Integer.toString(relayed.runs()));
-		if (relayed.sentBefore()) {
-			headers.set(SENT_BEFORE, "1");
-		}
 	}
 
 	static String readKey(MultiMap headers) {
@@ -59,7 +54,7 @@
 		try {
 			return Optional.ofNullable(headers.get(SERVICE))
 				.map((service) -> new RelayedRequest(Long.parseLong(headers.get(RULES_VERSION)), service,
-						Integer.parseInt(headers.get(RUNS)), headers.contains(SENT_BEFORE)));
+						Integer.parseInt(headers.get(RUNS))));
 		}
 		catch (NumberFormatException ex) {
 			return Optional.empty();
@@ -75,7 +70,6 @@
 		headers.remove(RULES_VERSION);
 		headers.remove(SERVICE);
 		headers.remove(RUNS);
-		headers.remove(SENT_BEFORE);
 	}
 
 	static void writeVerdict(Verdict verdict, MultiMap headers) {
@@ -116,13 +110,11 @@
 	 * @param rulesVersion the version of the rules that admitted the request
 	 * @param service the name of the service that runs it
 	 * @param runs how often it may have run already
-	 * @param sentBefore whether the receiver got the request before, so that its
-	 * connections to replicas may have carried it
 	 */
-	record RelayedRequest(long rulesVersion, String service, int runs, boolean sentBefore) {
+	record RelayedRequest(long rulesVersion, String service, int runs) {
 
-		RelayedRequest nextAttempt(int earlierRuns, boolean isRepeated) {
-			return new RelayedRequest(this.rulesVersion, this.service, earlierRuns, isRepeated);
+		RelayedRequest withRuns(int count) {
+			return new RelayedRequest(this.rulesVersion, this.service, count);
 		}
 
 	}
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/ReplicaConnections.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/ReplicaConnections.java
@@ -1,5 +1,8 @@
 package org.burdocktray.process.serve.gateway;
 
+import java.util.Map;
+import java.util.Optional;
+import java.util.WeakHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
@@ -8,6 +11,7 @@
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpClientRequest;
+import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.PoolOptions;
 import io.vertx.core.http.RequestOptions;
@@ -18,10 +22,10 @@
 /**
  * The connections to replicas. A request that must not be repeated gets a connection of
  * its own: if a replica closes a pooled connection while a request is being sent on it,
- * it is unknown whether the replica has read the request. So does a request that was sent
- * to the replica before: the replica may answer the earlier attempt once more. Invariant:
- * a connection carries a request at most once, so that the id in an answer identifies the
- * attempt. Thread safety: confined to one event loop.
+ * it is unknown whether the replica has read the request. Invariant: a pooled connection
+ * carries no request that is one of its last ones again, so that the id in an answer,
+ * which names the request, identifies the attempt: a replica may answer an earlier
+ * attempt once more. Thread safety: confined to one event loop.
  */
 final class ReplicaConnections {
 
@@ -53,6 +57,9 @@
 
 	private final ResponseReader responses;
 
+	/** The last requests of each pooled connection. */
+	private final Map<HttpConnection, CarriedRequests> carriedRequests = new WeakHashMap<>();
+
 	/**
 	 * Creates connections.
 	 * @param vertx runs them
@@ -73,18 +80,33 @@
 	 * @param replica the replica
 	 * @param method the HTTP method
 	 * @param uri the path and query
-	 * @param pooled whether the request can use a connection that has carried others
+	 * @param repeatableId the id of a request that may be sent again, so that it can use
+	 * a pooled connection; empty for others
 	 * @return the request; fails only if nothing was sent
 	 */
-	Future<HttpClientRequest> open(Replica replica, HttpMethod method, String uri, boolean pooled) {
+	Future<HttpClientRequest> open(Replica replica, HttpMethod method, String uri, Optional<String> repeatableId) {
 		RequestOptions options = new RequestOptions()
 			.setServer(SocketAddress.inetSocketAddress(replica.address().port(), replica.address().ip()))
 			.setHost(replica.address().ip())
 			.setPort(replica.address().port())
 			.setMethod(method)
 			.setURI(uri);
-		return (pooled ? this.pooledClient : this.singleUseClient).request(options)
-			.onSuccess(this.responses::limitInterimResponses);
+		Future<HttpClientRequest> opened = repeatableId.isPresent() ? openPooled(options, repeatableId.get())
+				: this.singleUseClient.request(options);
+		return opened.onSuccess(this.responses::limitInterimResponses);
+	}
+
+	private Future<HttpClientRequest> openPooled(RequestOptions options, String requestId) {
+		return this.pooledClient.request(options).compose((request) -> {
+			boolean isFirst = this.carriedRequests
+				.computeIfAbsent(request.connection(), (connection) -> new CarriedRequests())
+				.add(requestId);
+			if (isFirst) {
+				return Future.succeededFuture(request);
+			}
+			request.reset();
+			return this.singleUseClient.request(options);
+		});
 	}
 
 	/**
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/ReplicaProbe.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/ReplicaProbe.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 
 import io.netty.channel.ConnectTimeoutException;
 import io.reactivex.rxjava3.core.Single;
@@ -75,7 +76,7 @@
 		}
 		Promise<Result> result = Promise.promise();
 		this.limits.recordRequest(replica);
-		Future<HttpClientRequest> opened = this.connections.open(replica, HttpMethod.GET, healthPath, false);
+		Future<HttpClientRequest> opened = this.connections.open(replica, HttpMethod.GET, healthPath, Optional.empty());
 		opened.flatMap(HttpClientRequest::send)
 			.onSuccess(this.connections.responses()::discard)
 			.onSuccess((response) -> result.tryComplete(resultOf(replica, response)))
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/RunHandover.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/RunHandover.java
@@ -141,7 +141,7 @@
 		this.framer.reset();
 		this.received = Buffer.buffer();
 		this.recovery.onAttemptStart(false);
-		Attempt started = new Attempt(this.context, this.owner.nextRequest(next), next, this);
+		Attempt started = new Attempt(this.context, this.owner.nextRequest(), next, this);
 		this.successor = Optional.of(started);
 		this.context.metrics().recordSuccessorStarted();
 		RequestEventLog.logSuccessorSent(this.admitted, current.silent().target(), next, current.cause(),
@@ -322,12 +322,10 @@
 		boolean isCurrent(Attempt candidate);
 
 		/**
-		 * Returns the request as the next attempt has to send it. Records that it is
-		 * sent.
-		 * @param target where to
+		 * Returns the request as the next attempt has to send it.
 		 * @return the request, which continues behind the last complete event
 		 */
-		ForwardedRequest nextRequest(Target target);
+		ForwardedRequest nextRequest();
 
 		/**
 		 * Returns how long a run has been silent.
