Answers of another request are passed over, and the one behind them is read

What callers saw: a second answer of a replica ended the run behind it: the connection was reset, the attempt counted as lost, and the caller got 502 or waited for a retry although the right answer came next. Cause: the first answer on the connection was taken for the only one that could come. A log line and a counter by service tell of each.

--- a/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayServer.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayServer.java
@@ -152,7 +152,19 @@
 		FleetRetryBudget retryBudget = new FleetRetryBudget(bounds.retryRatio(), bounds.retryExtra(),
 				TimeUnit.MILLISECONDS.toNanos(bounds.retryWindowMillis()), nowNanos);
 		ReplicaConnections connections = new ReplicaConnections(this.vertx, this.metrics,
-				(address) -> onConnected(address, relays, reach));
+				this.adapter.headers().requestIdHeader(), new ReplicaConnections.Listener() {
+					@Override
+					public void onConnected(NetworkAddress server) {
+						if (!relays.contains(server)) {
+							reach.recordConnected();
+						}
+					}
+
+					@Override
+					public void onForeignAnswer(ForeignAnswer answer) {
+						recordForeignAnswer(answer);
+					}
+				});
 		ReplicaProbe probe = new ReplicaProbe(this.vertx, connections, this.adapter.headers(), limits);
 		CrashDetector crashes = new CrashDetector(this.quarantine, probe,
 				new SilenceWatch(this.vertx, probe, System::nanoTime), new RefusedReplicas(this.vertx), reach,
@@ -261,10 +273,10 @@
 			.onSuccess((listening) -> listeners.listenToRelays(relayReceiver::handle));
 	}
 
-	private static void onConnected(NetworkAddress address, RelayVms relays, ReachMonitor reach) {
-		if (!relays.contains(address)) {
-			reach.recordConnected();
-		}
+	private void recordForeignAnswer(ForeignAnswer answer) {
+		Optional<Replica> replica = this.directory.findByAddress(answer.server());
+		this.metrics.recordForeignAnswer(replica.map(Replica::service).orElse(""));
+		RequestEventLog.logForeignAnswer(answer, replica.map(Replica::id).orElse(""));
 	}
 
 	private void recordEventLoopDelay(long delayNanos) {
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/HeaderCodec.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/HeaderCodec.java
@@ -36,6 +36,12 @@
 	 */
 	void writeRelayedRequest(MultiMap received, long remainingMillis, Optional<String> lastEventId, MultiMap relayed);
 
+	/**
+	 * Returns the header that holds the id of a request, in the request and its answer.
+	 * @return the name of the header
+	 */
+	String requestIdHeader();
+
 	/**
 	 * Reads the headers of a replica's response.
 	 * @param statusCode the HTTP status
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/ReplicaConnections.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/ReplicaConnections.java
@@ -4,8 +4,9 @@
 import java.util.Optional;
 import java.util.WeakHashMap;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 
+import io.netty.channel.ChannelPipeline;
+import io.netty.handler.codec.http.HttpClientCodec;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpClient;
@@ -16,6 +17,7 @@
 import io.vertx.core.http.PoolOptions;
 import io.vertx.core.http.RequestOptions;
 import io.vertx.core.net.SocketAddress;
+import io.vertx.core.net.impl.ConnectionBase;
 import org.burdocktray.model.NetworkAddress;
 import org.burdocktray.process.directory.Replica;
 
@@ -44,12 +46,16 @@
 	 */
 	private static final int DISCARD_UNSENT = 0;
 
+	private static final String FILTER_NAME = "foreign-answers";
+
 	private static final long MAX_RESPONSE_BYTES = 4 << 20;
 
 	/** A tenth of the heap of a VM. */
 	private static final long MAX_BUFFERED_RESPONSE_BYTES = 16 << 20;
 
-	private final Consumer<NetworkAddress> connectionListener;
+	private final String requestIdHeader;
+
+	private final Listener listener;
 
 	private final HttpClient pooledClient;
 
@@ -64,10 +70,12 @@
 	 * Creates connections.
 	 * @param vertx runs them
 	 * @param metrics counts responses that are too large
-	 * @param connectionListener is called with the address of each new connection
+	 * @param requestIdHeader the header that holds the id of a request
+	 * @param listener is told of new connections and of answers that are passed over
 	 */
-	ReplicaConnections(Vertx vertx, GatewayMetrics metrics, Consumer<NetworkAddress> connectionListener) {
-		this.connectionListener = connectionListener;
+	ReplicaConnections(Vertx vertx, GatewayMetrics metrics, String requestIdHeader, Listener listener) {
+		this.requestIdHeader = requestIdHeader;
+		this.listener = listener;
 		this.pooledClient = createClient(vertx, options().setKeepAlive(true).setKeepAliveTimeout(KEEP_ALIVE_SECONDS));
 		this.singleUseClient = createClient(vertx, options().setKeepAlive(false));
 		this.responses = new ResponseReader(vertx, MAX_RESPONSE_BYTES, MAX_BUFFERED_RESPONSE_BYTES,
@@ -126,13 +134,20 @@
 			.with(options)
 			.with(new PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS_PER_REPLICA)
 				.setCleanerPeriod((int) TimeUnit.SECONDS.toMillis(1)))
-			.withConnectHandler((connection) -> {
-				SocketAddress remote = connection.remoteAddress();
-				this.connectionListener.accept(new NetworkAddress(remote.hostAddress(), remote.port()));
-			})
+			.withConnectHandler(this::onConnected)
 			.build();
 	}
 
+	private void onConnected(HttpConnection connection) {
+		SocketAddress remote = connection.remoteAddress();
+		NetworkAddress server = new NetworkAddress(remote.hostAddress(), remote.port());
+		ChannelPipeline pipeline = ((ConnectionBase) connection).channel().pipeline();
+		ForeignAnswerFilter filter = new ForeignAnswerFilter(server, connection.localAddress().port(),
+				this.requestIdHeader, this.listener::onForeignAnswer);
+		pipeline.addAfter(pipeline.context(HttpClientCodec.class).name(), FILTER_NAME, filter);
+		this.listener.onConnected(server);
+	}
+
 	private static HttpClientOptions options() {
 		return new HttpClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MILLIS)
 			.setTcpNoDelay(true)
@@ -140,4 +155,25 @@
 			.setDefaultPort(DEFAULT_PORT);
 	}
 
+	/**
+	 * Is told of what happens on the connections.
+	 */
+	interface Listener {
+
+		/**
+		 * Handles a new connection.
+		 * @param server the address of the replica
+		 */
+		default void onConnected(NetworkAddress server) {
+		}
+
+		/**
+		 * Handles an answer that was passed over.
+		 * @param answer the answer
+		 */
+		default void onForeignAnswer(ForeignAnswer answer) {
+		}
+
+	}
+
 }
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/RequestEventLog.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/RequestEventLog.java
@@ -45,6 +45,14 @@
 				failed.answerOrigin(), cause, faultAddress.map(NetworkAddress::toString).orElse(""));
 	}
 
+	static void logForeignAnswer(ForeignAnswer answer, String replicaId) {
+		LOGGER.infof(
+				"Answer of another request passed over: request=%s replica=%s server=%s connection=%d answerStatus=%d "
+						+ "foundRequest=%s lateMillis=%d",
+				answer.expectedId().map(AnswerOrigin::shorten).orElse(""), replicaId, answer.server(),
+				answer.localPort(), answer.status(), answer.foundId(), answer.lateMillis());
+	}
+
 	static void logSuccessorSent(AdmittedRequest admitted, Target silent, Target successor, String cause,
 			long silentNanos) {
 		LOGGER.infof("Successor sent: request=%s replica=%s path=%s silent=%s silentMillis=%d cause=%s",
--- a/router/src/test/java/org/burdocktray/process/serve/gateway/ReplicaConnectionsTests.java
+++ b/router/src/test/java/org/burdocktray/process/serve/gateway/ReplicaConnectionsTests.java
@@ -72,7 +72,7 @@
 		NetworkAddress address = new NetworkAddress("127.0.0.1", server.getLocalPort());
 		Replica replica = new Replica("replica-1", 0, "desk", address, new DataCentre("dc-1"), 1, false,
 				Optional.empty(), Optional.empty());
-		return new ReplicaConnections(this.vertx, new GatewayMetrics(), (connected) -> {
+		return new ReplicaConnections(this.vertx, new GatewayMetrics(), "Id", new ReplicaConnections.Listener() {
 		}).open(replica, HttpMethod.POST, "/", Optional.of("r1")).toCompletionStage().toCompletableFuture().join();
 	}
 
--- a/router/src/test/java/org/burdocktray/process/serve/gateway/ReplicaProbeTests.java
+++ b/router/src/test/java/org/burdocktray/process/serve/gateway/ReplicaProbeTests.java
@@ -46,7 +46,7 @@
 	private final Vertx vertx = Vertx.vertx();
 
 	private final ReplicaProbe probe = new ReplicaProbe(this.vertx,
-			new ReplicaConnections(this.vertx, new GatewayMetrics(), (address) -> {
+			new ReplicaConnections(this.vertx, new GatewayMetrics(), "Id", new ReplicaConnections.Listener() {
 			}), new InstanceHeader(), new LimitedReplicas(new ReplicaLimits("vm-1"), new SplittableRandom(1)));
 
 	private final SilenceWatch silenceWatch = new SilenceWatch(this.vertx, this.probe, System::nanoTime);
@@ -223,6 +223,11 @@
 			throw new UnsupportedOperationException();
 		}
 
+		@Override
+		public String requestIdHeader() {
+			throw new UnsupportedOperationException();
+		}
+
 		@Override
 		public ResponseHead readResponse(int statusCode, MultiMap headers) {
 			return new ResponseHead(Optional.empty(), Optional.empty(), false, Optional.empty(),
