Ports of servers that start later come from below the ephemeral range

Cause: tests, the soak and the training run asked the kernel for a free port, released it and listened on it later. Until then, and while a server is restarted, the kernel may give that port to another socket that asks for any port. scripts/try chose from 20,000 to 39,999, which overlaps the kernel's range (32,768 to 60,999). LoopbackProxy closes and binds again a port of the same range. The ports of datagrams (peerAddress) were never checked at all. Ruled out, by a trial on kernel 6.18 (200 picked ports, then 3,000 sockets kept open): outgoing connections took none of them; they used even ports only, picked ports are odd, as are those of servers. Change: FreePorts hands out ports from 10,240 to 32,000, each checked by binding it for TCP and UDP at all addresses; each process begins at a random one. Two processes may still meet at one port if their random beginnings lie close to each other.

--- a/router/src/test/java/org/burdocktray/connection/peer/PeerConnectionsTests.java
+++ b/router/src/test/java/org/burdocktray/connection/peer/PeerConnectionsTests.java
@@ -18,6 +18,7 @@
 import org.burdocktray.connection.peer.generated.BundleRequest;
 import org.burdocktray.connection.peer.generated.PeerEnvelope;
 import org.burdocktray.model.NetworkAddress;
+import org.burdocktray.standins.network.FreePorts;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -60,12 +61,8 @@
 	}
 
 	@Test
-	void reportsNotSentWhenTheConnectionIsRefused() throws IOException {
-		int freePort;
-		try (ServerSocket probe = new ServerSocket(0)) {
-			freePort = probe.getLocalPort();
-		}
-		NetworkAddress unusedAddress = new NetworkAddress("127.0.0.1", freePort);
+	void reportsNotSentWhenTheConnectionIsRefused() {
+		NetworkAddress unusedAddress = new NetworkAddress("127.0.0.1", FreePorts.take());
 		Either<PeerError, PeerEnvelope> reply = this.connections
 			.request(unusedAddress, PeerEnvelope.getDefaultInstance(), TIMEOUT_MILLIS)
 			.blockingGet();
@@ -127,7 +124,7 @@
 	}
 
 	private PeerServer start(PeerRequestHandler handler) {
-		return PeerServer.start(this.eventLoops, "127.0.0.1", 0, LIMITS, handler);
+		return PeerServer.start(this.eventLoops, "127.0.0.1", FreePorts.take(), LIMITS, handler);
 	}
 
 	// The port is released only when the selector of the old listener runs next, which
--- a/router/src/test/java/org/burdocktray/process/serve/TestFleet.java
+++ b/router/src/test/java/org/burdocktray/process/serve/TestFleet.java
@@ -1,8 +1,5 @@
 package org.burdocktray.process.serve;
 
-import java.io.IOException;
-import java.io.UncheckedIOException;
-import java.net.ServerSocket;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -19,6 +16,7 @@
 import org.burdocktray.standins.engine.EngineStandIn;
 import org.burdocktray.standins.model.ReferenceModel;
 import org.burdocktray.standins.model.ReferenceResponse;
+import org.burdocktray.standins.network.FreePorts;
 import org.burdocktray.standins.platform.PlatformStandIn;
 import org.burdocktray.standins.service.ServiceStandIn;
 import org.burdocktray.version.bundle.Bundle;
@@ -224,25 +222,10 @@
 		return new NetworkAddress("127.0.0.1", standIn.port());
 	}
 
-	// All sockets stay open until the last address is known, so that no port is returned
-	// twice.
 	private static List<NetworkAddress> freeAddresses(int count) {
-		List<ServerSocket> sockets = new ArrayList<>();
-		try {
-			for (int index = 0; index < count; index++) {
-				sockets.add(new ServerSocket(0));
-			}
-			List<NetworkAddress> addresses = sockets.stream()
-				.map((socket) -> new NetworkAddress("127.0.0.1", socket.getLocalPort()))
-				.toList();
-			for (ServerSocket socket : sockets) {
-				socket.close();
-			}
-			return addresses;
-		}
-		catch (IOException ex) {
-			throw new UncheckedIOException(ex);
-		}
+		return IntStream.range(0, count)
+			.mapToObj((index) -> new NetworkAddress("127.0.0.1", FreePorts.take()))
+			.toList();
 	}
 
 	static void await(Future<Void> future) {
--- a/router/src/test/java/org/burdocktray/process/serve/gateway/ReplicaProbeTests.java
+++ b/router/src/test/java/org/burdocktray/process/serve/gateway/ReplicaProbeTests.java
@@ -27,6 +27,7 @@
 import org.burdocktray.process.limits.RetryAfter;
 import org.burdocktray.process.serve.gateway.ReplicaProbe.Result;
 import org.burdocktray.process.serve.gateway.SilentReplica.Verdict;
+import org.burdocktray.standins.network.FreePorts;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -73,12 +74,8 @@
 	}
 
 	@Test
-	void closedPortRefuses() throws IOException {
-		int port;
-		try (ServerSocket closed = new ServerSocket(0)) {
-			port = closed.getLocalPort();
-		}
-		assertThat(probe(port)).isEqualTo(Result.REFUSES);
+	void closedPortRefuses() {
+		assertThat(probe(FreePorts.take())).isEqualTo(Result.REFUSES);
 	}
 
 	@Test
--- a/soak/src/main/java/org/burdocktray/soak/GatewayProcess.java
+++ b/soak/src/main/java/org/burdocktray/soak/GatewayProcess.java
@@ -1,7 +1,6 @@
 package org.burdocktray.soak;
 
 import java.io.IOException;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -11,6 +10,7 @@
 
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
+import org.burdocktray.standins.network.FreePorts;
 
 /**
  * A gateway in its own process, which is restarted at the same addresses. Thread safety:
@@ -30,9 +30,9 @@
 
 	private final Path jar;
 
-	private final int callerPort = freePort();
+	private final int callerPort = FreePorts.take();
 
-	private final int readinessPort = freePort();
+	private final int readinessPort = FreePorts.take();
 
 	private Process process;
 
@@ -169,7 +169,7 @@
 	}
 
 	private String settings(String storeAddress) {
-		int peerPort = freePort();
+		int peerPort = FreePorts.take();
 		return new JsonObject().put("nodeName", this.name)
 			.put("zone", "ghent")
 			.put("ip", "127.0.0.1")
@@ -188,13 +188,4 @@
 			.encode();
 	}
 
-	private static int freePort() {
-		try (ServerSocket socket = new ServerSocket(0)) {
-			return socket.getLocalPort();
-		}
-		catch (IOException ex) {
-			throw new IllegalStateException("no free port is available", ex);
-		}
-	}
-
 }
--- a/standins/src/main/java/org/burdocktray/standins/gateway/TrainingFleet.java
+++ b/standins/src/main/java/org/burdocktray/standins/gateway/TrainingFleet.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.io.InputStream;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -15,6 +14,7 @@
 
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
+import org.burdocktray.standins.network.FreePorts;
 
 /**
  * Runs a typical workload against a gateway, so that a class-data sharing archive can be
@@ -70,8 +70,8 @@
 		replica.start(0);
 		store.put("servers", "desk-1", replica.storeEntry("desk", "ghent", "ready"));
 		store.put("config", "main", resource("training-rules.json"));
-		int callerPort = freePort();
-		int readinessPort = freePort();
+		int callerPort = FreePorts.take();
+		int readinessPort = FreePorts.take();
 		Files.writeString(settingsFile, settings(store, callerPort, readinessPort));
 		awaitReady(readinessPort);
 		for (int request = 0; request < REQUESTS; request++) {
@@ -122,8 +122,8 @@
 		this.client.send(request, HttpResponse.BodyHandlers.ofString());
 	}
 
-	private static String settings(ObjectApiStandIn store, int callerPort, int readinessPort) throws IOException {
-		int peerPort = freePort();
+	private static String settings(ObjectApiStandIn store, int callerPort, int readinessPort) {
+		int peerPort = FreePorts.take();
 		return new JsonObject().put("nodeName", "training")
 			.put("zone", "ghent")
 			.put("ip", "127.0.0.1")
@@ -149,10 +149,4 @@
 		}
 	}
 
-	private static int freePort() throws IOException {
-		try (ServerSocket socket = new ServerSocket(0)) {
-			return socket.getLocalPort();
-		}
-	}
-
 }
--- a/standins/src/main/java/org/burdocktray/standins/network/LoopbackProxy.java
+++ b/standins/src/main/java/org/burdocktray/standins/network/LoopbackProxy.java
@@ -66,12 +66,12 @@
 	/**
 	 * Starts a proxy.
 	 * @param targetPort the port to which it forwards connections
-	 * @throws IOException when no port is free
+	 * @throws IOException when its port is not available any more
 	 */
 	public LoopbackProxy(int targetPort) throws IOException {
 		this.targetPort = targetPort;
-		this.server = new ServerSocket(0, 0, InetAddress.getLoopbackAddress());
-		this.port = this.server.getLocalPort();
+		this.port = FreePorts.take();
+		this.server = listen(NORMAL_BACKLOG);
 		startAccepting(this.server);
 	}
 
