--- a/router/src/main/java/org/burdocktray/process/serve/gateway/AnswerMatcher.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/AnswerMatcher.java
@@ -5,9 +5,10 @@
 /**
  * Tells the answer to the request in progress on one connection from answers that name
  * another request, which a replica may send late. Invariants: an answer is passed over
- * only if it has an id and that is not the id of the request in progress; what is passed
- * over for one request is bounded in number and bytes, and none of it is kept. Thread
- * safety: none, confined to one event loop.
+ * only if it has an id, that is not the id of the request in progress, and an earlier
+ * request on the connection could have caused it; what is passed over for one request is
+ * bounded in number and bytes, and none of it is kept. Thread safety: none, confined to
+ * one event loop.
  */
 final class AnswerMatcher {
 
@@ -17,6 +18,10 @@
 
 	private Optional<String> expectedId = Optional.empty();
 
+	private boolean hasSent;
+
+	private boolean isFirst;
+
 	private boolean mayPassOver;
 
 	private boolean inProgress;
@@ -33,6 +38,8 @@
 	 * @param hasAnswerWithBody whether the body of its answer is as long as its head says
 	 */
 	void onRequest(Optional<String> requestId, boolean hasAnswerWithBody) {
+		this.isFirst = !this.hasSent;
+		this.hasSent = true;
 		this.expectedId = requestId;
 		this.mayPassOver = requestId.isPresent() && hasAnswerWithBody;
 		this.inProgress = true;
@@ -47,7 +54,8 @@
 	 */
 	boolean passesOver(Optional<String> answerId) {
 		boolean isForeign = answerId.isPresent() && !(this.inProgress && answerId.equals(this.expectedId));
-		if (!isForeign || !this.mayPassOver || this.foreignAnswers == MAX_FOREIGN_ANSWERS) {
+		boolean hasEarlierRequest = this.hasSent && !(this.isFirst && this.inProgress);
+		if (!isForeign || !hasEarlierRequest || !this.mayPassOver || this.foreignAnswers == MAX_FOREIGN_ANSWERS) {
 			return false;
 		}
 		this.foreignAnswers++;
--- a/router/src/test/java/org/burdocktray/process/serve/gateway/ForeignAnswerFilterTests.java
+++ b/router/src/test/java/org/burdocktray/process/serve/gateway/ForeignAnswerFilterTests.java
@@ -49,6 +49,7 @@
 
 	@Test
 	void answerBehindForeignOneIsRead() {
+		exchange("r0");
 		send("r2");
 		receive(answer("r1", 200, "first") + answer("r2", 200, "second"));
 		assertThat(readAnswers()).containsExactly("r2 200 second");
@@ -75,6 +76,13 @@
 		assertThat(readAnswers()).containsExactly("null 100 ", "r1 200 first");
 	}
 
+	@Test
+	void firstAnswerOfConnectionIsLeftToTheClient() {
+		send("r1");
+		receive(answer("other", 200, "x"));
+		assertThat(readAnswers()).containsExactly("other 200 x");
+	}
+
 	@Test
 	void answerWithoutIdIsLeftToTheClient() {
 		send("r1");
@@ -84,6 +92,7 @@
 
 	@Test
 	void tooManyForeignAnswersAreLeftToTheClient() {
+		exchange("r0");
 		send("r1");
 		receive(answer("other", 200, "x").repeat(AnswerMatcher.MAX_FOREIGN_ANSWERS + 1));
 		assertThat(readAnswers()).containsExactly("other 200 x");
@@ -91,6 +100,7 @@
 
 	@Test
 	void foreignAnswerBeyondTheByteLimitEndsTheConnection() {
+		exchange("r0");
 		send("r1");
 		receive(answer("other", 200, "x".repeat((int) AnswerMatcher.MAX_FOREIGN_BYTES + 1)));
 		assertThat(this.channel.isOpen()).isFalse();
@@ -98,6 +108,7 @@
 
 	@Test
 	void foreignAnswerThatDoesNotEndEndsTheConnection() {
+		exchange("r0");
 		send("r1");
 		String foreign = answer("other", 200, "first");
 		receive(foreign.substring(0, foreign.length() - 1));
@@ -167,6 +178,12 @@
 		return opened;
 	}
 
+	private void exchange(String id) {
+		send(id);
+		receive(answer(id, 200, ""));
+		assertThat(readAnswers()).hasSize(1);
+	}
+
 	private void send(String id) {
 		write(HttpMethod.GET, id);
 	}
