An answer without an id is taken only on a connection that carried no other request

What callers saw: 503 with the word that the request has not run, although it ran. Cause: a rejection needs no id to be believed, so a second answer to an earlier request rejected the one behind it, and its connection stayed in use with the true answer still to come. On a connection that carried others the answer can't be told from an earlier one's, so the connection ends and the attempt counts as lost.

--- a/router/src/main/java/org/burdocktray/process/serve/gateway/Attempt.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/Attempt.java
@@ -259,6 +259,12 @@
 			failForeignResponse(head);
 			return;
 		}
+		boolean isUnidentified = head.requestId().isEmpty()
+				&& this.context.connections().hasCarriedOthers(response.request().connection());
+		if (isUnidentified) {
+			failInvalidResponse("answer without a request id: status " + response.statusCode());
+			return;
+		}
 		if (head.notExecuted() || response.statusCode() == MISDIRECTED) {
 			this.context.connections().responses().discard(response);
 			fail(AttemptOutcome.REJECTED, "status " + response.statusCode(), head.faultAddress());
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/CarriedRequests.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/CarriedRequests.java
@@ -34,4 +34,12 @@
 		return true;
 	}
 
+	/**
+	 * Returns whether an answer on the connection may belong to an earlier request.
+	 * @return false for a connection that has carried one request only
+	 */
+	boolean hasSeveral() {
+		return this.ids.size() > 1;
+	}
+
 }
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/ReplicaConnections.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/ReplicaConnections.java
@@ -117,6 +117,16 @@
 		});
 	}
 
+	/**
+	 * Returns whether a response without an id may belong to an earlier request.
+	 * @param connection the connection on which it came
+	 * @return false if the connection has carried one request only
+	 */
+	boolean hasCarriedOthers(HttpConnection connection) {
+		CarriedRequests carried = this.carriedRequests.get(connection);
+		return carried != null && carried.hasSeveral();
+	}
+
 	/**
 	 * Returns the reader for responses on these connections.
 	 * @return the reader, which bounds what all of them hold
