--- a/soak/src/main/java/org/burdocktray/soak/Call.java
+++ b/soak/src/main/java/org/burdocktray/soak/Call.java
@@ -22,9 +22,10 @@
  * {@link #NOT_TAKEN} when no connection could be opened
  * @param body the body of the response, empty without a complete response
  * @param signature the signature of the response, empty for none
+ * @param answeredId the id of the request that the response names, empty for none
  */
 record Call(String id, Kind kind, String key, long sentNanos, long endedNanos, int status, String body,
-		String signature) {
+		String signature, String answeredId) {
 
 	static final int NOT_TAKEN = -1;
 
@@ -32,14 +33,15 @@
 
 	Call withResponse(HttpResponse<String> response) {
 		return new Call(this.id, this.kind, this.key, this.sentNanos, this.endedNanos, response.statusCode(),
-				response.body(), response.headers().firstValue(WireHeaders.SIGNATURE).orElse(""));
+				response.body(), response.headers().firstValue(WireHeaders.SIGNATURE).orElse(""),
+				response.headers().firstValue(WireHeaders.REQUEST_ID).orElse(""));
 	}
 
 	Call withFailure(Throwable failure) {
 		Throwable cause = (failure instanceof CompletionException) ? failure.getCause() : failure;
 		boolean isTaken = !(cause instanceof ConnectException || cause instanceof HttpConnectTimeoutException);
 		return new Call(this.id, this.kind, this.key, this.sentNanos, this.endedNanos,
-				isTaken ? NO_RESPONSE : NOT_TAKEN, "", "");
+				isTaken ? NO_RESPONSE : NOT_TAKEN, "", "", "");
 	}
 
 	/**
@@ -60,6 +62,9 @@
 
 	/** Returns whether a complete response is the one expected for this request. */
 	boolean hasExpectedResponse() {
+		if (!this.answeredId.equals(this.id)) {
+			return false;
+		}
 		if (this.kind == Kind.DRAFT) {
 			return this.body.equals(expectedEvents(this.id));
 		}
--- a/soak/src/main/java/org/burdocktray/soak/Callers.java
+++ b/soak/src/main/java/org/burdocktray/soak/Callers.java
@@ -70,7 +70,7 @@
 			.build();
 		CompletableFuture<Call> result = this.client.sendAsync(request, HttpResponse.BodyHandlers.ofString())
 			.handle((response, failure) -> {
-				Call call = new Call(id, kind, key, sentNanos, System.nanoTime(), 0, "", "");
+				Call call = new Call(id, kind, key, sentNanos, System.nanoTime(), 0, "", "", "");
 				return (response != null) ? call.withResponse(response) : call.withFailure(failure);
 			})
 			.whenComplete((call, failure) -> this.endedCalls.add(call));
--- a/soak/src/main/java/org/burdocktray/soak/SoakPlatform.java
+++ b/soak/src/main/java/org/burdocktray/soak/SoakPlatform.java
@@ -80,11 +80,27 @@
 
 	private final Map<String, String> publishedEntries = new HashMap<>();
 
+	private final double secondAnswerShare;
+
+	private final long seed;
+
 	private int rulesVersion;
 
 	private int engineCount;
 
+	/** Starts stand-ins whose replicas answer once. */
 	SoakPlatform() throws IOException {
+		this(0, 0);
+	}
+
+	/**
+	 * Starts stand-ins.
+	 * @param secondAnswerShare the share of answers that plain replicas send twice
+	 * @param seed the seed by which they draw which
+	 */
+	SoakPlatform(double secondAnswerShare, long seed) throws IOException {
+		this.secondAnswerShare = secondAnswerShare;
+		this.seed = seed;
 		this.store.start(0);
 		this.standIns.add(this.store);
 		putRules(true);
@@ -101,6 +117,7 @@
 	private void startReplica(int index, String id) throws IOException {
 		PlainReplicaStandIn replica = new PlainReplicaStandIn(id);
 		replica.setEnd(ReplicaEnd.EXIT, (ended, requestId) -> this.endedReplicas.add(ended));
+		replica.setSecondAnswers(this.secondAnswerShare, this.seed * REPLICA_COUNT + index);
 		replica.start(0);
 		LoopbackProxy proxy = new LoopbackProxy(replica.port());
 		this.replicas.set(index, replica);
--- a/soak/src/main/java/org/burdocktray/soak/SoakRun.java
+++ b/soak/src/main/java/org/burdocktray/soak/SoakRun.java
@@ -20,6 +20,8 @@
 
 	static final long REVOCATION_MILLIS = 5_000;
 
+	private static final double SECOND_ANSWER_SHARE = 0.1;
+
 	private static final int GATEWAY_COUNT = 3;
 
 	private static final long STEP_INTERVAL_MILLIS = 40;
@@ -74,7 +76,7 @@
 		this.endingRequestRandom = new Random(~seed);
 		this.silenceRandom = new Random(Long.reverse(seed));
 		this.runMillis = runMillis;
-		this.platform = new SoakPlatform();
+		this.platform = new SoakPlatform(SECOND_ANSWER_SHARE, seed);
 		for (int index = 0; index < GATEWAY_COUNT; index++) {
 			LoopbackProxy proxy = new LoopbackProxy(this.platform.store.port());
 			this.storeProxies.add(proxy);
--- a/soak/src/test/java/org/burdocktray/soak/GuaranteesTests.java
+++ b/soak/src/test/java/org/burdocktray/soak/GuaranteesTests.java
@@ -14,10 +14,17 @@
 	@Test
 	void expectedResponseIsNoViolation() {
 		Call call = new Call("book-1", Call.Kind.BOOK, SoakPlatform.KEY, 0, 1, 200, "ran at desk-0 for acme",
-				"signed-by-desk-0");
+				"signed-by-desk-0", "book-1");
 		assertThat(Guarantees.findViolations(List.of(call), Map.of("book-1", 1L), NEVER)).isEmpty();
 	}
 
+	@Test
+	void answerToAnotherRequestIsViolation() {
+		Call call = new Call("check-1", Call.Kind.CHECK, SoakPlatform.KEY, 0, 1, 200, "ran at desk-0 for acme",
+				"signed-by-desk-0", "check-2");
+		assertThat(Guarantees.findViolations(List.of(call), Map.of("check-1", 1L), NEVER)).hasSize(1);
+	}
+
 	@Test
 	void nonIdempotentCallThatRunsTwiceIsViolation() {
 		assertThat(
@@ -41,7 +48,7 @@
 	@Test
 	void truncatedStreamThatLooksCompleteIsViolation() {
 		Call call = new Call("draft-1", Call.Kind.DRAFT, SoakPlatform.KEY, 0, 1, 200, "id: 1\ndata: draft-1-1\n\n",
-				"signed-by-engine-0");
+				"signed-by-engine-0", "draft-1");
 		assertThat(Guarantees.findViolations(List.of(call), Map.of(), NEVER)).hasSize(1);
 	}
 
@@ -58,7 +65,7 @@
 
 	@Test
 	void acceptanceOfRevokedKeyIsViolationOnlyAfterTheBound() {
-		Call call = new Call("check-1", Call.Kind.CHECK, SoakPlatform.REVOKED_KEY, 100, 101, 502, "", "");
+		Call call = new Call("check-1", Call.Kind.CHECK, SoakPlatform.REVOKED_KEY, 100, 101, 502, "", "", "");
 		assertThat(Guarantees.findViolations(List.of(call), Map.of("check-1", 1L), 99)).hasSize(1);
 		assertThat(Guarantees.findViolations(List.of(call), Map.of("check-1", 1L), 100)).isEmpty();
 	}
@@ -79,7 +86,7 @@
 	}
 
 	private static Call ended(String id, Call.Kind kind, int status) {
-		return new Call(id, kind, SoakPlatform.KEY, 0, 1, status, "", "");
+		return new Call(id, kind, SoakPlatform.KEY, 0, 1, status, "", "", "");
 	}
 
 }
--- a/standins/src/main/java/org/burdocktray/standins/gateway/PlainReplicaStandIn.java
+++ b/standins/src/main/java/org/burdocktray/standins/gateway/PlainReplicaStandIn.java
@@ -1,6 +1,7 @@
 package org.burdocktray.standins.gateway;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CopyOnWriteArrayList;
 
 import io.vertx.core.json.JsonObject;
@@ -20,6 +21,8 @@
 
 	private volatile int paddingBytes;
 
+	private volatile Optional<SecondAnswers> secondAnswers = Optional.empty();
+
 	/**
 	 * Creates a replica.
 	 * @param id the id of the replica
@@ -52,6 +55,15 @@
 		this.paddingBytes = bytes;
 	}
 
+	/**
+	 * Lets the replica send some answers a second time. Must be called before the start.
+	 * @param share the share of its answers
+	 * @param seed the seed by which it draws which, and when
+	 */
+	public void setSecondAnswers(double share, long seed) {
+		this.secondAnswers = Optional.of(new SecondAnswers(share, seed));
+	}
+
 	/**
 	 * Returns the ids of the requests that the replica executed.
 	 * @return the ids in order of execution
@@ -85,6 +97,7 @@
 
 	private void handleRequest(RoutingContext context) {
 		recordArrival(context);
+		this.secondAnswers.ifPresent((second) -> second.onRequest(context.request().connection()));
 		if (rejectToPause(context)) {
 			return;
 		}
@@ -113,12 +126,21 @@
 			return;
 		}
 		String responseId = (this.behaviour == Behaviour.WRONG_REQUEST_ID) ? "another" : requestId;
+		String body = "ran at " + id() + " for " + context.request().getHeader("X-Burdocktray-Tenant")
+				+ "x".repeat(this.paddingBytes);
 		context.response()
 			.setStatusCode(200)
 			.putHeader("X-Burdocktray-Request-Id", responseId)
 			.putHeader("X-Burdocktray-Response-Signature", "signed-by-" + id())
-			.end("ran at " + id() + " for " + context.request().getHeader("X-Burdocktray-Tenant")
-					+ "x".repeat(this.paddingBytes));
+			.end(body)
+			.onSuccess((sent) -> this.secondAnswers.ifPresent((second) -> second.onAnswer(vertx(),
+					context.request().connection(), formatAnswer(responseId, body))));
+	}
+
+	private String formatAnswer(String requestId, String body) {
+		return "HTTP/1.1 200 OK\r\nX-Burdocktray-Request-Id: " + requestId
+				+ "\r\nX-Burdocktray-Response-Signature: signed-by-" + id() + "\r\nContent-Length: " + body.length()
+				+ "\r\n\r\n" + body;
 	}
 
 	/**
