--- a/standins/src/main/java/org/burdocktray/standins/gateway/ReplicaStandIn.java
+++ b/standins/src/main/java/org/burdocktray/standins/gateway/ReplicaStandIn.java
@@ -219,6 +219,10 @@
 				context.response().putHeader(WireHeaders.LEAVING, "1");
 				this.callListener.accept(new CallEvent(context.request().path(), System.nanoTime(), Optional.of("")));
 			}
+			String requestId = context.request().getHeader(WireHeaders.REQUEST_ID);
+			if (requestId != null) {
+				context.response().putHeader(WireHeaders.REQUEST_ID, requestId);
+			}
 			this.namedLimit.ifPresent((limit) -> context.response().putHeader(WireHeaders.REQUEST_LIMIT, limit));
 			context.next();
 		}));
