An answer that can't be told from an earlier one says nothing of its replica

What callers saw: nothing yet; a replica got no request any more. Evidence: unidentifiedAnswerSaysNothingOfReplica failed before (the only replica unused for 15 s), passes now. It takes the place of answerOfAnotherRequestSaysNothingOfReplica, which the filter had made pass with or without its fix. One test of identity stands before all that is recorded.

--- a/router/src/main/java/org/burdocktray/process/serve/gateway/Attempt.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/Attempt.java
@@ -215,19 +215,25 @@
 			return;
 		}
 		ResponseHead head = readHead(response);
-		if (isOfAnotherRequest(head)) {
-			failForeignResponse(head);
+		if (!isIdentified(response, head)) {
+			failUnidentified(response, head);
 			return;
 		}
 		this.context.contacts().record(this.target.replica(), System.nanoTime());
 		this.context.limits().recordResponse(this.target.replica(), head);
-		onResponse(response, head);
+		handleIdentified(response, head);
 	}
 
 	private void onRelayedResponse(HttpClientResponse response) {
 		Optional<RelayRefusal> refusal = RelayHeaders.readRefusal(response.statusCode(), response.headers());
 		if (refusal.isEmpty()) {
-			onResponse(response, readHead(response));
+			ResponseHead head = readHead(response);
+			if (isIdentified(response, head)) {
+				handleIdentified(response, head);
+			}
+			else {
+				failUnidentified(response, head);
+			}
 			return;
 		}
 		this.context.connections().responses().discard(response);
@@ -245,26 +251,24 @@
 		return head;
 	}
 
-	private boolean isOfAnotherRequest(ResponseHead head) {
-		return head.requestId().isPresent() && !head.requestId().equals(this.request.requestId());
-	}
-
-	private void failForeignResponse(ResponseHead head) {
-		this.context.metrics().recordForeignAnswer(this.target.replica().service());
-		failInvalidResponse("answer of another request: " + AnswerOrigin.shorten(head.requestId().orElse("")));
+	// Without an id, an answer may be a second one to an earlier request.
+	private boolean isIdentified(HttpClientResponse response, ResponseHead head) {
+		if (head.requestId().isPresent()) {
+			return head.requestId().equals(this.request.requestId());
+		}
+		return !this.context.connections().hasCarriedOthers(response.request().connection());
 	}
 
-	private void onResponse(HttpClientResponse response, ResponseHead head) {
-		if (isOfAnotherRequest(head)) {
-			failForeignResponse(head);
-			return;
-		}
-		boolean isUnidentified = head.requestId().isEmpty()
-				&& this.context.connections().hasCarriedOthers(response.request().connection());
-		if (isUnidentified) {
+	private void failUnidentified(HttpClientResponse response, ResponseHead head) {
+		if (head.requestId().isEmpty()) {
 			failInvalidResponse("answer without a request id: status " + response.statusCode());
 			return;
 		}
+		this.context.metrics().recordForeignAnswer(this.target.replica().service());
+		failInvalidResponse("answer of another request: " + AnswerOrigin.shorten(head.requestId().get()));
+	}
+
+	private void handleIdentified(HttpClientResponse response, ResponseHead head) {
 		if (head.notExecuted() || response.statusCode() == MISDIRECTED) {
 			this.context.connections().responses().discard(response);
 			fail(AttemptOutcome.REJECTED, "status " + response.statusCode(), head.faultAddress());
