Only answers of requests that the connection has carried are passed over

A replica that answered a later request of a connection with an unknown id made it wait for its timeout; behind a HEAD request a second answer could take bytes of the next one; half a second answer on an idle connection cost the next request 100 ms and its attempt; an answer with two ids counted as one's own. The filter and the pool now share the ids that the connection has carried; nothing is passed over once a HEAD request was sent; what does not end within 100 ms ends an idle connection too; several ids are none.

--- a/router/src/main/java/org/burdocktray/process/serve/gateway/AnswerMatcher.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/AnswerMatcher.java
@@ -3,12 +3,11 @@
 import java.util.Optional;
 
 /**
- * Tells the answer to the request in progress on one connection from answers that name
- * another request, which a replica may send late. Invariants: an answer is passed over
- * only if it has an id, that is not the id of the request in progress, and an earlier
- * request on the connection could have caused it; what is passed over for one request is
- * bounded in number and bytes, and none of it is kept. Thread safety: none, confined to
- * one event loop.
+ * Tells the answer to the request in progress on one connection from second answers to
+ * earlier requests, which a replica may send late. Invariants: an answer is passed over
+ * only if it names one of the last requests of the connection, and not the one in
+ * progress; what is passed over for one request is bounded in number and bytes, and none
+ * of it is kept. Thread safety: none, confined to one event loop.
  */
 final class AnswerMatcher {
 
@@ -16,15 +15,11 @@
 
 	static final long MAX_FOREIGN_BYTES = 65_536;
 
-	private Optional<String> expectedId = Optional.empty();
+	private final CarriedRequests carried;
 
-	private boolean hasSent;
+	private Optional<String> idInProgress = Optional.empty();
 
-	private boolean isFirst;
-
-	private boolean mayPassOver;
-
-	private boolean inProgress;
+	private boolean hasSentHead;
 
 	private boolean passingOver;
 
@@ -32,17 +27,23 @@
 
 	private long foreignBytes;
 
+	/**
+	 * Creates the matcher of a connection on which no request has been sent.
+	 * @param carried the last requests of the connection, with the one in progress
+	 */
+	AnswerMatcher(CarriedRequests carried) {
+		this.carried = carried;
+	}
+
 	/**
 	 * Records that a request is sent.
 	 * @param requestId its id
-	 * @param hasAnswerWithBody whether the body of its answer is as long as its head says
+	 * @param isHead whether the body of its answer is missing, whatever the head says, so
+	 * that the end of a second answer can't be told
 	 */
-	void onRequest(Optional<String> requestId, boolean hasAnswerWithBody) {
-		this.isFirst = !this.hasSent;
-		this.hasSent = true;
-		this.expectedId = requestId;
-		this.mayPassOver = requestId.isPresent() && hasAnswerWithBody;
-		this.inProgress = true;
+	void onRequest(Optional<String> requestId, boolean isHead) {
+		this.idInProgress = requestId;
+		this.hasSentHead |= isHead;
 		this.foreignAnswers = 0;
 		this.foreignBytes = 0;
 	}
@@ -53,9 +54,9 @@
 	 * @return whether it is passed over to its end
 	 */
 	boolean passesOver(Optional<String> answerId) {
-		boolean isForeign = answerId.isPresent() && !(this.inProgress && answerId.equals(this.expectedId));
-		boolean hasEarlierRequest = this.hasSent && !(this.isFirst && this.inProgress);
-		if (!isForeign || !hasEarlierRequest || !this.mayPassOver || this.foreignAnswers == MAX_FOREIGN_ANSWERS) {
+		boolean isOfEarlierRequest = answerId.filter(this.carried::contains).isPresent()
+				&& !answerId.equals(this.idInProgress);
+		if (!isOfEarlierRequest || this.hasSentHead || this.foreignAnswers == MAX_FOREIGN_ANSWERS) {
 			return false;
 		}
 		this.foreignAnswers++;
@@ -80,19 +81,19 @@
 
 	/** Records the end of the answer to the request in progress. */
 	void endAnswer() {
-		this.inProgress = false;
+		this.idInProgress = Optional.empty();
 	}
 
 	boolean isPassingOver() {
 		return this.passingOver;
 	}
 
-	boolean isInProgress() {
-		return this.inProgress;
-	}
-
-	Optional<String> expectedId() {
-		return this.inProgress ? this.expectedId : Optional.empty();
+	/**
+	 * Returns the request in progress.
+	 * @return its id, empty if there is none
+	 */
+	Optional<String> idInProgress() {
+		return this.idInProgress;
 	}
 
 }
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/CarriedRequests.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/CarriedRequests.java
@@ -24,8 +24,7 @@
 	 * @return whether it is none of the last requests
 	 */
 	boolean add(String requestId) {
-		String id = requestId.substring(0, Math.min(MAX_ID_CHARACTERS, requestId.length()));
-		if (!this.ids.add(id)) {
+		if (!this.ids.add(shorten(requestId))) {
 			return false;
 		}
 		if (this.ids.size() > MAX_REQUESTS) {
@@ -42,4 +41,17 @@
 		return this.ids.size() > 1;
 	}
 
+	/**
+	 * Returns whether a request is one of the last ones.
+	 * @param requestId the id of the request
+	 * @return false as well for requests that are long ago
+	 */
+	boolean contains(String requestId) {
+		return this.ids.contains(shorten(requestId));
+	}
+
+	private static String shorten(String requestId) {
+		return requestId.substring(0, Math.min(MAX_ID_CHARACTERS, requestId.length()));
+	}
+
 }
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/ForeignAnswerFilter.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/ForeignAnswerFilter.java
@@ -1,5 +1,6 @@
 package org.burdocktray.process.serve.gateway;
 
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -8,6 +9,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPromise;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
@@ -18,16 +20,16 @@
 import org.burdocktray.model.NetworkAddress;
 
 /**
- * Passes over answers that name another request than the one in progress, so that the
- * answer behind them is read. Stands between the HTTP codec and the client. An answer
- * that exceeds a bound ends the connection, or is left to the client, which ends it.
- * Thread safety: confined to the event loop of its connection.
+ * Passes over second answers to earlier requests, so that the answer behind them is read.
+ * Stands between the HTTP codec and the client. An answer that exceeds a bound ends the
+ * connection, or is left to the client, which ends it. Thread safety: confined to the
+ * event loop of its connection.
  */
 final class ForeignAnswerFilter extends ChannelDuplexHandler {
 
 	/**
-	 * How long a request may wait for the end of an answer that is passed over. The bytes
-	 * behind an incomplete one would be taken for a part of it.
+	 * How long the end of an answer that is passed over may take. A request waits for it,
+	 * and its answer would be taken for a part of it.
 	 */
 	static final long MAX_FOREIGN_MILLIS = 100;
 
@@ -41,7 +43,7 @@
 
 	private final Consumer<ForeignAnswer> listener;
 
-	private final AnswerMatcher matcher = new AnswerMatcher();
+	private final AnswerMatcher matcher;
 
 	private long lastEndNanos = System.nanoTime();
 
@@ -54,12 +56,14 @@
 	 * Creates the filter of a connection on which no request has been sent.
 	 * @param server the address of the replica
 	 * @param localPort the port of this VM on the connection
+	 * @param carried the last requests of the connection
 	 * @param requestIdHeader the header that holds the id of a request in requests and
 	 * answers
 	 * @param listener is told of each answer that is passed over
 	 */
-	ForeignAnswerFilter(NetworkAddress server, int localPort, String requestIdHeader,
+	ForeignAnswerFilter(NetworkAddress server, int localPort, CarriedRequests carried, String requestIdHeader,
 			Consumer<ForeignAnswer> listener) {
+		this.matcher = new AnswerMatcher(carried);
 		this.server = server;
 		this.localPort = localPort;
 		this.requestIdHeader = requestIdHeader;
@@ -69,9 +73,7 @@
 	@Override
 	public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
 		if (message instanceof HttpRequest request) {
-			this.matcher.onRequest(Optional.ofNullable(request.headers().get(this.requestIdHeader)),
-					!HttpMethod.HEAD.equals(request.method()));
-			closeUnlessForeignAnswerEnds(context);
+			this.matcher.onRequest(readId(request), HttpMethod.HEAD.equals(request.method()));
 		}
 		context.write(message, promise);
 	}
@@ -83,7 +85,7 @@
 			return;
 		}
 		if (message instanceof HttpResponse response && response.decoderResult().isSuccess()) {
-			Optional<String> answerId = Optional.ofNullable(response.headers().get(this.requestIdHeader));
+			Optional<String> answerId = readId(response);
 			this.isInterim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
 			if (!this.isInterim && this.matcher.passesOver(answerId)) {
 				beginForeignAnswer(context, response, answerId.orElseThrow());
@@ -96,6 +98,12 @@
 		context.fireChannelRead(message);
 	}
 
+	// Several ids tell nothing.
+	private Optional<String> readId(HttpMessage message) {
+		List<String> ids = message.headers().getAll(this.requestIdHeader);
+		return (ids.size() == 1) ? Optional.of(ids.get(0)) : Optional.empty();
+	}
+
 	// The codec ends an interim answer as well.
 	private void endAnswer() {
 		if (this.isInterim) {
@@ -110,7 +118,7 @@
 		this.foreignNumber++;
 		long lateMillis = (System.nanoTime() - this.lastEndNanos) / NANOS_PER_MILLI;
 		this.listener.accept(new ForeignAnswer(this.server, this.localPort, response.status().code(),
-				AnswerOrigin.shorten(foundId), this.matcher.expectedId(), lateMillis));
+				AnswerOrigin.shorten(foundId), this.matcher.idInProgress(), lateMillis));
 		if (response instanceof HttpContent) {
 			readForeignContent(context, response);
 			return;
@@ -142,9 +150,6 @@
 	}
 
 	private void closeUnlessForeignAnswerEnds(ChannelHandlerContext context) {
-		if (!this.matcher.isPassingOver() || !this.matcher.isInProgress()) {
-			return;
-		}
 		int number = this.foreignNumber;
 		context.executor().schedule(() -> {
 			if (this.matcher.isPassingOver() && this.foreignNumber == number) {
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/ReplicaConnections.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/ReplicaConnections.java
@@ -5,6 +5,7 @@
 import java.util.WeakHashMap;
 import java.util.concurrent.TimeUnit;
 
+import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPipeline;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.vertx.core.Future;
@@ -63,7 +64,9 @@
 
 	private final ResponseReader responses;
 
-	/** The last requests of each pooled connection. */
+	/**
+	 * The last requests of each connection; those of single-use ones are not recorded.
+	 */
 	private final Map<HttpConnection, CarriedRequests> carriedRequests = new WeakHashMap<>();
 
 	/**
@@ -106,10 +109,8 @@
 
 	private Future<HttpClientRequest> openPooled(RequestOptions options, String requestId) {
 		return this.pooledClient.request(options).compose((request) -> {
-			boolean isFirst = this.carriedRequests
-				.computeIfAbsent(request.connection(), (connection) -> new CarriedRequests())
-				.add(requestId);
-			if (isFirst) {
+			boolean isNew = carriedRequests(request.connection()).add(requestId);
+			if (isNew) {
 				return Future.succeededFuture(request);
 			}
 			request.reset();
@@ -123,8 +124,11 @@
 	 * @return false if the connection has carried one request only
 	 */
 	boolean hasCarriedOthers(HttpConnection connection) {
-		CarriedRequests carried = this.carriedRequests.get(connection);
-		return carried != null && carried.hasSeveral();
+		return carriedRequests(connection).hasSeveral();
+	}
+
+	private CarriedRequests carriedRequests(HttpConnection connection) {
+		return this.carriedRequests.computeIfAbsent(connection, (added) -> new CarriedRequests());
 	}
 
 	/**
@@ -152,9 +156,13 @@
 		SocketAddress remote = connection.remoteAddress();
 		NetworkAddress server = new NetworkAddress(remote.hostAddress(), remote.port());
 		ChannelPipeline pipeline = ((ConnectionBase) connection).channel().pipeline();
-		ForeignAnswerFilter filter = new ForeignAnswerFilter(server, connection.localAddress().port(),
-				this.requestIdHeader, this.listener::onForeignAnswer);
-		pipeline.addAfter(pipeline.context(HttpClientCodec.class).name(), FILTER_NAME, filter);
+		ChannelHandlerContext codec = pipeline.context(HttpClientCodec.class);
+		// Absent on a connection that is closed already.
+		if (codec != null && connection.localAddress() != null) {
+			pipeline.addAfter(codec.name(), FILTER_NAME,
+					new ForeignAnswerFilter(server, connection.localAddress().port(), carriedRequests(connection),
+							this.requestIdHeader, this.listener::onForeignAnswer));
+		}
 		this.listener.onConnected(server);
 	}
 
