SecondAnswers: a closed connection gets no second answer

Seen in the soak by hand: unhandled exceptions of the stand-in on standard error, from copies that were due after their connection had closed. No promise was touched.

--- a/standins/src/main/java/org/burdocktray/standins/gateway/SecondAnswers.java
+++ b/standins/src/main/java/org/burdocktray/standins/gateway/SecondAnswers.java
@@ -6,6 +6,7 @@
 import java.util.WeakHashMap;
 
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpConnection;
 import io.vertx.core.net.impl.ConnectionBase;
@@ -82,12 +83,12 @@
 		this.owed.merge(connection, text, String::concat);
 	}
 
-	// Past the server's own encoder.
+	// Past the server's own encoder. A closed connection has no handlers.
 	private static void write(HttpConnection connection, String text) {
-		((ConnectionBase) connection).channel()
-			.pipeline()
-			.firstContext()
-			.writeAndFlush(Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1));
+		ChannelHandlerContext first = ((ConnectionBase) connection).channel().pipeline().firstContext();
+		if (first != null) {
+			first.writeAndFlush(Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1));
+		}
 	}
 
 	private enum Moment {
