--- a/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayMetrics.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayMetrics.java
@@ -59,6 +59,12 @@
 		.labelNames("service")
 		.register(this.registry);
 
+	private final Counter mergedAnswers = Counter.builder()
+		.name("burdocktray_gateway_merged_answers_total")
+		.help("Answers of replicas whose head holds the beginning of another one, by service")
+		.labelNames("service")
+		.register(this.registry);
+
 	private final Counter replicaCrashes = Counter.builder()
 		.name("burdocktray_gateway_replica_crashes_total")
 		.help("Replicas that crashed under requests of this VM")
@@ -151,6 +157,10 @@
 		this.foreignAnswers.labelValues(service).inc();
 	}
 
+	void recordMergedAnswer(String service) {
+		this.mergedAnswers.labelValues(service).inc();
+	}
+
 	void recordOversizedResponse() {
 		this.oversizedResponses.inc();
 	}
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayServer.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayServer.java
@@ -11,6 +11,7 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import io.vertx.core.file.FileSystemOptions;
+import org.burdocktray.connection.http.MergedAnswer;
 import org.burdocktray.connection.platform.StoredObject;
 import org.burdocktray.model.NetworkAddress;
 import org.burdocktray.process.directory.Replica;
@@ -164,6 +165,11 @@
 					public void onForeignAnswer(ForeignAnswer answer) {
 						recordForeignAnswer(answer);
 					}
+
+					@Override
+					public void onMergedAnswer(MergedAnswer answer) {
+						recordMergedAnswer(answer);
+					}
 				});
 		ReplicaProbe probe = new ReplicaProbe(this.vertx, connections, this.adapter.headers(), limits);
 		CrashDetector crashes = new CrashDetector(this.quarantine, probe,
@@ -279,6 +285,12 @@
 		RequestEventLog.logForeignAnswer(answer, replica.map(Replica::id).orElse(""));
 	}
 
+	private void recordMergedAnswer(MergedAnswer answer) {
+		Optional<Replica> replica = this.directory.findByAddress(answer.server());
+		this.metrics.recordMergedAnswer(replica.map(Replica::service).orElse(""));
+		RequestEventLog.logMergedAnswer(answer, replica.map(Replica::id).orElse(""));
+	}
+
 	private void recordEventLoopDelay(long delayNanos) {
 		this.metrics.recordEventLoopDelay(delayNanos);
 		if (delayNanos > LOGGED_DELAY_NANOS) {
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/ReplicaConnections.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/ReplicaConnections.java
@@ -19,6 +19,8 @@
 import io.vertx.core.http.RequestOptions;
 import io.vertx.core.net.SocketAddress;
 import io.vertx.core.net.impl.ConnectionBase;
+import org.burdocktray.connection.http.MergedAnswer;
+import org.burdocktray.connection.http.MergedAnswerCheck;
 import org.burdocktray.model.NetworkAddress;
 import org.burdocktray.process.directory.Replica;
 
@@ -74,7 +76,7 @@
 	 * @param vertx runs them
 	 * @param metrics counts responses that are too large
 	 * @param requestIdHeader the header that holds the id of a request
-	 * @param listener is told of new connections and of answers that are passed over
+	 * @param listener is told of new connections and of answers that belong to no request
 	 */
 	ReplicaConnections(Vertx vertx, GatewayMetrics metrics, String requestIdHeader, Listener listener) {
 		this.requestIdHeader = requestIdHeader;
@@ -163,6 +165,7 @@
 					new ForeignAnswerFilter(server, connection.localAddress().port(), carriedRequests(connection),
 							this.requestIdHeader, this.listener::onForeignAnswer));
 		}
+		MergedAnswerCheck.install(connection, this.listener::onMergedAnswer);
 		this.listener.onConnected(server);
 	}
 
@@ -192,6 +195,13 @@
 		default void onForeignAnswer(ForeignAnswer answer) {
 		}
 
+		/**
+		 * Handles an answer that holds the beginning of another one.
+		 * @param answer the answer
+		 */
+		default void onMergedAnswer(MergedAnswer answer) {
+		}
+
 	}
 
 }
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/RequestEventLog.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/RequestEventLog.java
@@ -5,6 +5,7 @@
 import java.util.OptionalLong;
 import java.util.stream.Collectors;
 
+import org.burdocktray.connection.http.MergedAnswer;
 import org.burdocktray.model.NetworkAddress;
 import org.burdocktray.model.Verdict;
 import org.burdocktray.process.directory.Replica;
@@ -53,6 +54,14 @@
 				answer.localPort(), answer.status(), answer.foundId(), answer.lateMillis());
 	}
 
+	static void logMergedAnswer(MergedAnswer answer, String replicaId) {
+		LOGGER.infof(
+				"Answer holds the beginning of another one: replica=%s server=%s connection=%d answerStatus=%d "
+						+ "held=%s",
+				replicaId, answer.server(), answer.localPort(), answer.status(),
+				AnswerOrigin.shorten(answer.heldStatusLine()));
+	}
+
 	static void logSuccessorSent(AdmittedRequest admitted, Target silent, Target successor, String cause,
 			long silentNanos) {
 		LOGGER.infof("Successor sent: request=%s replica=%s path=%s silent=%s silentMillis=%d cause=%s",
--- a/router/src/test/java/org/burdocktray/process/cli/LogSetupTests.java
+++ b/router/src/test/java/org/burdocktray/process/cli/LogSetupTests.java
@@ -1,9 +1,15 @@
 package org.burdocktray.process.cli;
 
 import java.io.IOException;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import org.jboss.logmanager.ExtHandler;
 import org.jboss.logmanager.ExtLogRecord;
 import org.jboss.logmanager.Level;
 import org.jboss.logmanager.handlers.AsyncHandler;
@@ -47,6 +53,35 @@
 		assertThat(logged.getParameters()).isNull();
 	}
 
+	/**
+	 * Guards against a log in which nobody can tell whether lines are missing: the
+	 * numbers of the lines that are left have a gap.
+	 */
+	@Test
+	void droppedLinesLeaveGapInSequence() throws InterruptedException {
+		CountDownLatch writable = new CountDownLatch(1);
+		Set<Long> written = ConcurrentHashMap.newKeySet();
+		AsyncHandler queue = LogSetup.createQueue(new ExtHandler() {
+			@Override
+			protected void doPublish(ExtLogRecord logged) {
+				awaitUninterruptibly(writable);
+				written.add(logged.getSequenceNumber());
+			}
+		});
+		ExtLogRecord first = line();
+		queue.publish(first);
+		IntStream.range(0, 2 * queue.getQueueLength()).forEach((index) -> queue.publish(line()));
+		writable.countDown();
+		ExtLogRecord last = line();
+		while (!written.contains(last.getSequenceNumber())) {
+			queue.publish(last);
+			TimeUnit.MILLISECONDS.sleep(1);
+		}
+		queue.close();
+		long numbers = last.getSequenceNumber() - first.getSequenceNumber() + 1;
+		assertThat(numbers - written.size()).isGreaterThanOrEqualTo(queue.getQueueLength() - 1);
+	}
+
 	@Test
 	void leavesOtherMessagesAsTheyAre() {
 		ExtLogRecord logged = new ExtLogRecord(Level.WARN, "entry=%s", ExtLogRecord.FormatStyle.PRINTF,
@@ -56,4 +91,17 @@
 		assertThat(logged.getFormattedMessage()).isEqualTo("entry=i-1");
 	}
 
+	private static ExtLogRecord line() {
+		return new ExtLogRecord(Level.INFO, "line", ExtLogRecord.FormatStyle.NO_FORMAT, LogSetupTests.class.getName());
+	}
+
+	private static void awaitUninterruptibly(CountDownLatch latch) {
+		try {
+			latch.await();
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
 }
