--- a/router/src/main/java/org/burdocktray/connection/http/MergedAnswerCheck.java
+++ b/router/src/main/java/org/burdocktray/connection/http/MergedAnswerCheck.java
@@ -9,6 +9,8 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelPipeline;
+import io.netty.handler.codec.DecoderException;
+import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpResponse;
 import io.vertx.core.http.HttpConnection;
@@ -17,11 +19,12 @@
 import org.burdocktray.model.NetworkAddress;
 
 /**
- * Finds answers that were read as one although they are two. A server may begin an answer
- * that nobody waits for and break it off within its head; the codec then reads on in the
- * answer behind it. The result has the status of the first and the content of the second,
- * whose status line ends up in the reason phrase or in the value of a header. Thread
- * safety: confined to the event loop of its connection.
+ * Refuses answers that were read as one although they are two, so that the client ends
+ * the connection. A server may begin an answer that nobody waits for and break it off
+ * within its head; the codec then reads on in the answer behind it. The result has the
+ * status of the first and the content of the second, whose status line ends up in the
+ * reason phrase or in the value of a header. Thread safety: confined to the event loop of
+ * its connection.
  */
 public final class MergedAnswerCheck extends ChannelInboundHandlerAdapter {
 
@@ -47,7 +50,7 @@
 	 * Checks the answers of a connection on which no request has been sent. Does nothing
 	 * on one that is closed already.
 	 * @param connection the connection of a client
-	 * @param listener is told of each answer that is found
+	 * @param listener is told of each answer that is refused
 	 */
 	public static void install(HttpConnection connection, Consumer<MergedAnswer> listener) {
 		SocketAddress remote = connection.remoteAddress();
@@ -64,12 +67,17 @@
 	@Override
 	public void channelRead(ChannelHandlerContext context, Object message) {
 		if (message instanceof HttpResponse response && response.decoderResult().isSuccess()) {
-			findHeldStatusLine(response).ifPresent((statusLine) -> this.listener
-				.accept(new MergedAnswer(this.server, this.localPort, response.status().code(), statusLine)));
+			findHeldStatusLine(response).ifPresent((statusLine) -> refuse(response, statusLine));
 		}
 		context.fireChannelRead(message);
 	}
 
+	private void refuse(HttpResponse response, String statusLine) {
+		this.listener.accept(new MergedAnswer(this.server, this.localPort, response.status().code(), statusLine));
+		response.setDecoderResult(DecoderResult
+			.failure(new DecoderException("answer holds the beginning of another one: " + statusLine)));
+	}
+
 	// The names of headers can't hold one: the codec refuses those with a slash.
 	private static Optional<String> findHeldStatusLine(HttpResponse response) {
 		Optional<String> inReason = findStatusLine(response.status().reasonPhrase());
