--- /dev/null
+++ b/router/src/main/java/org/burdocktray/connection/http/AnswerBoundaries.java
@@ -0,0 +1,49 @@
+package org.burdocktray.connection.http;
+
+import java.util.Optional;
+import java.util.function.Consumer;
+
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelPipeline;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.vertx.core.http.HttpConnection;
+import io.vertx.core.net.SocketAddress;
+import io.vertx.core.net.impl.ConnectionBase;
+import org.burdocktray.model.NetworkAddress;
+
+/**
+ * Makes sure that an answer on a connection begins where the one before it has ended. A
+ * server may begin an answer that nobody waits for and never end it. Thread safety:
+ * stateless.
+ */
+public final class AnswerBoundaries {
+
+	/** The handler behind which only answers with sound heads are read. */
+	public static final String HEAD_CHECK = "merged-answers";
+
+	private AnswerBoundaries() {
+	}
+
+	/**
+	 * Checks a connection on which no request has been sent.
+	 * @param connection the connection of a client
+	 * @param listener is told of each answer that is refused
+	 * @return the handlers of the connection, empty if it is closed already
+	 */
+	public static Optional<ChannelPipeline> check(HttpConnection connection, Consumer<MergedAnswer> listener) {
+		SocketAddress remote = connection.remoteAddress();
+		SocketAddress local = connection.localAddress();
+		ChannelPipeline pipeline = ((ConnectionBase) connection).channel().pipeline();
+		ChannelHandlerContext codec = pipeline.context(HttpClientCodec.class);
+		if (codec == null || remote == null || local == null) {
+			return Optional.empty();
+		}
+		NetworkAddress server = new NetworkAddress(remote.hostAddress(), remote.port());
+		HeldBytesCheck heldBytes = new HeldBytesCheck();
+		pipeline.addBefore(codec.name(), "held-bytes", heldBytes);
+		pipeline.addAfter(codec.name(), "request-progress", heldBytes.progress());
+		pipeline.addAfter(codec.name(), HEAD_CHECK, new MergedAnswerCheck(server, local.port(), listener));
+		return Optional.of(pipeline);
+	}
+
+}
--- a/router/src/main/java/org/burdocktray/connection/http/MergedAnswerCheck.java
+++ b/router/src/main/java/org/burdocktray/connection/http/MergedAnswerCheck.java
@@ -8,14 +8,9 @@
 
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.ChannelPipeline;
 import io.netty.handler.codec.DecoderException;
 import io.netty.handler.codec.DecoderResult;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpResponse;
-import io.vertx.core.http.HttpConnection;
-import io.vertx.core.net.SocketAddress;
-import io.vertx.core.net.impl.ConnectionBase;
 import org.burdocktray.model.NetworkAddress;
 
 /**
@@ -26,9 +21,7 @@
  * reason phrase or in the value of a header. Thread safety: confined to the event loop of
  * its connection.
  */
-public final class MergedAnswerCheck extends ChannelInboundHandlerAdapter {
-
-	private static final String NAME = "merged-answers";
+final class MergedAnswerCheck extends ChannelInboundHandlerAdapter {
 
 	private static final String PROTOCOL = "HTTP/";
 
@@ -40,28 +33,16 @@
 
 	private final Consumer<MergedAnswer> listener;
 
-	private MergedAnswerCheck(NetworkAddress server, int localPort, Consumer<MergedAnswer> listener) {
-		this.server = server;
-		this.localPort = localPort;
-		this.listener = listener;
-	}
-
 	/**
-	 * Checks the answers of a connection on which no request has been sent. Does nothing
-	 * on one that is closed already.
-	 * @param connection the connection of a client
+	 * Creates the check of a connection on which no request has been sent.
+	 * @param server the address of the server
+	 * @param localPort the port of this VM on the connection
 	 * @param listener is told of each answer that is refused
 	 */
-	public static void install(HttpConnection connection, Consumer<MergedAnswer> listener) {
-		SocketAddress remote = connection.remoteAddress();
-		SocketAddress local = connection.localAddress();
-		ChannelPipeline pipeline = ((ConnectionBase) connection).channel().pipeline();
-		ChannelHandlerContext codec = pipeline.context(HttpClientCodec.class);
-		if (codec == null || remote == null || local == null) {
-			return;
-		}
-		NetworkAddress server = new NetworkAddress(remote.hostAddress(), remote.port());
-		pipeline.addAfter(codec.name(), NAME, new MergedAnswerCheck(server, local.port(), listener));
+	MergedAnswerCheck(NetworkAddress server, int localPort, Consumer<MergedAnswer> listener) {
+		this.server = server;
+		this.localPort = localPort;
+		this.listener = listener;
 	}
 
 	@Override
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/ReplicaConnections.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/ReplicaConnections.java
@@ -5,9 +5,6 @@
 import java.util.WeakHashMap;
 import java.util.concurrent.TimeUnit;
 
-import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelPipeline;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpClient;
@@ -18,9 +15,8 @@
 import io.vertx.core.http.PoolOptions;
 import io.vertx.core.http.RequestOptions;
 import io.vertx.core.net.SocketAddress;
-import io.vertx.core.net.impl.ConnectionBase;
+import org.burdocktray.connection.http.AnswerBoundaries;
 import org.burdocktray.connection.http.MergedAnswer;
-import org.burdocktray.connection.http.MergedAnswerCheck;
 import org.burdocktray.model.NetworkAddress;
 import org.burdocktray.process.directory.Replica;
 
@@ -157,15 +153,10 @@
 	private void onConnected(HttpConnection connection) {
 		SocketAddress remote = connection.remoteAddress();
 		NetworkAddress server = new NetworkAddress(remote.hostAddress(), remote.port());
-		ChannelPipeline pipeline = ((ConnectionBase) connection).channel().pipeline();
-		ChannelHandlerContext codec = pipeline.context(HttpClientCodec.class);
-		// Absent on a connection that is closed already.
-		if (codec != null && connection.localAddress() != null) {
-			pipeline.addAfter(codec.name(), FILTER_NAME,
+		AnswerBoundaries.check(connection, this.listener::onMergedAnswer)
+			.ifPresent((pipeline) -> pipeline.addAfter(AnswerBoundaries.HEAD_CHECK, FILTER_NAME,
 					new ForeignAnswerFilter(server, connection.localAddress().port(), carriedRequests(connection),
-							this.requestIdHeader, this.listener::onForeignAnswer));
-		}
-		MergedAnswerCheck.install(connection, this.listener::onMergedAnswer);
+							this.requestIdHeader, this.listener::onForeignAnswer)));
 		this.listener.onConnected(server);
 	}
 
