--- /dev/null
+++ b/router/src/main/java/org/burdocktray/connection/http/CheckedHttpClients.java
@@ -0,0 +1,40 @@
+package org.burdocktray.connection.http;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.PoolOptions;
+import org.jboss.logging.Logger;
+
+/**
+ * Creates HTTP clients that end a connection on which the boundaries of answers are in
+ * doubt. Thread safety: stateless.
+ */
+public final class CheckedHttpClients {
+
+	private static final Logger LOGGER = Logger.getLogger(CheckedHttpClients.class);
+
+	private CheckedHttpClients() {
+	}
+
+	/**
+	 * Creates a client.
+	 * @param vertx runs it
+	 * @param options the options of its connections
+	 * @param maxConnections the number of connections that it keeps to one server
+	 * @return the client
+	 */
+	public static HttpClient create(Vertx vertx, HttpClientOptions options, int maxConnections) {
+		return vertx.httpClientBuilder()
+			.with(options)
+			.with(new PoolOptions().setHttp1MaxSize(maxConnections))
+			.withConnectHandler((connection) -> AnswerBoundaries.check(connection, CheckedHttpClients::log))
+			.build();
+	}
+
+	private static void log(MergedAnswer answer) {
+		LOGGER.warnf("Answer holds the beginning of another one: server=%s connection=%d answerStatus=%d held=%s",
+				answer.server(), answer.localPort(), answer.status(), answer.heldStatusLine());
+	}
+
+}
--- a/router/src/main/java/org/burdocktray/process/cli/PlatformAccess.java
+++ b/router/src/main/java/org/burdocktray/process/cli/PlatformAccess.java
@@ -9,9 +9,12 @@
 import io.vavr.control.Either;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientOptions;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.Option;
 import org.apache.commons.cli.Options;
+import org.burdocktray.connection.http.CheckedHttpClients;
 import org.burdocktray.connection.platform.HttpPlatformStore;
 import org.burdocktray.connection.platform.PlatformStore;
 import org.burdocktray.model.NetworkAddress;
@@ -32,6 +35,8 @@
  */
 record PlatformAccess(NetworkAddress platformAddress, long callTimeoutMillis, Optional<Settings> settings) {
 
+	private static final int MAX_CONNECTIONS = 2;
+
 	private static final String PLATFORM_OPTION = "platform";
 
 	private static final String SETTINGS_OPTION = "settings";
@@ -89,8 +94,8 @@
 	private <T> T runStoreOperation(Function<PlatformStore, Single<T>> operation) {
 		Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
 		try {
-			HttpPlatformStore store = new HttpPlatformStore(vertx.createHttpClient(), this.platformAddress,
-					this.callTimeoutMillis);
+			HttpClient client = CheckedHttpClients.create(vertx, new HttpClientOptions(), MAX_CONNECTIONS);
+			HttpPlatformStore store = new HttpPlatformStore(client, this.platformAddress, this.callTimeoutMillis);
 			return operation.apply(store).blockingGet();
 		}
 		finally {
--- a/router/src/main/java/org/burdocktray/process/serve/RouterServer.java
+++ b/router/src/main/java/org/burdocktray/process/serve/RouterServer.java
@@ -19,6 +19,7 @@
 import io.vertx.core.json.JsonObject;
 import org.burdocktray.connection.engine.HttpEngineClient;
 import org.burdocktray.connection.engine.HttpEngineOrderClient;
+import org.burdocktray.connection.http.CheckedHttpClients;
 import org.burdocktray.connection.platform.HttpPlatformStore;
 import org.burdocktray.connection.platform.PlatformStore;
 import org.burdocktray.connection.service.HttpServiceClient;
@@ -260,7 +261,7 @@
 	}
 
 	private HttpClient createHttpClient() {
-		return this.vertx.createHttpClient(new HttpClientOptions().setMaxPoolSize(MAX_CONNECTIONS_PER_UPSTREAM));
+		return CheckedHttpClients.create(this.vertx, new HttpClientOptions(), MAX_CONNECTIONS_PER_UPSTREAM);
 	}
 
 	/**
