--- a/router/src/main/java/org/burdocktray/connection/http/MergedAnswerCheck.java
+++ b/router/src/main/java/org/burdocktray/connection/http/MergedAnswerCheck.java
@@ -3,8 +3,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
-import java.util.regex.Matcher;
-import java.util.regex.Pattern;
 
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -23,10 +21,6 @@
  */
 final class MergedAnswerCheck extends ChannelInboundHandlerAdapter {
 
-	private static final String PROTOCOL = "HTTP/";
-
-	private static final Pattern STATUS_LINE = Pattern.compile("HTTP/\\d\\.\\d +\\d{3}(?!\\d)");
-
 	private final NetworkAddress server;
 
 	private final int localPort;
@@ -55,18 +49,18 @@
 
 	private void refuse(HttpResponse response, String statusLine) {
 		this.listener.accept(new MergedAnswer(this.server, this.localPort, response.status().code(), statusLine));
-		response.setDecoderResult(DecoderResult
-			.failure(new DecoderException("answer holds the beginning of another one: " + statusLine)));
+		response.setDecoderResult(
+				DecoderResult.failure(new DecoderException("answer holds a part of another one: " + statusLine)));
 	}
 
 	// The names of headers can't hold one: the codec refuses those with a slash.
 	private static Optional<String> findHeldStatusLine(HttpResponse response) {
-		Optional<String> inReason = findStatusLine(response.status().reasonPhrase());
+		Optional<String> inReason = StatusLines.findFirst(response.status().reasonPhrase());
 		if (inReason.isPresent()) {
 			return inReason;
 		}
 		for (Map.Entry<String, String> header : response.headers()) {
-			Optional<String> inValue = findStatusLine(header.getValue());
+			Optional<String> inValue = StatusLines.findFirst(header.getValue());
 			if (inValue.isPresent()) {
 				return inValue;
 			}
@@ -74,12 +68,4 @@
 		return Optional.empty();
 	}
 
-	private static Optional<String> findStatusLine(String text) {
-		if (!text.contains(PROTOCOL)) {
-			return Optional.empty();
-		}
-		Matcher matcher = STATUS_LINE.matcher(text);
-		return matcher.find() ? Optional.of(matcher.group()) : Optional.empty();
-	}
-
 }
