--- a/router/src/main/java/org/burdocktray/connection/http/AnswerBoundaries.java
+++ b/router/src/main/java/org/burdocktray/connection/http/AnswerBoundaries.java
@@ -39,10 +39,12 @@
 			return Optional.empty();
 		}
 		NetworkAddress server = new NetworkAddress(remote.hostAddress(), remote.port());
-		HeldBytesCheck heldBytes = new HeldBytesCheck();
-		pipeline.addBefore(codec.name(), "held-bytes", heldBytes);
-		pipeline.addAfter(codec.name(), "request-progress", heldBytes.progress());
+		TrailingBytesCheck trailingBytes = new TrailingBytesCheck(
+				(status) -> listener.accept(new MergedAnswer(server, local.port(), status, "status line in its body")));
+		pipeline.addBefore(codec.name(), "trailing-bytes", trailingBytes);
+		pipeline.addAfter(codec.name(), "request-progress", trailingBytes.progress());
 		pipeline.addAfter(codec.name(), HEAD_CHECK, new MergedAnswerCheck(server, local.port(), listener));
+		pipeline.addAfter(codec.name(), "answer-ends", trailingBytes.answerEnds());
 		return Optional.of(pipeline);
 	}
 
--- a/router/src/main/java/org/burdocktray/connection/http/CheckedHttpClients.java
+++ b/router/src/main/java/org/burdocktray/connection/http/CheckedHttpClients.java
@@ -33,8 +33,8 @@
 	}
 
 	private static void log(MergedAnswer answer) {
-		LOGGER.warnf("Answer holds the beginning of another one: server=%s connection=%d answerStatus=%d held=%s",
-				answer.server(), answer.localPort(), answer.status(), answer.heldStatusLine());
+		LOGGER.warnf("Answer holds a part of another one: server=%s connection=%d answerStatus=%d evidence=%s",
+				answer.server(), answer.localPort(), answer.status(), answer.evidence());
 	}
 
 }
--- a/router/src/main/java/org/burdocktray/connection/http/MergedAnswer.java
+++ b/router/src/main/java/org/burdocktray/connection/http/MergedAnswer.java
@@ -3,13 +3,14 @@
 import org.burdocktray.model.NetworkAddress;
 
 /**
- * An answer whose head holds the status line of another one. Thread safety: immutable.
+ * An answer that holds a part of another one. Thread safety: immutable.
  *
  * @param server the address of the server
  * @param localPort the port of this VM on the connection
- * @param status the status that was read, which belongs to the answer that broke off
- * @param heldStatusLine the beginning of the status line of the other answer
+ * @param status the status that was read, which belongs to the answer that began first
+ * @param evidence the beginning of the status line of the other answer, or where it was
+ * found
  */
-public record MergedAnswer(NetworkAddress server, int localPort, int status, String heldStatusLine) {
+public record MergedAnswer(NetworkAddress server, int localPort, int status, String evidence) {
 
 }
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayMetrics.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayMetrics.java
@@ -61,7 +61,7 @@
 
 	private final Counter mergedAnswers = Counter.builder()
 		.name("burdocktray_gateway_merged_answers_total")
-		.help("Answers of replicas whose head holds the beginning of another one, by service")
+		.help("Answers of replicas that hold a part of another one, by service")
 		.labelNames("service")
 		.register(this.registry);
 
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/RequestEventLog.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/RequestEventLog.java
@@ -56,10 +56,10 @@
 
 	static void logMergedAnswer(MergedAnswer answer, String replicaId) {
 		LOGGER.infof(
-				"Answer holds the beginning of another one: replica=%s server=%s connection=%d answerStatus=%d "
-						+ "held=%s",
+				"Answer holds a part of another one: replica=%s server=%s connection=%d answerStatus=%d "
+						+ "evidence=%s",
 				replicaId, answer.server(), answer.localPort(), answer.status(),
-				AnswerOrigin.shorten(answer.heldStatusLine()));
+				AnswerOrigin.shorten(answer.evidence()));
 	}
 
 	static void logSuccessorSent(AdmittedRequest admitted, Target silent, Target successor, String cause,
