--- a/router/src/test/java/org/burdocktray/process/serve/gateway/ReplicaConnectionsTests.java
+++ b/router/src/test/java/org/burdocktray/process/serve/gateway/ReplicaConnectionsTests.java
@@ -5,6 +5,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -13,6 +14,7 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpMethod;
+import io.vertx.core.net.impl.ConnectionBase;
 import org.burdocktray.model.DataCentre;
 import org.burdocktray.model.NetworkAddress;
 import org.burdocktray.process.directory.Replica;
@@ -60,6 +62,26 @@
 		}
 	}
 
+	/**
+	 * Guards against a check that does not see what it has to, as another handler stands
+	 * before it; {@link LinkPropertyTests} has this order.
+	 */
+	@Test
+	void checksOfAnswersStandAroundTheCodecInTheirOrder() throws IOException {
+		try (ServerSocket server = listen()) {
+			ConnectionBase connection = (ConnectionBase) open(server).connection();
+			List<String> handlers = connection.channel()
+				.pipeline()
+				.toMap()
+				.values()
+				.stream()
+				.map((handler) -> handler.getClass().getSimpleName())
+				.toList();
+			assertThat(handlers).containsSubsequence("HeldBytesCheck", "HttpClientCodec", "MergedAnswerCheck",
+					"ForeignAnswerFilter", "Progress", "VertxHandler");
+		}
+	}
+
 	private static ServerSocket listen() throws IOException {
 		ServerSocket server = new ServerSocket();
 		server.setReceiveBufferSize(RECEIVE_BUFFER_BYTES);
