--- a/router/src/test/java/org/burdocktray/connection/http/HeldBytesCheckTests.java
+++ b/router/src/test/java/org/burdocktray/connection/http/HeldBytesCheckTests.java
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.http.HttpMethod;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.MethodSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -21,6 +22,19 @@
 
 	private static final AnswerText FIRST = AnswerText.plain(200, "r1", "run-1", "the first body");
 
+	private static final AnswerText SECOND = AnswerText.signatureFirst(200, "r1", "run-1", "ok");
+
+	/** Guards against a connection that counts as idle with half of an answer. */
+	@ParameterizedTest
+	@EnumSource
+	void idleConnectionThatHoldsBeginningOfAnswerIsClosed(Moment moment) {
+		List<Integer> missed = IntStream.range(1, SECOND.headLength())
+			.filter((length) -> staysOpen(moment, SECOND.text().substring(0, length)))
+			.boxed()
+			.toList();
+		assertThat(missed).as("lengths after which the connection counts as idle").isEmpty();
+	}
+
 	/** Guards against the loss of sound answers that come in pieces. */
 	@ParameterizedTest
 	@MethodSource("soundAnswers")
@@ -133,4 +147,81 @@
 		return IntStream.rangeClosed(1, 200);
 	}
 
+	private static boolean staysOpen(Moment moment, String beginning) {
+		CheckedChannel channel = new CheckedChannel();
+		try (channel) {
+			channel.send(HttpMethod.GET, "r1");
+			moment.receive(channel, beginning);
+			assertThat(channel.takeAnswers()).containsExactly(FIRST.read());
+			return channel.isOpen();
+		}
+		finally {
+			assertThat(channel.allocatedBytes()).as("bytes that were not released").isZero();
+		}
+	}
+
+	/**
+	 * How the beginning of the second answer comes.
+	 */
+	enum Moment {
+
+		/** In the read of the first answer. */
+		SAME_READ {
+
+			@Override
+			void receive(CheckedChannel channel, String beginning) {
+				channel.receive(FIRST.text() + beginning);
+			}
+
+		},
+
+		/** In a read of its own. */
+		OWN_READ {
+
+			@Override
+			void receive(CheckedChannel channel, String beginning) {
+				channel.receive(FIRST.text());
+				channel.receive(beginning);
+			}
+
+		},
+
+		/** Byte by byte, in reads of their own. */
+		BYTE_BY_BYTE {
+
+			@Override
+			void receive(CheckedChannel channel, String beginning) {
+				channel.receive(FIRST.text());
+				channel.receiveByteByByte(beginning);
+			}
+
+		},
+
+		/** In the read of the last bytes of a first answer that was torn in its head. */
+		BEHIND_TORN_HEAD {
+
+			@Override
+			void receive(CheckedChannel channel, String beginning) {
+				channel.receive(FIRST.text().substring(0, 10));
+				channel.receive(FIRST.text().substring(10) + beginning);
+			}
+
+		},
+
+		/** In the read of the last bytes of a first answer that was torn in its body. */
+		BEHIND_TORN_BODY {
+
+			@Override
+			void receive(CheckedChannel channel, String beginning) {
+				int torn = FIRST.text().length() - 3;
+				channel.receive(FIRST.text().substring(0, torn));
+				channel.receive(FIRST.text().substring(torn) + beginning);
+			}
+
+		};
+
+		abstract void receive(CheckedChannel channel, String beginning);
+
+	}
+
 }
--- a/router/src/test/java/org/burdocktray/connection/http/MergedAnswerCheckTests.java
+++ b/router/src/test/java/org/burdocktray/connection/http/MergedAnswerCheckTests.java
@@ -104,6 +104,13 @@
 		}
 	}
 
+	/** Guards against the loss of sound answers that came through a proxy. */
+	@ParameterizedTest
+	@ValueSource(strings = { "Via: HTTP/1.1 192.168.0.1", "Via: HTTP/1.1 200.example" })
+	void proxyWhoseNameBeginsWithThreeDigitsIsLeftAlone(String line) {
+		headerThatNamesProtocolIsLeftAlone(line);
+	}
+
 	/** Guards against the loss of sound answers whose bodies hold answers. */
 	@Test
 	void bodyThatHoldsAnswerIsLeftAlone() {
