--- a/router/src/main/java/org/burdocktray/connection/http/StatusLines.java
+++ b/router/src/main/java/org/burdocktray/connection/http/StatusLines.java
@@ -10,7 +10,7 @@
 final class StatusLines {
 
 	/** As wide as what the codec takes for the beginning of a status line. */
-	private static final Pattern STATUS_LINE = Pattern.compile("http/\\d++\\.\\d++\\s++\\d++(?=\\s|$)",
+	private static final Pattern STATUS_LINE = Pattern.compile("http/\\d++\\.\\d++\\s++0*+\\d{3}(?=\\s|$)",
 			Pattern.CASE_INSENSITIVE);
 
 	private StatusLines() {
--- a/router/src/main/java/org/burdocktray/connection/http/TrailingBytesCheck.java
+++ b/router/src/main/java/org/burdocktray/connection/http/TrailingBytesCheck.java
@@ -26,9 +26,8 @@
  * bytes make no whole answer is closed, since the codec would read them together with the
  * next one. If they begin no answer either, and a status line was read as a part of the
  * body, the answer holds a part of another one and is refused. Invariant: a connection
- * carries no request behind bytes that belong to none, but for those behind an answer
- * whose head came in several reads, which the codec has put together. Thread safety:
- * confined to the event loop of its connection.
+ * carries no request behind bytes that belong to none. Thread safety: confined to the
+ * event loop of its connection.
  */
 final class TrailingBytesCheck extends ChannelInboundHandlerAdapter {
 
@@ -42,6 +41,8 @@
 
 	private Optional<Read> present = Optional.empty();
 
+	private boolean codecHoldsBytes;
+
 	/**
 	 * Creates the check of a connection on which no request has been sent.
 	 * @param listener receives the status of each answer that is refused
@@ -76,10 +77,11 @@
 		Read read = new Read(bytes.retain(), !this.progress.requestInProgress);
 		this.present = Optional.of(read);
 		try {
-			context.fireChannelRead(bytes);
+			forward(context, read);
 			if (read.endsWithinForeignAnswer()) {
 				context.close();
 			}
+			this.codecHoldsBytes = !read.ended && (this.codecHoldsBytes || read.isHeld());
 		}
 		finally {
 			this.present = Optional.empty();
@@ -87,6 +89,21 @@
 		}
 	}
 
+	// Bytes that the codec copies behind those it holds can't be looked at when an answer
+	// ends; one that ends before the last part has bytes behind it.
+	private void forward(ChannelHandlerContext context, Read read) {
+		int lastPartLength = this.codecHoldsBytes ? read.lastPartLength() : 0;
+		if (lastPartLength == 0) {
+			context.fireChannelRead(read.bytes);
+			return;
+		}
+		ByteBuf lastPart = read.bytes.retainedSlice(read.bytes.writerIndex() - lastPartLength, lastPartLength);
+		read.part = Part.FIRST;
+		context.fireChannelRead(read.bytes.writerIndex(read.bytes.writerIndex() - lastPartLength));
+		read.part = Part.LAST;
+		context.fireChannelRead(lastPart);
+	}
+
 	private static boolean isInterim(HttpResponse response) {
 		return response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
 	}
@@ -113,6 +130,8 @@
 
 		private boolean hasTrailingBytes;
 
+		private Part part = Part.WHOLE;
+
 		Read(ByteBuf bytes, boolean idle) {
 			this.bytes = bytes;
 			this.begin = bytes.readerIndex();
@@ -121,7 +140,18 @@
 
 		void recordEnd() {
 			this.ended = true;
-			this.hasTrailingBytes = findStart() >= 0;
+			this.hasTrailingBytes = (this.part == Part.WHOLE) ? findStart() >= 0 : this.part == Part.FIRST;
+		}
+
+		// The codec releases bytes that it has read.
+		boolean isHeld() {
+			return this.bytes.refCnt() > 1 && this.bytes.isReadable();
+		}
+
+		// From the last byte that is no line end.
+		int lastPartLength() {
+			int last = this.bytes.forEachByteDesc((value) -> value == '\r' || value == '\n');
+			return (last > this.bytes.readerIndex()) ? this.bytes.writerIndex() - last : 0;
 		}
 
 		boolean endsWithinForeignAnswer() {
@@ -129,7 +159,8 @@
 		}
 
 		boolean showsMergedBody() {
-			return this.hasTrailingBytes && !mayBeginAnswer(findStart()) && countStatusLines() > this.heads;
+			return this.part == Part.WHOLE && this.hasTrailingBytes && !mayBeginAnswer(findStart())
+					&& countStatusLines() > this.heads;
 		}
 
 		// Line ends between answers are allowed.
@@ -151,6 +182,15 @@
 
 	}
 
+	/**
+	 * The part of a read that the codec is given.
+	 */
+	private enum Part {
+
+		WHOLE, FIRST, LAST
+
+	}
+
 	/**
 	 * Looks behind each answer that ends. Interim answers have the real one behind them.
 	 */
