--- a/standins/src/main/java/org/burdocktray/standins/gateway/PlainReplicaStandIn.java
+++ b/standins/src/main/java/org/burdocktray/standins/gateway/PlainReplicaStandIn.java
@@ -1,7 +1,10 @@
 package org.burdocktray.standins.gateway;
 
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 
 import io.vertx.core.json.JsonObject;
@@ -9,12 +12,24 @@
 import io.vertx.ext.web.RoutingContext;
 
 /**
- * A stand-in for a replica of a plain service. Thread safety: see {@link ReplicaStandIn}.
+ * A stand-in for a replica of a plain service. Invariant: each signature that it sends
+ * belongs to one run of one request. Thread safety: see {@link ReplicaStandIn}; what
+ * returns runs and answers may be called from any thread.
  */
 public final class PlainReplicaStandIn extends ReplicaStandIn {
 
+	private static final int OK = 200;
+
+	private static final int INTERNAL_SERVER_ERROR = 500;
+
 	private final List<String> executedRequestIds = new CopyOnWriteArrayList<>();
 
+	private final Map<String, Answer> answers = new ConcurrentHashMap<>();
+
+	private double failedShare;
+
+	private Random failureRandom = new Random(0);
+
 	private volatile Behaviour behaviour = Behaviour.RESPOND;
 
 	private volatile long workMillis;
@@ -56,12 +71,27 @@
 	}
 
 	/**
-	 * Lets the replica send some answers a second time. Must be called before the start.
-	 * @param share the share of its answers
+	 * Lets some runs fail at once: they answer with status 500 instead of what the
+	 * behaviour says. Must be called before the start.
+	 * @param share the share of runs
+	 * @param seed the seed by which the replica draws which
+	 */
+	public void setFailures(double share, long seed) {
+		this.failedShare = share;
+		this.failureRandom = new Random(seed);
+	}
+
+	/**
+	 * Lets the replica send second answers. They are successes, also those to a run that
+	 * failed. Must be called before the start.
+	 * @param wholeShare the share of its answers to which it sends a whole second one
+	 * @param partialShare the share of its other answers to which it sends a second one
+	 * of which only the beginning comes before the next answer; the rest follows behind
+	 * that, or never
 	 * @param seed the seed by which it draws which, and when
 	 */
-	public void setSecondAnswers(double share, long seed) {
-		this.secondAnswers = Optional.of(new SecondAnswers(share, seed));
+	public void setSecondAnswers(double wholeShare, double partialShare, long seed) {
+		this.secondAnswers = Optional.of(new SecondAnswers(wholeShare, partialShare, seed));
 	}
 
 	/**
@@ -72,6 +102,14 @@
 		return this.executedRequestIds;
 	}
 
+	/**
+	 * Returns what the runs answered. A run is contained before its answer is sent.
+	 * @return the answers by signature, which may change while the replica runs
+	 */
+	public Map<String, Answer> answers() {
+		return this.answers;
+	}
+
 	/**
 	 * Returns the replica's entry in the metadata store.
 	 * @param service the name of the replica's service
@@ -111,6 +149,10 @@
 			endBecauseOfRequest(requestId);
 			return;
 		}
+		if (this.failureRandom.nextDouble() < this.failedShare) {
+			respond(context, requestId, INTERNAL_SERVER_ERROR);
+			return;
+		}
 		if (this.behaviour == Behaviour.NEVER_RESPOND) {
 			return;
 		}
@@ -118,29 +160,43 @@
 			closeConnection(context);
 			return;
 		}
-		continueAfter(this.workMillis, () -> respond(context, requestId));
+		continueAfter(this.workMillis, () -> respond(context, requestId, OK));
 	}
 
-	private void respond(RoutingContext context, String requestId) {
+	private void respond(RoutingContext context, String requestId, int status) {
 		if (hasFailed() || context.response().closed()) {
 			return;
 		}
-		String responseId = (this.behaviour == Behaviour.WRONG_REQUEST_ID) ? "another" : requestId;
-		String body = "ran at " + id() + " for " + context.request().getHeader("X-Burdocktray-Tenant")
+		String place = id() + " for " + context.request().getHeader("X-Burdocktray-Tenant")
 				+ "x".repeat(this.paddingBytes);
+		String success = "ran at " + place;
+		String body = (status == OK) ? success : "failed at " + place;
+		String signature = "signed-by-" + id() + "-" + this.answers.size();
+		this.answers.put(signature, new Answer(requestId, status, body));
+		String responseId = (this.behaviour == Behaviour.WRONG_REQUEST_ID) ? "another" : requestId;
 		context.response()
-			.setStatusCode(200)
-			.putHeader("X-Burdocktray-Request-Id", responseId)
-			.putHeader("X-Burdocktray-Response-Signature", "signed-by-" + id())
+			.setStatusCode(status)
+			.putHeader(WireHeaders.REQUEST_ID, responseId)
+			.putHeader(WireHeaders.SIGNATURE, signature)
 			.end(body)
 			.onSuccess((sent) -> this.secondAnswers.ifPresent((second) -> second.onAnswer(vertx(),
-					context.request().connection(), formatAnswer(responseId, body))));
+					context.request().connection(), formatSuccess(signature, responseId, success))));
 	}
 
-	private String formatAnswer(String requestId, String body) {
-		return "HTTP/1.1 200 OK\r\nX-Burdocktray-Request-Id: " + requestId
-				+ "\r\nX-Burdocktray-Response-Signature: signed-by-" + id() + "\r\nContent-Length: " + body.length()
-				+ "\r\n\r\n" + body;
+	private static String formatSuccess(String signature, String requestId, String body) {
+		return "HTTP/1.1 200 OK\r\n" + WireHeaders.SIGNATURE + ": " + signature + "\r\n" + WireHeaders.REQUEST_ID + ": "
+				+ requestId + "\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
+	}
+
+	/**
+	 * What a run of a request answered. Thread safety: immutable.
+	 *
+	 * @param requestId the id of the request that ran
+	 * @param status the HTTP status code
+	 * @param body the body
+	 */
+	public record Answer(String requestId, int status, String body) {
+
 	}
 
 	/**
