--- a/soak/src/main/java/org/burdocktray/soak/Call.java
+++ b/soak/src/main/java/org/burdocktray/soak/Call.java
@@ -3,11 +3,14 @@
 import java.net.ConnectException;
 import java.net.http.HttpConnectTimeoutException;
 import java.net.http.HttpResponse;
+import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 
+import org.burdocktray.standins.gateway.PlainReplicaStandIn;
 import org.burdocktray.standins.gateway.WireHeaders;
 
 /**
@@ -60,15 +63,47 @@
 		return this.status == 503 || this.status == 429 || this.status == 408 || this.status == 421;
 	}
 
-	/** Returns whether a complete response is the one expected for this request. */
-	boolean hasExpectedResponse() {
+	/** Returns whether the response says that the request succeeded. */
+	boolean isSuccess() {
+		return this.status / 100 == 2;
+	}
+
+	/**
+	 * Returns what is wrong with a response that claims to be a replica's: a success, and
+	 * a failure of a plain replica with a signature. It must be the answer of one run of
+	 * this request. Runs of engines are not known, so that their failures are not
+	 * checked.
+	 * @param answers the answers of the runs at plain replicas, by signature
+	 * @return what is wrong, empty for a response that is right or no replica's
+	 */
+	Optional<String> findForeignPart(Map<String, PlainReplicaStandIn.Answer> answers) {
+		boolean isAnswer = isSuccess() || (this.kind != Kind.DRAFT && !this.signature.isEmpty());
+		if (!isAnswer) {
+			return Optional.empty();
+		}
 		if (!this.answeredId.equals(this.id)) {
-			return false;
+			return Optional.of("got an answer to another request: " + this.answeredId);
 		}
 		if (this.kind == Kind.DRAFT) {
-			return this.body.equals(expectedEvents(this.id));
+			return Optional.of("got an unexpected response: " + this.body)
+				.filter((message) -> !this.body.equals(expectedEvents(this.id)));
+		}
+		PlainReplicaStandIn.Answer run = answers.get(this.signature);
+		if (run == null) {
+			return Optional.of("got status " + this.status + " with a signature of no run: " + this.signature);
+		}
+		return findDifference(run);
+	}
+
+	private Optional<String> findDifference(PlainReplicaStandIn.Answer run) {
+		if (!run.requestId().equals(this.id)) {
+			return Optional.of("got the signature of a run of another request: " + run.requestId());
+		}
+		if (run.status() != this.status) {
+			return Optional.of("got status " + this.status + " where the replica answered " + run.status());
 		}
-		return this.body.equals("ran at " + this.signature.replace("signed-by-", "") + " for acme");
+		boolean isExpected = run.body().equals(this.body) && this.body.endsWith(" for " + SoakPlatform.TENANT);
+		return isExpected ? Optional.empty() : Optional.of("got an unexpected response: " + this.body);
 	}
 
 	private static String expectedEvents(String id) {
--- a/soak/src/main/java/org/burdocktray/soak/Guarantees.java
+++ b/soak/src/main/java/org/burdocktray/soak/Guarantees.java
@@ -6,6 +6,8 @@
 import java.util.Set;
 import java.util.stream.Collectors;
 
+import org.burdocktray.standins.gateway.PlainReplicaStandIn.Answer;
+
 /**
  * Checks the guarantees that callers and replicas have under all faults. Thread safety:
  * stateless.
@@ -35,11 +37,13 @@
 	 * Returns the violations of the guarantees.
 	 * @param calls the ended calls
 	 * @param executionCounts how often requests ran at plain replicas, by request id
+	 * @param answers what the runs at plain replicas answered, by signature
 	 * @param revokedFromNanos the time from which on the revoked key must be rejected,
 	 * from {@link System#nanoTime()}
 	 * @return one message per violation, empty when all guarantees hold
 	 */
-	static List<String> findViolations(List<Call> calls, Map<String, Long> executionCounts, long revokedFromNanos) {
+	static List<String> findViolations(List<Call> calls, Map<String, Long> executionCounts, Map<String, Answer> answers,
+			long revokedFromNanos) {
 		List<String> violations = new ArrayList<>();
 		Set<String> sentIds = calls.stream().map(Call::id).collect(Collectors.toSet());
 		executionCounts.keySet()
@@ -54,14 +58,12 @@
 			if (call.kind() != Call.Kind.CHECK && call.isRefused() && runs > 0) {
 				violations.add(call.id() + " ran, but its response says that it has not run, status " + call.status());
 			}
-			if (call.status() == 200 && !call.hasExpectedResponse()) {
-				violations.add(call.id() + " got an unexpected response: " + call.body());
-			}
+			call.findForeignPart(answers).ifPresent((message) -> violations.add(call.id() + " " + message));
 			if (call.status() == 401 && call.key().equals(SoakPlatform.KEY)) {
 				violations.add(call.id() + " was rejected although its key is valid");
 			}
 			boolean isRevoked = call.key().equals(SoakPlatform.REVOKED_KEY) && call.sentNanos() - revokedFromNanos > 0;
-			if (isRevoked && (call.status() == 200 || runs > 0)) {
+			if (isRevoked && (call.isSuccess() || runs > 0)) {
 				violations.add(call.id() + " was accepted with a revoked key");
 			}
 		}
--- a/soak/src/main/java/org/burdocktray/soak/SoakPlatform.java
+++ b/soak/src/main/java/org/burdocktray/soak/SoakPlatform.java
@@ -17,6 +17,7 @@
 import org.burdocktray.standins.gateway.LayeredEngineStandIn;
 import org.burdocktray.standins.gateway.ObjectApiStandIn;
 import org.burdocktray.standins.gateway.PlainReplicaStandIn;
+import org.burdocktray.standins.gateway.PlainReplicaStandIn.Answer;
 import org.burdocktray.standins.gateway.PlainReplicaStandIn.Behaviour;
 import org.burdocktray.standins.gateway.ReplicaEnd;
 import org.burdocktray.standins.gateway.ReplicaStandIn;
@@ -25,7 +26,7 @@
 /**
  * The stand-ins of one run: the metadata store with the rules, the engines, and the plain
  * replicas behind proxies. Thread safety: confined to the thread that injects the faults,
- * except that any thread may call {@link #executionCounts()}.
+ * except that any thread may call {@link #executionCounts()} and {@link #answers()}.
  */
 final class SoakPlatform implements AutoCloseable {
 
@@ -35,6 +36,9 @@
 	/** An API key that is revoked during the run. */
 	static final String REVOKED_KEY = "k2";
 
+	/** The tenant that holds the keys. */
+	static final String TENANT = "acme";
+
 	static final int EVENTS_PER_STREAM = 40;
 
 	private static final int REPLICA_COUNT = 3;
@@ -80,27 +84,23 @@
 
 	private final Map<String, String> publishedEntries = new HashMap<>();
 
-	private final double secondAnswerShare;
-
-	private final long seed;
+	private final ReplicaFaults replicaFaults;
 
 	private int rulesVersion;
 
 	private int engineCount;
 
-	/** Starts stand-ins whose replicas answer once. */
+	/** Starts stand-ins whose replicas answer once and run all requests to a good end. */
 	SoakPlatform() throws IOException {
-		this(0, 0);
+		this(new ReplicaFaults(0, 0, 0, 0));
 	}
 
 	/**
 	 * Starts stand-ins.
-	 * @param secondAnswerShare the share of answers that plain replicas send twice
-	 * @param seed the seed by which they draw which
+	 * @param replicaFaults what the plain replicas do wrong all the while
 	 */
-	SoakPlatform(double secondAnswerShare, long seed) throws IOException {
-		this.secondAnswerShare = secondAnswerShare;
-		this.seed = seed;
+	SoakPlatform(ReplicaFaults replicaFaults) throws IOException {
+		this.replicaFaults = replicaFaults;
 		this.store.start(0);
 		this.standIns.add(this.store);
 		putRules(true);
@@ -117,7 +117,10 @@
 	private void startReplica(int index, String id) throws IOException {
 		PlainReplicaStandIn replica = new PlainReplicaStandIn(id);
 		replica.setEnd(ReplicaEnd.EXIT, (ended, requestId) -> this.endedReplicas.add(ended));
-		replica.setSecondAnswers(this.secondAnswerShare, this.seed * REPLICA_COUNT + index);
+		long replicaSeed = this.replicaFaults.seed() * REPLICA_COUNT + index;
+		replica.setSecondAnswers(this.replicaFaults.secondAnswerShare(), this.replicaFaults.partialAnswerShare(),
+				replicaSeed);
+		replica.setFailures(this.replicaFaults.failedShare(), Long.reverse(replicaSeed));
 		replica.start(0);
 		LoopbackProxy proxy = new LoopbackProxy(replica.port());
 		this.replicas.set(index, replica);
@@ -236,6 +239,16 @@
 			.collect(Collectors.groupingBy((id) -> id, Collectors.counting()));
 	}
 
+	/**
+	 * Returns what the runs at the plain replicas answered.
+	 * @return the answers by signature
+	 */
+	Map<String, Answer> answers() {
+		Map<String, Answer> answers = new HashMap<>();
+		this.allReplicas.forEach((replica) -> answers.putAll(replica.answers()));
+		return answers;
+	}
+
 	@Override
 	public void close() throws IOException {
 		for (LoopbackProxy proxy : this.replicaProxies) {
@@ -244,4 +257,17 @@
 		this.standIns.forEach(HttpStandIn::stop);
 	}
 
+	/**
+	 * What the plain replicas do wrong all the while. Thread safety: immutable.
+	 *
+	 * @param secondAnswerShare the share of answers that they send twice
+	 * @param partialAnswerShare the share of other answers to which they send a second
+	 * one that breaks off, or whose rest follows behind the next answer
+	 * @param failedShare the share of runs that fail
+	 * @param seed the seed by which they draw which
+	 */
+	record ReplicaFaults(double secondAnswerShare, double partialAnswerShare, double failedShare, long seed) {
+
+	}
+
 }
--- a/soak/src/main/java/org/burdocktray/soak/SoakRun.java
+++ b/soak/src/main/java/org/burdocktray/soak/SoakRun.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
+import org.burdocktray.soak.SoakPlatform.ReplicaFaults;
 import org.burdocktray.standins.gateway.PlainReplicaStandIn.Behaviour;
 import org.burdocktray.standins.network.LoopbackProxy;
 
@@ -22,6 +23,10 @@
 
 	private static final double SECOND_ANSWER_SHARE = 0.1;
 
+	private static final double PARTIAL_ANSWER_SHARE = 0.2;
+
+	private static final double FAILED_SHARE = 0.2;
+
 	private static final int GATEWAY_COUNT = 3;
 
 	private static final long STEP_INTERVAL_MILLIS = 40;
@@ -76,7 +81,8 @@
 		this.endingRequestRandom = new Random(~seed);
 		this.silenceRandom = new Random(Long.reverse(seed));
 		this.runMillis = runMillis;
-		this.platform = new SoakPlatform(SECOND_ANSWER_SHARE, seed);
+		this.platform = new SoakPlatform(
+				new ReplicaFaults(SECOND_ANSWER_SHARE, PARTIAL_ANSWER_SHARE, FAILED_SHARE, seed));
 		for (int index = 0; index < GATEWAY_COUNT; index++) {
 			LoopbackProxy proxy = new LoopbackProxy(this.platform.store.port());
 			this.storeProxies.add(proxy);
@@ -120,7 +126,8 @@
 			this.violations.addAll(Guarantees.findLostCalls(calls, calmFromNanos, calmToNanos));
 			this.endedReplicas += this.platform.replaceEndedReplicas();
 			checkEndedReplicas();
-			this.violations.addAll(Guarantees.findViolations(calls, this.platform.executionCounts(), revokedFromNanos));
+			this.violations.addAll(Guarantees.findViolations(calls, this.platform.executionCounts(),
+					this.platform.answers(), revokedFromNanos));
 			long served = calls.stream().filter((call) -> call.status() == 200).count();
 			return new Result(calls.size(), served, this.faultLog, this.violations);
 		}
