--- a/soak/src/main/java/org/burdocktray/soak/Call.java
+++ b/soak/src/main/java/org/burdocktray/soak/Call.java
@@ -24,8 +24,10 @@
  * @param status the HTTP status code, 0 when the call ended without a complete response,
  * {@link #NOT_TAKEN} when no connection could be opened
  * @param body the body of the response, empty without a complete response
- * @param signature the signature of the response, empty for none
- * @param answeredId the id of the request that the response names, empty for none
+ * @param signature the signature of the response, empty for none; several are separated
+ * by commas
+ * @param answeredId the id of the request that the response names, empty for none;
+ * several are separated by commas
  */
 record Call(String id, Kind kind, String key, long sentNanos, long endedNanos, int status, String body,
 		String signature, String answeredId) {
@@ -36,8 +38,13 @@
 
 	Call withResponse(HttpResponse<String> response) {
 		return new Call(this.id, this.kind, this.key, this.sentNanos, this.endedNanos, response.statusCode(),
-				response.body(), response.headers().firstValue(WireHeaders.SIGNATURE).orElse(""),
-				response.headers().firstValue(WireHeaders.REQUEST_ID).orElse(""));
+				response.body(), joinValues(response, WireHeaders.SIGNATURE),
+				joinValues(response, WireHeaders.REQUEST_ID));
+	}
+
+	// More than one value is never that of a run.
+	private static String joinValues(HttpResponse<String> response, String header) {
+		return String.join(", ", response.headers().allValues(header));
 	}
 
 	Call withFailure(Throwable failure) {
