--- a/soak/src/main/java/org/burdocktray/soak/SoakPlatform.java
+++ b/soak/src/main/java/org/burdocktray/soak/SoakPlatform.java
@@ -191,6 +191,7 @@
 	void silenceSome(Random random) {
 		List<ReplicaStandIn> sound = new ArrayList<>(this.replicas);
 		sound.addAll(new TreeMap<>(this.engines).values());
+		sound.removeIf(ReplicaStandIn::hasStopped);
 		int count = 1 + random.nextInt(MAX_SILENCED_AT_ONCE);
 		for (int index = 0; index < count; index++) {
 			long silenceMillis = MIN_SILENCE_MILLIS + random.nextInt(MAX_SILENCE_MILLIS - MIN_SILENCE_MILLIS);
