--- a/soak/src/main/java/org/burdocktray/soak/SoakRun.java
+++ b/soak/src/main/java/org/burdocktray/soak/SoakRun.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
+import org.burdocktray.soak.SoakPlatform.ReplicaFaults;
 import org.burdocktray.standins.gateway.PlainReplicaStandIn.Behaviour;
 import org.burdocktray.standins.network.LoopbackProxy;
 
@@ -22,6 +23,13 @@
 
 	private static final double SECOND_ANSWER_SHARE = 0.1;
 
+	private static final double PARTIAL_ANSWER_SHARE = 0.2;
+
+	/** The idempotent requests of a step that follow each other on kept connections. */
+	private static final int CHECKS_PER_STEP = 3;
+
+	private static final double FAILED_SHARE = 0.2;
+
 	private static final int GATEWAY_COUNT = 3;
 
 	private static final long STEP_INTERVAL_MILLIS = 40;
@@ -51,6 +59,9 @@
 	/** Separate for the same reason. */
 	private final Random silenceRandom;
 
+	/** Separate for the same reason. */
+	private final Random checkRandom;
+
 	private CompletableFuture<Call> endingRequest = CompletableFuture.completedFuture(null);
 
 	private int endedReplicas;
@@ -75,8 +86,10 @@
 		this.random = new Random(seed);
 		this.endingRequestRandom = new Random(~seed);
 		this.silenceRandom = new Random(Long.reverse(seed));
+		this.checkRandom = new Random(Long.reverse(~seed));
 		this.runMillis = runMillis;
-		this.platform = new SoakPlatform(SECOND_ANSWER_SHARE, seed);
+		this.platform = new SoakPlatform(
+				new ReplicaFaults(SECOND_ANSWER_SHARE, PARTIAL_ANSWER_SHARE, FAILED_SHARE, seed));
 		for (int index = 0; index < GATEWAY_COUNT; index++) {
 			LoopbackProxy proxy = new LoopbackProxy(this.platform.store.port());
 			this.storeProxies.add(proxy);
@@ -120,7 +133,8 @@
 			this.violations.addAll(Guarantees.findLostCalls(calls, calmFromNanos, calmToNanos));
 			this.endedReplicas += this.platform.replaceEndedReplicas();
 			checkEndedReplicas();
-			this.violations.addAll(Guarantees.findViolations(calls, this.platform.executionCounts(), revokedFromNanos));
+			this.violations.addAll(Guarantees.findViolations(calls, this.platform.executionCounts(),
+					this.platform.answers(), revokedFromNanos));
 			long served = calls.stream().filter((call) -> call.status() == 200).count();
 			return new Result(calls.size(), served, this.faultLog, this.violations);
 		}
@@ -140,6 +154,7 @@
 		Call.Kind kind = Call.Kind.values()[this.random.nextInt(Call.Kind.values().length)];
 		String key = (this.random.nextInt(5) == 0) ? SoakPlatform.REVOKED_KEY : SoakPlatform.KEY;
 		this.callers.send(target.callerAddress(), kind, key);
+		sendChecks();
 		sendEndingRequest();
 		this.platform.publishEngineEntries();
 		restartExitedGateways();
@@ -154,6 +169,14 @@
 		}
 	}
 
+	// Enough for second answers, which are few, to meet the answers of runs that fail.
+	private void sendChecks() {
+		for (int count = 0; count < CHECKS_PER_STEP; count++) {
+			GatewayProcess gateway = this.gateways.get(this.checkRandom.nextInt(GATEWAY_COUNT));
+			this.callers.send(gateway.callerAddress(), Call.Kind.CHECK, SoakPlatform.KEY);
+		}
+	}
+
 	// One caller sends the request again and again, at any gateway.
 	private void sendEndingRequest() throws IOException {
 		this.endedReplicas += this.platform.replaceEndedReplicas();
