Stand-in proxy passes a reset on as a reset

Cause: when one side of a connection is reset first, the streams of the copying thread were closed before its error handler ran, and closing them ends the other side's connection in order.

The copying thread resets both sockets itself now. Test: a target that resets its side; it failed before.

--- a/standins/src/main/java/org/burdocktray/standins/network/LoopbackProxy.java
+++ b/standins/src/main/java/org/burdocktray/standins/network/LoopbackProxy.java
@@ -221,22 +221,19 @@
 	}
 
 	private void pump(Socket from, Socket to, Mode silentMode) {
-		byte[] buffer = new byte[BUFFER_BYTES];
-		try (InputStream input = from.getInputStream(); OutputStream output = to.getOutputStream()) {
-			for (int count = input.read(buffer); count >= 0; count = input.read(buffer)) {
-				while (this.mode == Mode.SILENT || this.mode == silentMode) {
-					TimeUnit.MILLISECONDS.sleep(POLL_INTERVAL_MILLIS);
-				}
-				if (this.mode == Mode.SLOW) {
-					TimeUnit.MILLISECONDS.sleep(DELAY_MILLIS);
-				}
-				output.write(buffer, 0, count);
-			}
+		try {
+			copy(from.getInputStream(), to.getOutputStream(), silentMode);
+			from.close();
+			to.close();
 		}
 		catch (IOException ex) {
+			// Before anything closes the socket, which would end the connection in order.
 			reset(to);
+			reset(from);
 		}
 		catch (InterruptedException ex) {
+			reset(to);
+			reset(from);
 			Thread.currentThread().interrupt();
 		}
 		finally {
@@ -244,6 +241,20 @@
 		}
 	}
 
+	private void copy(InputStream input, OutputStream output, Mode silentMode)
+			throws IOException, InterruptedException {
+		byte[] buffer = new byte[BUFFER_BYTES];
+		for (int count = input.read(buffer); count >= 0; count = input.read(buffer)) {
+			while (this.mode == Mode.SILENT || this.mode == silentMode) {
+				TimeUnit.MILLISECONDS.sleep(POLL_INTERVAL_MILLIS);
+			}
+			if (this.mode == Mode.SLOW) {
+				TimeUnit.MILLISECONDS.sleep(DELAY_MILLIS);
+			}
+			output.write(buffer, 0, count);
+		}
+	}
+
 	private static void reset(Socket socket) {
 		try {
 			socket.setSoLinger(true, 0);
--- a/standins/src/test/java/org/burdocktray/standins/network/LoopbackProxyTests.java
+++ b/standins/src/test/java/org/burdocktray/standins/network/LoopbackProxyTests.java
@@ -73,6 +73,16 @@
 		assertThatExceptionOfType(SocketException.class).isThrownBy(() -> this.caller.getInputStream().read());
 	}
 
+	/** The caller saw an orderly end of a connection that its target had reset. */
+	@Test
+	void passesOnResetOfTarget() throws IOException {
+		assertPasses(this.caller, this.accepted);
+		this.accepted.setSoLinger(true, 0);
+		this.accepted.close();
+		this.caller.setSoTimeout(LONG_MILLIS);
+		assertThatExceptionOfType(SocketException.class).isThrownBy(() -> this.caller.getInputStream().read());
+	}
+
 	/** The socket of a caller whose target is gone stayed open without a response. */
 	@Test
 	void resetsConnectionsWhoseTargetIsGone() throws IOException {
