--- a/router/src/main/java/org/burdocktray/process/cli/GatewayCommand.java
+++ b/router/src/main/java/org/burdocktray/process/cli/GatewayCommand.java
@@ -1,6 +1,8 @@
 package org.burdocktray.process.cli;
 
 import java.io.PrintStream;
+import java.nio.file.Path;
+import java.util.List;
 import java.util.Optional;
 import java.util.ServiceLoader;
 import java.util.concurrent.CountDownLatch;
@@ -14,6 +16,9 @@
 import org.burdocktray.process.serve.gateway.GatewayPlatform;
 import org.burdocktray.process.serve.gateway.GatewayServer;
 import org.burdocktray.process.serve.gateway.GatewaySettings;
+import org.burdocktray.process.settings.GatewayOptions;
+import org.burdocktray.process.settings.GatewayOptionsReader;
+import org.burdocktray.version.config.ConfigFault;
 import org.jboss.logging.Logger;
 
 /**
@@ -24,6 +29,8 @@
 
 	private static final String METRICS_PORT_OPTION = "metrics-port";
 
+	private static final String OPTIONS_OPTION = "options";
+
 	@Override
 	public String name() {
 		return "gateway";
@@ -41,12 +48,19 @@
 
 	@Override
 	public Options options() {
-		return new Options().addOption(Option.builder()
-			.longOpt(METRICS_PORT_OPTION)
-			.hasArg()
-			.argName("PORT")
-			.desc("Serve metrics on this port.")
-			.get());
+		return new Options()
+			.addOption(Option.builder()
+				.longOpt(METRICS_PORT_OPTION)
+				.hasArg()
+				.argName("PORT")
+				.desc("Serve metrics on this port.")
+				.get())
+			.addOption(Option.builder()
+				.longOpt(OPTIONS_OPTION)
+				.hasArg()
+				.argName("FILE")
+				.desc("Read the options of the gateway from this file.")
+				.get());
 	}
 
 	@Override
@@ -64,7 +78,17 @@
 			err.println("burdocktray gateway: " + settings.getLeft());
 			return ExitCode.USAGE;
 		}
-		return serve(new GatewayServer(settings.get(), platform.get()), platform.get(), err);
+		Either<List<ConfigFault>, GatewayOptions> options = readOptions(
+				Optional.ofNullable(line.getOptionValue(OPTIONS_OPTION)));
+		if (options.isLeft()) {
+			options.getLeft().forEach((fault) -> err.println("burdocktray gateway: " + fault));
+			return ExitCode.USAGE;
+		}
+		return serve(new GatewayServer(settings.get(), options.get(), platform.get()), platform.get(), err);
+	}
+
+	private static Either<List<ConfigFault>, GatewayOptions> readOptions(Optional<String> file) {
+		return file.map((name) -> GatewayOptionsReader.read(Path.of(name))).orElse(Either.right(GatewayOptions.NONE));
 	}
 
 	private static Either<String, GatewaySettings> withMetricsPort(GatewaySettings settings, Optional<String> port) {
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayServer.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayServer.java
@@ -28,6 +28,7 @@
 import org.burdocktray.process.limits.ReplicaLimits;
 import org.burdocktray.process.quarantine.Quarantine;
 import org.burdocktray.process.quarantine.QuarantineSettings;
+import org.burdocktray.process.settings.GatewayOptions;
 import org.burdocktray.request.path.LoadSpread;
 import org.burdocktray.request.path.PathSearch;
 import org.burdocktray.version.rules.RulesGate;
@@ -64,6 +65,8 @@
 
 	private final GatewaySettings settings;
 
+	private final GatewayOptions options;
+
 	private final GatewayAdapter adapter;
 
 	private final Vertx vertx;
@@ -92,12 +95,23 @@
 	private volatile boolean closing;
 
 	/**
-	 * Creates a gateway that does not listen yet.
+	 * Creates a gateway without optional features that does not listen yet.
 	 * @param settings its settings
 	 * @param adapterFactory creates the adapter to the platform
 	 */
 	public GatewayServer(GatewaySettings settings, GatewayAdapter.Factory adapterFactory) {
+		this(settings, GatewayOptions.NONE, adapterFactory);
+	}
+
+	/**
+	 * Creates a gateway that does not listen yet.
+	 * @param settings its settings
+	 * @param options its optional features
+	 * @param adapterFactory creates the adapter to the platform
+	 */
+	public GatewayServer(GatewaySettings settings, GatewayOptions options, GatewayAdapter.Factory adapterFactory) {
 		this.settings = settings;
+		this.options = options;
 		this.freshness = new RulesFreshness((long) (RULES_MAX_AGE_SHARE * settings.bounds().revocationMillis()));
 		this.quarantine = new Quarantine(QuarantineSettings.sharedThroughStore(),
 				settings.vmName() + "-" + System.currentTimeMillis());
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/GatewaySettings.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/GatewaySettings.java
@@ -16,11 +16,12 @@
  * its data centre
  * @param metricsAddress the address on which metrics are served, empty to serve none
  * @param platformAddress the address of the platform's store
+ * @param size the resources of the VM
  * @param bounds the time limits and quantities that the platform guarantees or requires
  */
 public record GatewaySettings(String vmName, DataCentre dataCentre, NetworkAddress callerAddress,
 		NetworkAddress readinessAddress, NetworkAddress peerAddress, Optional<NetworkAddress> metricsAddress,
-		NetworkAddress platformAddress, Bounds bounds) {
+		NetworkAddress platformAddress, VmSize size, Bounds bounds) {
 
 	/**
 	 * Returns a copy of these settings with an address for metrics.
@@ -29,7 +30,21 @@
 	 */
 	public GatewaySettings withMetricsAddress(NetworkAddress address) {
 		return new GatewaySettings(this.vmName, this.dataCentre, this.callerAddress, this.readinessAddress,
-				this.peerAddress, Optional.of(address), this.platformAddress, this.bounds);
+				this.peerAddress, Optional.of(address), this.platformAddress, this.size, this.bounds);
+	}
+
+	/**
+	 * The resources of a VM. Thread safety: immutable.
+	 *
+	 * @param cores the processor cores that the process may use, possibly a fraction
+	 * @param memoryBytes the memory that the process may use
+	 * @param linkBitsPerSecond the bandwidth of the VM's network link
+	 */
+	public record VmSize(double cores, long memoryBytes, double linkBitsPerSecond) {
+
+		/** The size that is assumed where the platform does not tell it. */
+		public static final VmSize TYPICAL = new VmSize(1, 512_000_000, 1e9);
+
 	}
 
 	/**
--- /dev/null
+++ b/router/src/main/java/org/burdocktray/process/settings/GatewayOptions.java
@@ -0,0 +1,87 @@
+package org.burdocktray.process.settings;
+
+import java.util.Optional;
+
+/**
+ * The optional features of one gateway process, as its operators configure them. A
+ * feature that is not configured is off. All gateways of a fleet should have the same
+ * options; those that differ still understand each other. Thread safety: immutable.
+ *
+ * @param watch lets few VMs watch the platform's store for all others
+ * @param overload sheds load by priority while the demand exceeds the capacity
+ * @param balancing lets routes and layers follow uneven demand
+ * @param hedging sends a second run of repeatable requests that respond late
+ */
+public record GatewayOptions(Optional<WatchOptions> watch, Optional<OverloadOptions> overload,
+		Optional<BalancingOptions> balancing, Optional<HedgingOptions> hedging) {
+
+	/** All features are off. */
+	public static final GatewayOptions NONE = new GatewayOptions(Optional.empty(), Optional.empty(), Optional.empty(),
+			Optional.empty());
+
+	/**
+	 * Options of a feature that depends on the configuration in force.
+	 */
+	public enum Activation {
+
+		/** The feature takes effect where the configuration calls for it. */
+		AUTO,
+
+		/** The feature takes effect for all services. */
+		ALWAYS
+
+	}
+
+	/**
+	 * Which VMs watch the platform's store. Thread safety: immutable.
+	 *
+	 * @param minVmCount the number of VMs from which on few of them watch the store
+	 * @param vmsPerWatcher the number of VMs of a data centre that hear of changes from
+	 * one watcher
+	 * @param minWatchers the minimum number of watchers in a data centre
+	 */
+	public record WatchOptions(int minVmCount, int vmsPerWatcher, int minWatchers) {
+
+	}
+
+	/**
+	 * How load is shed. Thread safety: immutable.
+	 *
+	 * @param activation {@link Activation#AUTO} for the services whose routes or
+	 * organisations have more than one priority
+	 * @param minAdmittedShare the share of the requests of each priority that is admitted
+	 * also under overload, so that no priority is starved
+	 */
+	public record OverloadOptions(Activation activation, double minAdmittedShare) {
+
+	}
+
+	/**
+	 * How routes and layers follow demand. Thread safety: immutable.
+	 *
+	 * @param activation {@link Activation#AUTO} while demand or capacity of data centres
+	 * differs by more than the ratio
+	 * @param imbalanceRatio the ratio of the highest to the lowest utilisation of data
+	 * centres that counts as uneven
+	 * @param paybackMillis the time within which the move of an engine to other layers
+	 * must gain more tokens than it costs
+	 */
+	public record BalancingOptions(Activation activation, double imbalanceRatio, long paybackMillis) {
+
+	}
+
+	/**
+	 * How much extra work hedged requests may cause. Thread safety: immutable.
+	 *
+	 * @param maxRequestShare the number of hedged runs per request
+	 * @param extraRuns the hedged runs that the fleet may start per window of the retry
+	 * budget in addition to the share
+	 * @param delayQuantile the quantile of the response times of earlier requests after
+	 * which a second run starts
+	 * @param minDelayMillis the minimum delay of the second run
+	 */
+	public record HedgingOptions(double maxRequestShare, int extraRuns, double delayQuantile, long minDelayMillis) {
+
+	}
+
+}
--- /dev/null
+++ b/router/src/main/java/org/burdocktray/process/settings/GatewayOptionsReader.java
@@ -0,0 +1,118 @@
+package org.burdocktray.process.settings;
+
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Function;
+
+import io.vavr.control.Either;
+import org.burdocktray.process.settings.GatewayOptions.Activation;
+import org.burdocktray.process.settings.GatewayOptions.BalancingOptions;
+import org.burdocktray.process.settings.GatewayOptions.HedgingOptions;
+import org.burdocktray.process.settings.GatewayOptions.OverloadOptions;
+import org.burdocktray.process.settings.GatewayOptions.WatchOptions;
+import org.burdocktray.version.config.ConfigFault;
+import org.burdocktray.version.config.ConfigFile;
+import org.burdocktray.version.config.ConfigObject;
+import org.burdocktray.version.config.NumberRange;
+
+/**
+ * Reads and validates the options of a gateway. Thread safety: stateless.
+ */
+public final class GatewayOptionsReader {
+
+	private static final NumberRange VM_COUNT = NumberRange.of(1, 10_000);
+
+	private static final NumberRange WATCHERS = NumberRange.of(1, 100);
+
+	private static final NumberRange SHARE = NumberRange.of(0, 1);
+
+	private static final NumberRange RUNS = NumberRange.of(0, 100_000);
+
+	private static final NumberRange RATIO = NumberRange.of(1, 100);
+
+	private static final NumberRange MILLIS = NumberRange.of(1, 3_600_000);
+
+	private static final String AUTO = "auto";
+
+	private static final String ALWAYS = "always";
+
+	private static final int DEFAULT_MIN_VM_COUNT = 16;
+
+	private static final int DEFAULT_VMS_PER_WATCHER = 32;
+
+	private static final int DEFAULT_MIN_WATCHERS = 2;
+
+	private static final double DEFAULT_MIN_ADMITTED_SHARE = 0.05;
+
+	private static final double DEFAULT_IMBALANCE_RATIO = 1.3;
+
+	private static final long DEFAULT_PAYBACK_MILLIS = 10_000;
+
+	private static final double DEFAULT_DELAY_QUANTILE = 0.95;
+
+	private static final long DEFAULT_MIN_DELAY_MILLIS = 50;
+
+	private GatewayOptionsReader() {
+	}
+
+	/**
+	 * Reads options from a file.
+	 * @param file the file
+	 * @return the options, or all faults found in the file
+	 */
+	public static Either<List<ConfigFault>, GatewayOptions> read(Path file) {
+		return ConfigFile.load(file).flatMap((text) -> read(file.toString(), text));
+	}
+
+	/**
+	 * Reads options from text.
+	 * @param file the name of the source, used in fault messages
+	 * @param text the options as JSON with comments
+	 * @return the options, or all faults found in the text
+	 */
+	public static Either<List<ConfigFault>, GatewayOptions> read(String file, String text) {
+		return ConfigFile.read(file, text, GatewayOptionsReader::readRoot);
+	}
+
+	private static GatewayOptions readRoot(ConfigObject root) {
+		return new GatewayOptions(section(root, "watch", GatewayOptionsReader::readWatch),
+				section(root, "overload", GatewayOptionsReader::readOverload),
+				section(root, "balancing", GatewayOptionsReader::readBalancing),
+				section(root, "hedging", GatewayOptionsReader::readHedging));
+	}
+
+	private static <T> Optional<T> section(ConfigObject root, String field, Function<ConfigObject, T> reader) {
+		return root.has(field) ? Optional.of(root.object(field, reader)) : Optional.empty();
+	}
+
+	private static WatchOptions readWatch(ConfigObject object) {
+		return new WatchOptions((int) object.wholeNumber("minVmCount", VM_COUNT, DEFAULT_MIN_VM_COUNT),
+				(int) object.wholeNumber("vmsPerWatcher", VM_COUNT, DEFAULT_VMS_PER_WATCHER),
+				(int) object.wholeNumber("minWatchers", WATCHERS, DEFAULT_MIN_WATCHERS));
+	}
+
+	private static OverloadOptions readOverload(ConfigObject object) {
+		return new OverloadOptions(readActivation(object),
+				object.number("minAdmittedShare", SHARE, DEFAULT_MIN_ADMITTED_SHARE));
+	}
+
+	private static BalancingOptions readBalancing(ConfigObject object) {
+		return new BalancingOptions(readActivation(object),
+				object.number("imbalanceRatio", RATIO, DEFAULT_IMBALANCE_RATIO),
+				object.wholeNumber("paybackMillis", MILLIS, DEFAULT_PAYBACK_MILLIS));
+	}
+
+	private static HedgingOptions readHedging(ConfigObject object) {
+		return new HedgingOptions(object.number("maxRequestShare", SHARE),
+				(int) object.wholeNumber("extraRuns", RUNS, 0),
+				object.number("delayQuantile", NumberRange.BETWEEN_ZERO_AND_ONE, DEFAULT_DELAY_QUANTILE),
+				object.wholeNumber("minDelayMillis", MILLIS, DEFAULT_MIN_DELAY_MILLIS));
+	}
+
+	private static Activation readActivation(ConfigObject object) {
+		String word = object.choice("activation", List.of(AUTO, ALWAYS), AUTO);
+		return ALWAYS.equals(word) ? Activation.ALWAYS : Activation.AUTO;
+	}
+
+}
--- /dev/null
+++ b/router/src/test/java/org/burdocktray/process/settings/GatewayOptionsReaderTests.java
@@ -0,0 +1,65 @@
+package org.burdocktray.process.settings;
+
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Optional;
+
+import io.vavr.control.Either;
+import org.burdocktray.process.settings.GatewayOptions.Activation;
+import org.burdocktray.process.settings.GatewayOptions.HedgingOptions;
+import org.burdocktray.version.config.ConfigFault;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against features that are on without having been configured, and against options
+ * out of range that are accepted.
+ */
+class GatewayOptionsReaderTests {
+
+	@Test
+	void featuresThatAreNotConfiguredAreOff() {
+		assertThat(read("{}").get()).isEqualTo(GatewayOptions.NONE);
+	}
+
+	@Test
+	void sectionsWithoutFieldsHaveDefaults() {
+		GatewayOptions options = read("{\"watch\": {}, \"overload\": {}, \"balancing\": {}}").get();
+		assertThat(options.watch()).isPresent();
+		assertThat(options.overload()).get()
+			.extracting(GatewayOptions.OverloadOptions::activation)
+			.isEqualTo(Activation.AUTO);
+		assertThat(options.balancing()).isPresent();
+	}
+
+	@Test
+	void readsHedging() {
+		assertThat(read("{\"hedging\": {\"maxRequestShare\": 0.05, \"delayQuantile\": 0.9}}").get().hedging())
+			.isEqualTo(Optional.of(new HedgingOptions(0.05, 0, 0.9, 50)));
+	}
+
+	@Test
+	void hedgingNeedsItsLimit() {
+		assertThat(read("{\"hedging\": {}}").getLeft()).singleElement()
+			.hasToString("options.jsonc:1: hedging.maxRequestShare: expected a number of at least 0 and at most 1, "
+					+ "found no such field");
+	}
+
+	@Test
+	void namesFieldsOutOfRange() {
+		assertThat(read("{\"hedging\": {\"maxRequestShare\": 2}, \"watch\": {\"minWatchers\": 0},\n\"hedge\": {}}")
+			.getLeft()).extracting(ConfigFault::fieldPath)
+			.containsExactlyInAnyOrder("hedging.maxRequestShare", "watch.minWatchers", "hedge");
+	}
+
+	@Test
+	void deployedOptionsAreValid() {
+		assertThat(GatewayOptionsReader.read(Path.of("..", "deploy", "gateway.jsonc")).isRight()).isTrue();
+	}
+
+	private static Either<List<ConfigFault>, GatewayOptions> read(String text) {
+		return GatewayOptionsReader.read("options.jsonc", text);
+	}
+
+}
