Watches that lose their history list now and then, not at once

The first loss is followed by a listing at once, as before. While watches right after a listing fail too, the watcher lists every 0.5 s, and watches again after every fourth listing. Test: StoreWatcherTests .listsNowAndThenWhileTheStoreDropsItsHistory; before, it ended in a stack overflow.

--- a/router/src/main/java/org/burdocktray/process/serve/gateway/StoreWatcher.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/StoreWatcher.java
@@ -32,6 +32,15 @@
 	/** How soon after the end of an outage the waiting watchers call again. */
 	private static final long OUTAGE_CHECK_MILLIS = 100;
 
+	/**
+	 * The time between two listings while the store keeps dropping its history, a part of
+	 * the time within which changes must take effect.
+	 */
+	private static final long RELIST_MILLIS = 500;
+
+	/** The listings in place of a watch after which the watch is tried again. */
+	private static final int LISTINGS_PER_WATCH = 4;
+
 	private final Vertx vertx;
 
 	private final ChangeFeed feed;
@@ -63,6 +72,11 @@
 
 	private boolean stopped;
 
+	/** Watches in succession that failed because their history was gone. */
+	private int historyLosses;
+
+	private int listingsUntilWatch;
+
 	/**
 	 * Creates a watcher that is not started.
 	 * @param vertx runs the timers
@@ -136,27 +150,42 @@
 			handleFailure(result.getLeft());
 			return;
 		}
-		this.revision = Optional.of(result.get().revision());
-		handleSuccess(() -> this.listener.onListing(result.get(), sentAt), 0);
+		this.listingsUntilWatch--;
+		boolean isWatchPutOff = this.listingsUntilWatch > 0;
+		this.revision = Optional.of(result.get().revision()).filter((listed) -> !isWatchPutOff);
+		handleSuccess(() -> this.listener.onListing(result.get(), sentAt), isWatchPutOff ? RELIST_MILLIS : 0);
 	}
 
 	private void handleChanges(Either<StoreError, ObjectChanges> result, Timestamp sentAt, long waitedMillis) {
 		if (result.isLeft()) {
 			this.revision = Optional.empty();
 			if (result.getLeft() == StoreError.NOT_FOUND) {
-				LOGGER.infof("Store history is gone, listing again: kind=%s", this.kind);
-				poll();
+				handleLostHistory();
 				return;
 			}
 			handleFailure(result.getLeft());
 			return;
 		}
+		this.historyLosses = 0;
 		this.revision = Optional.of(result.get().revision());
 		boolean isQuiet = result.get().changes().isEmpty();
 		Timestamp confirmedAt = isQuiet ? sentAt.confirmedByWait(waitedMillis, Timestamp.now()) : sentAt;
 		handleSuccess(() -> this.listener.onChanges(result.get(), confirmedAt), isQuiet ? 0 : this.batchMillis);
 	}
 
+	// The store may drop its history for a while. Listings alone then cost half of the
+	// calls, and all VMs would repeat both at once.
+	private void handleLostHistory() {
+		this.historyLosses++;
+		if (this.historyLosses == 1) {
+			LOGGER.infof("Store history is gone, listing again: kind=%s", this.kind);
+			poll();
+			return;
+		}
+		this.listingsUntilWatch = LISTINGS_PER_WATCH;
+		this.vertx.setTimer(RELIST_MILLIS, (timer) -> poll());
+	}
+
 	private void handleSuccess(Runnable notification, long delayMillis) {
 		if (this.unavailable) {
 			this.unavailable = false;
--- a/router/src/test/java/org/burdocktray/process/serve/gateway/StoreWatcherTests.java
+++ b/router/src/test/java/org/burdocktray/process/serve/gateway/StoreWatcherTests.java
@@ -103,6 +103,18 @@
 		assertThat(this.feed.callsOf("rules")).isGreaterThan(1);
 	}
 
+	/** Each VM listed all objects and watched in vain, at once and again and again. */
+	@Test
+	void listsNowAndThenWhileTheStoreDropsItsHistory() throws InterruptedException {
+		this.feed.historyLost = true;
+		AtomicInteger listings = start(StoreWatcher.OutageRole.PROBES, "rules");
+		TimeUnit.MILLISECONDS.sleep(OUTAGE_MILLIS);
+		assertThat(listings).hasValueGreaterThanOrEqualTo(3);
+		assertThat(this.feed.callsOf("rules") + this.feed.watches.get()).isLessThan(12);
+		this.feed.historyLost = false;
+		awaitCount(this.feed.waitingWatches);
+	}
+
 	private AtomicInteger start(StoreWatcher.OutageRole role, String kind) {
 		AtomicInteger listings = new AtomicInteger();
 		start(role, kind, StoreWatcher.Listener.ofObjects((objects) -> {
@@ -117,11 +129,15 @@
 	}
 
 	private static void awaitListing(AtomicInteger listings) throws InterruptedException {
+		awaitCount(listings);
+	}
+
+	private static void awaitCount(AtomicInteger count) throws InterruptedException {
 		long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(TIMEOUT_MILLIS);
-		while (listings.get() == 0 && System.nanoTime() - endNanos < 0) {
+		while (count.get() == 0 && System.nanoTime() - endNanos < 0) {
 			TimeUnit.MILLISECONDS.sleep(20);
 		}
-		assertThat(listings).hasPositiveValue();
+		assertThat(count).hasPositiveValue();
 	}
 
 	private static final class FakeFeed implements ChangeFeed {
@@ -132,8 +148,14 @@
 
 		private volatile boolean available = true;
 
+		private final AtomicInteger watches = new AtomicInteger();
+
+		private final AtomicInteger waitingWatches = new AtomicInteger();
+
 		private volatile String failingKind = "";
 
+		private volatile boolean historyLost;
+
 		@Override
 		public Single<Either<StoreError, ObjectListing>> listObjects(String kind) {
 			(kind.equals("rules") ? this.rulesCalls : this.replicasCalls).incrementAndGet();
@@ -145,6 +167,11 @@
 		@Override
 		public Single<Either<StoreError, ObjectChanges>> awaitChanges(String kind, long afterRevision,
 				long waitMillis) {
+			this.watches.incrementAndGet();
+			if (this.historyLost) {
+				return Single.just(Either.left(StoreError.NOT_FOUND));
+			}
+			this.waitingWatches.incrementAndGet();
 			return Single.never();
 		}
 
