--- a/bench/src/main/java/org/burdocktray/bench/claim/InProcessForwarder.java
+++ b/bench/src/main/java/org/burdocktray/bench/claim/InProcessForwarder.java
@@ -9,7 +9,7 @@
 import org.burdocktray.process.claim.ClaimBatch;
 import org.burdocktray.process.claim.ClaimForwarder;
 import org.burdocktray.process.claim.OutcomeBatch;
-import org.burdocktray.process.claim.RendezvousHash;
+import org.burdocktray.process.claim.ShardPreference;
 import org.burdocktray.process.claim.StoreClaimRegistry;
 
 /**
@@ -60,7 +60,7 @@
 	}
 
 	private String preferredVm(int shard) {
-		return RendezvousHash.preferred(shard, this.vmNames).orElseThrow();
+		return ShardPreference.preferred(shard, this.vmNames).orElseThrow();
 	}
 
 }
--- a/router/src/main/java/org/burdocktray/process/claim/PeerClaimForwarder.java
+++ b/router/src/main/java/org/burdocktray/process/claim/PeerClaimForwarder.java
@@ -66,7 +66,7 @@
 
 	private Optional<Vm> preferredPeer(int shard) {
 		List<Vm> alive = this.aliveVms.get();
-		return RendezvousHash.preferred(shard, alive.stream().map(Vm::name).toList())
+		return ShardPreference.preferred(shard, alive.stream().map(Vm::name).toList())
 			.filter((name) -> !name.equals(this.selfName))
 			.flatMap((name) -> alive.stream().filter((vm) -> vm.name().equals(name)).findFirst());
 	}
--- /dev/null
+++ b/router/src/main/java/org/burdocktray/process/demand/OrganisationShare.java
@@ -0,0 +1,11 @@
+package org.burdocktray.process.demand;
+
+/**
+ * The requests of one organisation for one service. Thread safety: immutable.
+ *
+ * @param service the name of the service
+ * @param organisation the name of the organisation
+ */
+public record OrganisationShare(String service, String organisation) {
+
+}
--- a/router/src/main/java/org/burdocktray/process/serve/OrderCandidacy.java
+++ b/router/src/main/java/org/burdocktray/process/serve/OrderCandidacy.java
@@ -6,7 +6,7 @@
 import java.util.function.Supplier;
 
 import org.burdocktray.model.Vm;
-import org.burdocktray.process.claim.RendezvousHash;
+import org.burdocktray.process.claim.ShardPreference;
 
 /**
  * Tests whether this VM is a candidate for the lease on the orders of a group. The
@@ -28,9 +28,9 @@
 	@Override
 	public boolean test(String group) {
 		List<String> names = this.aliveVms.get().stream().map(Vm::name).toList();
-		Optional<String> first = RendezvousHash.preferred(group.hashCode(), names);
+		Optional<String> first = ShardPreference.preferred(group.hashCode(), names);
 		List<String> remaining = names.stream().filter((name) -> !first.equals(Optional.of(name))).toList();
-		Optional<String> second = RendezvousHash.preferred(group.hashCode(), remaining);
+		Optional<String> second = ShardPreference.preferred(group.hashCode(), remaining);
 		return first.equals(Optional.of(this.selfName)) || second.equals(Optional.of(this.selfName));
 	}
 
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/AdmittedRequest.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/AdmittedRequest.java
@@ -33,8 +33,17 @@
 	 * @return the priority; the lowest value is served first
 	 */
 	int priority() {
-		return this.organisation.map(OrganisationRule::priority).orElse(0) * ORGANISATION_PRIORITY_FACTOR
-				+ this.route.priority();
+		return priority(this.route, this.organisation);
+	}
+
+	/**
+	 * Returns the priority of requests of a route and organisation.
+	 * @param route the route
+	 * @param organisation the organisation, empty on public routes
+	 * @return the priority; the lowest value is served first
+	 */
+	static int priority(RouteRule route, Optional<OrganisationRule> organisation) {
+		return organisation.map(OrganisationRule::priority).orElse(0) * ORGANISATION_PRIORITY_FACTOR + route.priority();
 	}
 
 }
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayContext.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayContext.java
@@ -1,9 +1,11 @@
 package org.burdocktray.process.serve.gateway;
 
+import java.util.Optional;
 import java.util.random.RandomGenerator;
 
 import io.vertx.core.Vertx;
 import org.burdocktray.model.DataCentre;
+import org.burdocktray.process.demand.DemandMeter;
 import org.burdocktray.process.directory.ReplicaContacts;
 import org.burdocktray.process.directory.ReplicaDirectory;
 import org.burdocktray.process.directory.ReplicaLoads;
@@ -38,6 +40,7 @@
  * @param pathSearch finds layer paths over engines
  * @param loadSpread turns requests to other engines before the best ones are full
  * @param retryBudget limits retries
+ * @param demand measures the requests that arrive, if a feature needs it
  * @param crashes finds out which requests crash replicas
  * @param random the source of randomness
  * @param metrics the metrics of the process
@@ -46,7 +49,7 @@
 		RulesGate rules, RulesFreshness freshness, ReplicaDirectory directory, ReplicaLoads loads,
 		StreamOutputs outputs, ReplicaContacts contacts, ReachMonitor reach, RelayVms relays, RelayKey relayKey,
 		LimitedReplicas limits, EngineMonitor monitor, EngineControl engineControl, ReplicaConnections connections,
-		PathSearch pathSearch, LoadSpread loadSpread, FleetRetryBudget retryBudget, CrashDetector crashes,
-		RandomGenerator random, GatewayMetrics metrics) {
+		PathSearch pathSearch, LoadSpread loadSpread, FleetRetryBudget retryBudget, Optional<DemandMeter> demand,
+		CrashDetector crashes, RandomGenerator random, GatewayMetrics metrics) {
 
 }
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayRequestHandler.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayRequestHandler.java
@@ -8,6 +8,7 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServerRequest;
 import org.burdocktray.model.Verdict;
+import org.burdocktray.process.demand.DemandClass;
 import org.burdocktray.process.freshness.RulesFreshness.Timestamp;
 import org.burdocktray.process.freshness.RulesPollInterval;
 import org.burdocktray.process.quarantine.Fingerprint;
@@ -131,6 +132,9 @@
 			return;
 		}
 		Optional<OrganisationRule> callerOrganisation = organisation;
+		if (relayed.isEmpty()) {
+			recordDemand(head, route.get(), service.get(), organisation);
+		}
 		readBody(request, head, response, rules.get(), (body) -> {
 			RelayHeaders.RelayedRequest relay = new RelayHeaders.RelayedRequest(rules.get().version(),
 					service.get().name(), 0);
@@ -144,6 +148,18 @@
 		});
 	}
 
+	private void recordDemand(RequestHead head, RouteRule route, ServiceRule service,
+			Optional<OrganisationRule> organisation) {
+		this.context.demand().ifPresent((meter) -> {
+			int priority = AdmittedRequest.priority(route, organisation);
+			int promptTokens = head.promptTokens().orElse(0);
+			int outputTokens = Math.min(head.maxOutputTokens().orElse(0),
+					head.expectedOutputTokens().orElse(Integer.MAX_VALUE));
+			meter.recordArrival(new DemandClass(service.name(), priority),
+					organisation.map(OrganisationRule::name).orElse(""), promptTokens, outputTokens, System.nanoTime());
+		});
+	}
+
 	// A stream that goes on must do so at the service where it began.
 	private String pickService(RouteRule route, Optional<RelayHeaders.RelayedRequest> relayed) {
 		return relayed.map(RelayHeaders.RelayedRequest::service)
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayServer.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayServer.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
@@ -14,6 +15,8 @@
 import org.burdocktray.connection.http.MergedAnswer;
 import org.burdocktray.connection.platform.StoredObject;
 import org.burdocktray.model.NetworkAddress;
+import org.burdocktray.process.demand.DemandExchange;
+import org.burdocktray.process.demand.DemandMeter;
 import org.burdocktray.process.directory.Replica;
 import org.burdocktray.process.directory.ReplicaContacts;
 import org.burdocktray.process.directory.ReplicaDirectory;
@@ -46,6 +49,8 @@
 
 	private static final long LOAD_BROADCAST_MILLIS = 200;
 
+	private static final long DEMAND_EXCHANGE_MILLIS = 100;
+
 	private static final long CONTACT_COUNT_MILLIS = 1_000;
 
 	/**
@@ -191,11 +196,14 @@
 				this.metrics);
 		RelayKey relayKey = new RelayKey(this.vertx, this.adapter.store());
 		RelayLimit relayLimit = new RelayLimit();
+		Optional<DemandMeter> demandMeter = needsDemand() ? Optional.of(new DemandMeter()) : Optional.empty();
+		Optional<DemandExchange> demand = demandMeter.map((meter) -> new DemandExchange(this.settings.dataCentre(),
+				this.settings.peerAddress(), meter, nowNanos));
 		GatewayContext context = new GatewayContext(this.vertx, this.eventLoopDelay, this.settings.dataCentre(),
 				this.adapter.headers(), this.rules, this.freshness, this.directory, loads, new StreamOutputs(),
 				contacts, reach, relays, relayKey, limits, monitor, engineControl, connections,
 				new PathSearch(this.settings.dataCentre(), loads, random), new LoadSpread(loads, random), retryBudget,
-				crashes, random, this.metrics);
+				demandMeter, crashes, random, this.metrics);
 		GatewayRequestHandler requestHandler = new GatewayRequestHandler(context, this.requestsInProgress,
 				this.rulesPollInterval, this.gracefulStop::isStopping, this.gracefulStop::isRejecting);
 		PlacementLease placementLease = new PlacementLease(this.adapter.store(), this.settings.vmName());
@@ -258,10 +266,15 @@
 						.filter((vm) -> vm.dataCentre().equals(this.settings.dataCentre()))
 						.toList();
 					relays.setVms(vms);
+					demand.ifPresent((exchange) -> exchange.setVms(vms.stream()
+						.filter((vm) -> vm.address().isPresent())
+						.collect(Collectors.toMap((vm) -> vm.address().get(), FleetRegistry.RegisteredVm::dataCentre,
+								(first, second) -> first))));
 					datagrams.setVms(vms.stream().flatMap((vm) -> vm.address().stream()).toList());
 					pollScheduler.setVms(localVms.stream().map(FleetRegistry.RegisteredVm::name).toList());
 					loadBroadcaster.setPeers(localVms.stream().flatMap((vm) -> vm.address().stream()).toList());
 				});
+		demand.ifPresent((exchange) -> exchangeDemand(exchange, datagrams));
 		startWatchers();
 		fleetRegistry.start();
 		relayKey.start();
@@ -293,6 +306,16 @@
 			.onSuccess((listening) -> listeners.listenToRelays(relayReceiver::handle));
 	}
 
+	private boolean needsDemand() {
+		return this.options.overload().isPresent() || this.options.balancing().isPresent();
+	}
+
+	private void exchangeDemand(DemandExchange exchange, VmDatagrams datagrams) {
+		datagrams.addReceiver((sender, message) -> exchange.receive(sender, message, System.nanoTime()));
+		this.vertx.setPeriodic(DEMAND_EXCHANGE_MILLIS, (timer) -> exchange.tick(System.nanoTime())
+			.forEach((outgoing) -> datagrams.send(outgoing.message(), outgoing.receivers())));
+	}
+
 	private void recordForeignAnswer(ForeignAnswer answer) {
 		Optional<Replica> replica = this.directory.findByAddress(answer.server());
 		this.metrics.recordForeignAnswer(replica.map(Replica::service).orElse(""));
--- a/router/src/test/java/org/burdocktray/architecture/LayerTests.java
+++ b/router/src/test/java/org/burdocktray/architecture/LayerTests.java
@@ -37,7 +37,9 @@
 					"org.burdocktray.process.metrics..", "org.burdocktray.process.order..",
 					"org.burdocktray.process.bundle..", "org.burdocktray.process.burn..",
 					"org.burdocktray.process.directory..", "org.burdocktray.process.placement..",
-					"org.burdocktray.process.freshness..")
+					"org.burdocktray.process.freshness..", "org.burdocktray.process.demand..",
+					"org.burdocktray.process.overload..", "org.burdocktray.process.balance..",
+					"org.burdocktray.process.watch..")
 			.layer("request")
 			.definedBy("org.burdocktray.request..")
 			.layer("composition")
--- a/router/src/test/java/org/burdocktray/process/claim/ClaimFaultRun.java
+++ b/router/src/test/java/org/burdocktray/process/claim/ClaimFaultRun.java
@@ -126,7 +126,7 @@
 	}
 
 	private FakeVm preferredVm(int shard) {
-		String name = RendezvousHash.preferred(shard, FakeVm.names(this.vms)).orElseThrow();
+		String name = ShardPreference.preferred(shard, FakeVm.names(this.vms)).orElseThrow();
 		return this.vms.stream().filter((vm) -> vm.name().equals(name)).findFirst().orElseThrow();
 	}
 
--- a/router/src/test/java/org/burdocktray/process/claim/RendezvousHashTests.java
+++ b/router/src/test/java/org/burdocktray/process/claim/ShardPreferenceTests.java
@@ -11,7 +11,7 @@
 /**
  * Tests the selection of a VM for a shard.
  */
-class RendezvousHashTests {
+class ShardPreferenceTests {
 
 	private static final int SHARDS = 900;
 
@@ -39,11 +39,11 @@
 
 	@Test
 	void selectsNoVmFromEmptyList() {
-		assertThat(RendezvousHash.preferred(1, List.of())).isEmpty();
+		assertThat(ShardPreference.preferred(1, List.of())).isEmpty();
 	}
 
 	private static String preferred(int shard, List<String> vms) {
-		return RendezvousHash.preferred(shard, vms).orElseThrow();
+		return ShardPreference.preferred(shard, vms).orElseThrow();
 	}
 
 }
