--- a/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayMetrics.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayMetrics.java
@@ -94,6 +94,16 @@
 		.help("Requests without their final answer")
 		.register(this.registry);
 
+	private final Gauge bodyBytes = Gauge.builder()
+		.name("burdocktray_gateway_body_bytes")
+		.help("Memory for the bodies of requests in progress")
+		.register(this.registry);
+
+	private final Counter bodyRejections = Counter.builder()
+		.name("burdocktray_gateway_body_rejections_total")
+		.help("Requests rejected because the bodies in progress hold too many bytes")
+		.register(this.registry);
+
 	private final Counter pauses = Counter.builder()
 		.name("burdocktray_gateway_pauses_total")
 		.help("Responses of replicas that asked for a time without requests")
@@ -189,8 +199,18 @@
 		this.eventLoopDelay.observe(Math.max(0, delayNanos) / NANOS_PER_SECOND);
 	}
 
-	void setInProgress(int count) {
+	/**
+	 * Sets what the requests without their final answer take.
+	 * @param count their number
+	 * @param bodyBytes the memory for their bodies
+	 */
+	void setInProgress(int count, long bodyBytes) {
 		this.inProgress.set(count);
+		this.bodyBytes.set(bodyBytes);
+	}
+
+	void recordBodyRejection() {
+		this.bodyRejections.inc();
 	}
 
 	void recordPause() {
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayRequestHandler.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayRequestHandler.java
@@ -6,11 +6,13 @@
 import java.util.function.Consumer;
 
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpHeaders;
 import io.vertx.core.http.HttpServerRequest;
 import org.burdocktray.model.Verdict;
 import org.burdocktray.process.demand.DemandClass;
 import org.burdocktray.process.freshness.RulesFreshness.Timestamp;
 import org.burdocktray.process.freshness.RulesPollInterval;
+import org.burdocktray.process.limits.BodyMemory;
 import org.burdocktray.process.quarantine.Fingerprint;
 import org.burdocktray.process.quarantine.RequestIdentity;
 import org.burdocktray.request.service.RequestDigest;
@@ -42,15 +44,19 @@
 
 	private final RulesPollInterval rulesPollInterval;
 
+	private final BodyMemory bodyMemory;
+
 	private final BooleanSupplier stopping;
 
 	private final BooleanSupplier rejecting;
 
 	GatewayRequestHandler(GatewayContext context, RequestsInProgress requestsInProgress,
-			RulesPollInterval rulesPollInterval, BooleanSupplier stopping, BooleanSupplier rejecting) {
+			RulesPollInterval rulesPollInterval, BodyMemory bodyMemory, BooleanSupplier stopping,
+			BooleanSupplier rejecting) {
 		this.context = context;
 		this.requestsInProgress = requestsInProgress;
 		this.rulesPollInterval = rulesPollInterval;
+		this.bodyMemory = bodyMemory;
 		this.stopping = stopping;
 		this.rejecting = rejecting;
 	}
@@ -74,8 +80,12 @@
 		long arrivedNanos = System.nanoTime();
 		CallerResponse response = new CallerResponse(request, this.context.headers(), this.context.metrics(),
 				this.stopping, relayed.isPresent());
-		this.requestsInProgress.add(response, onEnd);
-		refuseOnFault(response, () -> admit(request, response, relayed, arrivedNanos));
+		BodyMemory.Reservation bodyReservation = this.bodyMemory.open();
+		this.requestsInProgress.add(response, () -> {
+			bodyReservation.close();
+			onEnd.run();
+		});
+		refuseOnFault(response, () -> admit(request, response, bodyReservation, relayed, arrivedNanos));
 	}
 
 	/**
@@ -98,7 +108,7 @@
 		}
 	}
 
-	private void admit(HttpServerRequest request, CallerResponse response,
+	private void admit(HttpServerRequest request, CallerResponse response, BodyMemory.Reservation bodyReservation,
 			Optional<RelayHeaders.RelayedRequest> relayed, long arrivedNanos) {
 		RequestHead head = this.context.headers().readRequest(request.headers());
 		Optional<RoutingRules> rules = this.context.rules().current();
@@ -135,7 +145,7 @@
 		if (relayed.isEmpty()) {
 			recordDemand(head, route.get(), service.get(), organisation);
 		}
-		readBody(request, head, response, rules.get(), (body) -> {
+		readBody(request, head, response, bodyReservation, rules.get(), (body) -> {
 			RelayHeaders.RelayedRequest relay = new RelayHeaders.RelayedRequest(rules.get().version(),
 					service.get().name(), 0);
 			ForwardedRequest forwardedRequest = createForwardedRequest(request, head, route.get(), callerOrganisation,
@@ -167,14 +177,23 @@
 			.orElseGet(() -> route.pickService(this.context.random().nextDouble()));
 	}
 
-	private void readBody(HttpServerRequest request, RequestHead head, CallerResponse response, RoutingRules rules,
-			Consumer<Buffer> onComplete) {
+	private void readBody(HttpServerRequest request, RequestHead head, CallerResponse response,
+			BodyMemory.Reservation reservation, RoutingRules rules, Consumer<Buffer> onComplete) {
+		if (!reservation.reserve(Math.min(declaredLength(request), rules.limits().maxBodyBytes()))) {
+			rejectBody(head, response);
+			return;
+		}
 		BodyCollector collector = new BodyCollector(rules.limits().maxBodyBytes());
 		request.handler((bytes) -> {
 			if (!collector.add(bytes)) {
 				request.handler(null);
 				reject(head, response, CONTENT_TOO_LARGE, "body is larger than the limit");
 			}
+			else if (!reservation.reserve(collector.body().length())) {
+				request.handler(null);
+				request.endHandler(null);
+				rejectBody(head, response);
+			}
 		});
 		request.endHandler((end) -> {
 			if (!collector.isTooLarge() && !response.isStarted()) {
@@ -183,6 +202,21 @@
 		});
 	}
 
+	private void rejectBody(RequestHead head, CallerResponse response) {
+		this.context.metrics().recordBodyRejection();
+		reject(head, response, SERVICE_UNAVAILABLE, "bodies in progress hold too many bytes");
+	}
+
+	private static long declaredLength(HttpServerRequest request) {
+		String length = request.getHeader(HttpHeaders.CONTENT_LENGTH);
+		try {
+			return (length != null) ? Long.parseLong(length.trim()) : 0;
+		}
+		catch (NumberFormatException ex) {
+			return 0;
+		}
+	}
+
 	private ForwardedRequest createForwardedRequest(HttpServerRequest request, RequestHead head, RouteRule route,
 			Optional<OrganisationRule> callerOrganisation, Buffer body, long arrivedNanos,
 			RelayHeaders.RelayedRequest relay) {
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayServer.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayServer.java
@@ -26,6 +26,7 @@
 import org.burdocktray.process.freshness.RulesFreshness;
 import org.burdocktray.process.freshness.RulesFreshness.Timestamp;
 import org.burdocktray.process.freshness.RulesPollInterval;
+import org.burdocktray.process.limits.BodyMemory;
 import org.burdocktray.process.limits.FleetRetryBudget;
 import org.burdocktray.process.limits.RelayLimit;
 import org.burdocktray.process.limits.ReplicaLimits;
@@ -204,8 +205,9 @@
 				contacts, reach, relays, relayKey, limits, monitor, engineControl, connections,
 				new PathSearch(this.settings.dataCentre(), loads, random), new LoadSpread(loads, random), retryBudget,
 				demandMeter, crashes, random, this.metrics);
+		BodyMemory bodyMemory = BodyMemory.ofHeap();
 		GatewayRequestHandler requestHandler = new GatewayRequestHandler(context, this.requestsInProgress,
-				this.rulesPollInterval, this.gracefulStop::isStopping, this.gracefulStop::isRejecting);
+				this.rulesPollInterval, bodyMemory, this.gracefulStop::isStopping, this.gracefulStop::isRejecting);
 		PlacementLease placementLease = new PlacementLease(this.adapter.store(), this.settings.vmName());
 		PlacementLoop placementLoop = new PlacementLoop(this.rules, this.directory, engineControl, placementLease);
 		RelayReceiver relayReceiver = new RelayReceiver(relayKey, relayLimit, reach, datagrams, requestHandler,
@@ -298,7 +300,7 @@
 			}
 			runTick("monitor", () -> monitor.tick(usableEngines(), tickNanos));
 			runTick("requests", () -> this.requestsInProgress.tick(tickNanos));
-			this.metrics.setInProgress(this.requestsInProgress.count());
+			this.metrics.setInProgress(this.requestsInProgress.count(), bodyMemory.heldBytes());
 		});
 		GatewayListeners listeners = new GatewayListeners(this.vertx, this.settings, this.metrics, this::isReady);
 		return datagrams.start()
