Balancing: plain services by shares of data centres and least expected wait

Cause: a VM chooses the local replica of a plain service until half of its slots are taken by this VM alone. With some 30 VMs in a data centre each sees one or two calls of its own, so all of them fill the local replica, whatever its response time and however free the others are.

Change: with "balancing" in effect, replicas are drawn by the shares of data centres and by slots, response times and failures that this VM has seen; of two drawn ones, that with the least expected wait is taken (PlainRoutes). The shares and the activation, common to both kinds of services, are ServiceShares. Demand counts prompt and output one half each, and requests that state no number of tokens as typical ones.

--- a/router/src/main/java/org/burdocktray/process/balance/FleetRoutes.java
+++ b/router/src/main/java/org/burdocktray/process/balance/FleetRoutes.java
@@ -1,14 +1,18 @@
 package org.burdocktray.process.balance;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.ToDoubleFunction;
+import java.util.function.ToIntFunction;
 import java.util.random.RandomGenerator;
 
 import org.burdocktray.model.DataCentre;
+import org.burdocktray.process.demand.DataCentreDemand;
 import org.burdocktray.process.demand.FleetDemand;
 import org.burdocktray.process.directory.Replica;
 import org.burdocktray.process.settings.GatewayOptions.BalancingOptions;
@@ -40,8 +44,12 @@
 
 	private final Listener listener;
 
+	private final ReplicaTimes times;
+
 	private final Map<String, ServiceRoutes> services = new HashMap<>();
 
+	private final Map<String, PlainRoutes> plainServices = new HashMap<>();
+
 	private Map<String, List<Replica>> lastListed = Map.of();
 
 	private RoutingRules lastRules;
@@ -53,11 +61,13 @@
 	 * @param localDataCentre the data centre of this VM
 	 * @param options when balancing takes effect
 	 * @param slowdownFactor the factor by which an engine is slower than its kind
+	 * @param times the response times of plain replicas
 	 * @param demand the demand of the data centres
 	 * @param listener hears of changes
 	 */
 	public FleetRoutes(DataCentre localDataCentre, BalancingOptions options, ToDoubleFunction<Replica> slowdownFactor,
-			FleetDemand demand, Listener listener) {
+			ReplicaTimes times, FleetDemand demand, Listener listener) {
+		this.times = times;
 		this.localDataCentre = localDataCentre;
 		this.options = options;
 		this.slowdownFactor = slowdownFactor;
@@ -82,13 +92,43 @@
 		this.lastRules = rules;
 		this.services.keySet()
 			.removeIf((name) -> rules.service(name).filter((service) -> service.engine().isPresent()).isEmpty());
-		rules.services().forEach((name, service) -> service.engine().ifPresent((profile) -> {
+		this.plainServices.keySet()
+			.removeIf((name) -> rules.service(name).filter((service) -> service.engine().isEmpty()).isEmpty());
+		List<DataCentreDemand> demands = this.demand.dataCentres(nowNanos);
+		Set<String> plainReplicas = new HashSet<>();
+		rules.services().forEach((name, service) -> service.engine().ifPresentOrElse((profile) -> {
 			ServiceRoutes routes = this.services.computeIfAbsent(name,
-					(key) -> new ServiceRoutes(key, this.localDataCentre, this.options, this.listener));
+					(key) -> new ServiceRoutes(createShares(key), this.options.imbalanceRatio()));
 			routes.update(listed.getOrDefault(name, List.of()), profile, StreamTargets.strictest(rules, name),
 					this.slowdownFactor, nowNanos);
-			routes.divide(this.demand.dataCentres(nowNanos), nowNanos);
+			routes.divide(demands, nowNanos);
+		}, () -> {
+			List<Replica> replicas = listed.getOrDefault(name, List.of());
+			replicas.forEach((replica) -> plainReplicas.add(replica.id()));
+			this.plainServices.computeIfAbsent(name, (key) -> new PlainRoutes(createShares(key), this.times))
+				.update(replicas, demands, nowNanos);
 		}));
+		this.times.retainListed(plainReplicas::contains);
+	}
+
+	private ServiceShares createShares(String service) {
+		return new ServiceShares(service, this.localDataCentre, this.options, this.listener);
+	}
+
+	/**
+	 * Chooses a replica of a plain service.
+	 * @param service the name of the service
+	 * @param candidates the replicas that may be used
+	 * @param inFlight the number of requests of this VM at a replica
+	 * @param random the source of the draw
+	 * @param nowNanos the current time of the monotonic clock
+	 * @return the replica, empty if balancing is not in effect for the service or none
+	 * has a share
+	 */
+	public Optional<Replica> choosePlain(String service, List<Replica> candidates, ToIntFunction<Replica> inFlight,
+			RandomGenerator random, long nowNanos) {
+		PlainRoutes routes = this.plainServices.get(service);
+		return (routes != null) ? routes.choose(candidates, inFlight, random, nowNanos) : Optional.empty();
 	}
 
 	/**
--- a/router/src/main/java/org/burdocktray/process/balance/ServiceRoutes.java
+++ b/router/src/main/java/org/burdocktray/process/balance/ServiceRoutes.java
@@ -11,14 +11,11 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.ToDoubleFunction;
 import java.util.random.RandomGenerator;
-import java.util.stream.Collectors;
 
 import org.burdocktray.model.DataCentre;
 import org.burdocktray.process.demand.ClassLoad;
 import org.burdocktray.process.demand.DataCentreDemand;
 import org.burdocktray.process.directory.Replica;
-import org.burdocktray.process.settings.GatewayOptions.Activation;
-import org.burdocktray.process.settings.GatewayOptions.BalancingOptions;
 import org.burdocktray.version.routing.WeightedChoice;
 import org.burdocktray.version.rules.EngineProfile;
 
@@ -39,31 +36,15 @@
 	 */
 	private static final long SPEED_NANOS = TimeUnit.SECONDS.toNanos(2);
 
-	/** Balancing stays in effect this long after its cause. */
-	private static final long ACTIVE_NANOS = TimeUnit.SECONDS.toNanos(30);
-
 	/** As many engines lost at once count as a group. */
 	private static final int MIN_LOST_GROUP = 2;
 
-	/** Below this utilisation, differences between data centres do not matter. */
-	private static final double MIN_UTILISATION = 0.3;
-
-	private static final double LARGE_SHARE_CHANGE = 0.1;
-
-	private final String name;
-
-	private final DataCentre localDataCentre;
+	private final ServiceShares shares;
 
-	private final BalancingOptions options;
-
-	private final FleetRoutes.Listener listener;
+	private final double imbalanceRatio;
 
 	private final Map<DataCentre, SolvedFlow> flows = new TreeMap<>();
 
-	private final Map<DataCentre, DemandTrend> trends = new HashMap<>();
-
-	private Map<DataCentre, Double> reportedShares = Map.of();
-
 	private WeightedChoice<DataCentre> choice = WeightedChoice.of(List.of(), (dataCentre) -> 0);
 
 	private EngineProfile profile;
@@ -74,26 +55,17 @@
 
 	private boolean hasUnlikeEngines;
 
-	private boolean active;
-
-	/** Whether {@link #activeUntilNanos} is set. */
-	private boolean hasCause;
-
-	private long activeUntilNanos;
-
-	ServiceRoutes(String name, DataCentre localDataCentre, BalancingOptions options, FleetRoutes.Listener listener) {
-		this.name = name;
-		this.localDataCentre = localDataCentre;
-		this.options = options;
-		this.listener = listener;
+	ServiceRoutes(ServiceShares shares, double imbalanceRatio) {
+		this.shares = shares;
+		this.imbalanceRatio = imbalanceRatio;
 	}
 
 	boolean isActive() {
-		return this.active;
+		return this.shares.isActive();
 	}
 
 	Optional<List<Replica>> draw(RandomGenerator random) {
-		if (!this.active || this.choice.isEmpty()) {
+		if (!isActive() || this.choice.isEmpty()) {
 			return Optional.empty();
 		}
 		SolvedFlow solved = this.flows.get(this.choice.pick(random.nextDouble()));
@@ -138,103 +110,35 @@
 	 * @param nowNanos the current time of the monotonic clock
 	 */
 	void divide(List<DataCentreDemand> demands, long nowNanos) {
-		Map<DataCentre, Double> demand = new HashMap<>();
-		this.trends.keySet().retainAll(demands.stream().map(DataCentreDemand::dataCentre).collect(Collectors.toSet()));
-		for (DataCentreDemand reported : demands) {
-			DemandTrend trend = this.trends.computeIfAbsent(reported.dataCentre(), (key) -> new DemandTrend());
-			trend.record(typicalRequestsPerSecond(reported), nowNanos);
-			demand.put(reported.dataCentre(), trend.ahead());
-		}
 		Map<DataCentre, Double> capacity = new TreeMap<>();
 		this.flows.forEach((dataCentre, solved) -> capacity.put(dataCentre, solved.flow().requestsPerSecond()));
-		Map<DataCentre, Double> shares = DataCentreShares.compute(this.localDataCentre, demand, capacity);
-		this.choice = WeightedChoice.of(List.copyOf(shares.keySet()), shares::get);
-		updateActivation(isUneven(demand, capacity), nowNanos);
-		report(demand, capacity, shares);
+		this.shares.divide(demands, this::typicalRequestsPerSecond, capacity, this.hasUnlikeEngines, nowNanos);
+		Map<DataCentre, Double> divided = this.shares.shares();
+		this.choice = WeightedChoice.of(List.copyOf(divided.keySet()), divided::get);
 	}
 
 	private void judgeEngines(List<FlowEngine> engines, long nowNanos) {
 		double fastest = engines.stream().mapToDouble((engine) -> engine.kind().stepFactor()).min().orElse(1);
 		double slowest = engines.stream().mapToDouble((engine) -> engine.kind().stepFactor()).max().orElse(1);
-		this.hasUnlikeEngines = slowest > this.options.imbalanceRatio() * fastest;
+		this.hasUnlikeEngines = slowest > this.imbalanceRatio * fastest;
 		Set<String> instances = new HashSet<>();
 		engines.forEach((engine) -> instances.add(engine.engine().id() + " " + engine.engine().startedAtMillis()));
 		long lost = this.knownInstances.stream().filter((instance) -> !instances.contains(instance)).count();
 		this.knownInstances = instances;
 		if (lost >= MIN_LOST_GROUP) {
-			extend(nowNanos);
+			this.shares.extend(nowNanos);
 		}
 	}
 
-	private void extend(long nowNanos) {
-		this.activeUntilNanos = nowNanos + ACTIVE_NANOS;
-		this.hasCause = true;
-	}
-
-	private boolean isUneven(Map<DataCentre, Double> demand, Map<DataCentre, Double> capacity) {
-		double lowest = Double.POSITIVE_INFINITY;
-		double highest = 0;
-		for (DataCentre dataCentre : this.flows.keySet()) {
-			double utilisation = demand.getOrDefault(dataCentre, 0.0) / Math.max(1e-9, capacity.get(dataCentre));
-			lowest = Math.min(lowest, utilisation);
-			highest = Math.max(highest, utilisation);
-		}
-		return highest > MIN_UTILISATION && highest > this.options.imbalanceRatio() * lowest;
-	}
-
-	private void updateActivation(boolean isUneven, long nowNanos) {
-		if (isUneven) {
-			extend(nowNanos);
-		}
-		boolean isAlways = this.options.activation() == Activation.ALWAYS;
-		boolean isCaused = this.hasCause && nowNanos - this.activeUntilNanos < 0;
-		boolean next = isAlways || this.hasUnlikeEngines || isCaused;
-		if (next != this.active) {
-			this.active = next;
-			this.listener.onActivation(this.name, next, reason(isAlways, isCaused));
-		}
-	}
-
-	private String reason(boolean isAlways, boolean isCaused) {
-		if (isAlways) {
-			return "always";
-		}
-		if (this.hasUnlikeEngines) {
-			return "accelerator kinds differ";
-		}
-		return isCaused ? "uneven utilisation or lost engines" : "even load";
-	}
-
-	private void report(Map<DataCentre, Double> demand, Map<DataCentre, Double> capacity,
-			Map<DataCentre, Double> shares) {
-		boolean isLarge = this.flows.keySet()
-			.stream()
-			.anyMatch((dataCentre) -> Math.abs(shares.getOrDefault(dataCentre, 0.0)
-					- this.reportedShares.getOrDefault(dataCentre, 0.0)) > LARGE_SHARE_CHANGE);
-		if (isLarge) {
-			this.reportedShares = Map.copyOf(shares);
-		}
-		this.listener.onShares(this.name,
-				this.flows.keySet()
-					.stream()
-					.map((dataCentre) -> new DataCentreLoad(dataCentre, demand.getOrDefault(dataCentre, 0.0),
-							capacity.get(dataCentre), shares.getOrDefault(dataCentre, 0.0)))
-					.toList(),
-				isLarge);
+	// Prompt and output count one half each, and a request without a number of tokens as
+	// a typical one.
+	private double typicalRequestsPerSecond(ClassLoad load) {
+		return (inTypical(load.promptTokensPerSecond(), this.profile.typicalPromptTokens(), load)
+				+ inTypical(load.outputTokensPerSecond(), this.profile.typicalOutputTokens(), load)) / 2;
 	}
 
-	// Requests with more tokens than typical ones count for several.
-	private double typicalRequestsPerSecond(DataCentreDemand reported) {
-		ClassLoad sum = reported.demand()
-			.classes()
-			.entrySet()
-			.stream()
-			.filter((entry) -> entry.getKey().service().equals(this.name))
-			.map(Map.Entry::getValue)
-			.reduce(ClassLoad.NONE, ClassLoad::plus);
-		double tokens = sum.promptTokensPerSecond() + sum.outputTokensPerSecond();
-		double typicalTokens = this.profile.typicalPromptTokens() + this.profile.typicalOutputTokens();
-		return (tokens > 0 && typicalTokens > 0) ? tokens / typicalTokens : sum.requestsPerSecond();
+	private static double inTypical(double tokensPerSecond, int typicalTokens, ClassLoad load) {
+		return (tokensPerSecond > 0 && typicalTokens > 0) ? tokensPerSecond / typicalTokens : load.requestsPerSecond();
 	}
 
 	/**
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/Attempt.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/Attempt.java
@@ -19,6 +19,10 @@
 
 	private static final int MISDIRECTED = 421;
 
+	private static final int FIRST_SERVER_ERROR = 500;
+
+	private static final double NANOS_PER_MILLI = 1e6;
+
 	/**
 	 * Timers one after the other until the event loop has read all connections once more:
 	 * a timer that is set while connections are read may run before the next pass.
@@ -337,10 +341,21 @@
 
 	private void completeResponse(HttpClientResponse response, Buffer body) {
 		if (finish()) {
+			recordResponseTime(response.statusCode());
 			this.listener.onResponse(response, body);
 		}
 	}
 
+	private void recordResponseTime(int status) {
+		if (this.context.routes().isEmpty() || this.target.isRelay() || this.target.path().isPresent()) {
+			return;
+		}
+		long nowNanos = System.nanoTime();
+		this.context.replicaTimes()
+			.record(this.target.replica(), (nowNanos - this.sentNanos) / NANOS_PER_MILLI, status >= FIRST_SERVER_ERROR,
+					nowNanos);
+	}
+
 	private void failInvalidResponse(String cause) {
 		this.replicaRequest.ifPresent(HttpClientRequest::reset);
 		fail(AttemptOutcome.LOST, cause, Optional.empty());
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayContext.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayContext.java
@@ -5,6 +5,8 @@
 
 import io.vertx.core.Vertx;
 import org.burdocktray.model.DataCentre;
+import org.burdocktray.process.balance.FleetRoutes;
+import org.burdocktray.process.balance.ReplicaTimes;
 import org.burdocktray.process.demand.DemandMeter;
 import org.burdocktray.process.directory.ReplicaContacts;
 import org.burdocktray.process.directory.ReplicaDirectory;
@@ -40,6 +42,8 @@
  * @param connections the connections to replicas
  * @param pathSearch finds layer paths over engines
  * @param loadSpread turns requests to other engines before the best ones are full
+ * @param routes the shares of data centres and paths, if balancing is on
+ * @param replicaTimes the response times of plain replicas
  * @param flowPaths chooses paths by the flow that engines can serve, if balancing is on
  * @param retryBudget limits retries
  * @param demand measures the requests that arrive, if a feature needs it
@@ -51,7 +55,8 @@
 		RulesGate rules, RulesFreshness freshness, ReplicaDirectory directory, ReplicaLoads loads,
 		StreamOutputs outputs, ReplicaContacts contacts, ReachMonitor reach, RelayVms relays, RelayKey relayKey,
 		LimitedReplicas limits, EngineMonitor monitor, EngineControl engineControl, ReplicaConnections connections,
-		PathSearch pathSearch, LoadSpread loadSpread, Optional<FlowPathChoice> flowPaths, FleetRetryBudget retryBudget,
-		Optional<DemandMeter> demand, CrashDetector crashes, RandomGenerator random, GatewayMetrics metrics) {
+		PathSearch pathSearch, LoadSpread loadSpread, Optional<FleetRoutes> routes, ReplicaTimes replicaTimes,
+		Optional<FlowPathChoice> flowPaths, FleetRetryBudget retryBudget, Optional<DemandMeter> demand,
+		CrashDetector crashes, RandomGenerator random, GatewayMetrics metrics) {
 
 }
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayServer.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayServer.java
@@ -17,6 +17,7 @@
 import org.burdocktray.model.NetworkAddress;
 import org.burdocktray.process.balance.DataCentreLoad;
 import org.burdocktray.process.balance.FleetRoutes;
+import org.burdocktray.process.balance.ReplicaTimes;
 import org.burdocktray.process.demand.DemandExchange;
 import org.burdocktray.process.demand.DemandMeter;
 import org.burdocktray.process.directory.Replica;
@@ -203,16 +204,17 @@
 		Optional<DemandExchange> demand = demandMeter.map((meter) -> new DemandExchange(this.settings.dataCentre(),
 				this.settings.peerAddress(), meter, nowNanos));
 		LoadSpread loadSpread = new LoadSpread(loads, random);
+		ReplicaTimes replicaTimes = new ReplicaTimes();
 		Optional<FleetRoutes> routes = demand.flatMap((exchange) -> this.options.balancing()
-			.map((balancing) -> new FleetRoutes(this.settings.dataCentre(), balancing, loads::slowdownFactor, exchange,
-					new BalancingListener())));
+			.map((balancing) -> new FleetRoutes(this.settings.dataCentre(), balancing, loads::slowdownFactor,
+					replicaTimes, exchange, new BalancingListener())));
 		Optional<FlowPathChoice> flowPaths = routes
 			.map((fleetRoutes) -> new FlowPathChoice(fleetRoutes, loads, loadSpread, random));
 		GatewayContext context = new GatewayContext(this.vertx, this.eventLoopDelay, this.settings.dataCentre(),
 				this.adapter.headers(), this.rules, this.freshness, this.directory, loads, new StreamOutputs(),
 				contacts, reach, relays, relayKey, limits, monitor, engineControl, connections,
-				new PathSearch(this.settings.dataCentre(), loads, random), loadSpread, flowPaths, retryBudget,
-				demandMeter, crashes, random, this.metrics);
+				new PathSearch(this.settings.dataCentre(), loads, random), loadSpread, routes, replicaTimes, flowPaths,
+				retryBudget, demandMeter, crashes, random, this.metrics);
 		GatewayRequestHandler requestHandler = new GatewayRequestHandler(context, this.requestsInProgress,
 				this.rulesPollInterval, this.gracefulStop::isStopping, this.gracefulStop::isRejecting);
 		PlacementLease placementLease = new PlacementLease(this.adapter.store(), this.settings.vmName());
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/TargetSelector.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/TargetSelector.java
@@ -246,8 +246,14 @@
 	}
 
 	private Optional<Target> selectAmong(List<Replica> selectable) {
-		return selectable.stream()
-			.filter(this.context.limits()::hasRoom)
+		List<Replica> withRoom = selectable.stream().filter(this.context.limits()::hasRoom).toList();
+		Optional<Replica> drawn = this.context.routes()
+			.flatMap((routes) -> routes.choosePlain(this.service.name(), withRoom, this.context.loads()::inFlight,
+					this.context.random(), System.nanoTime()));
+		if (drawn.isPresent()) {
+			return drawn.map((replica) -> new Target(replica, Optional.empty(), 0));
+		}
+		return withRoom.stream()
 			.map((replica) -> new ScoredReplica(replica, score(replica)))
 			.min(Comparator.comparingDouble(ScoredReplica::score))
 			.map((scored) -> new Target(scored.replica(), Optional.empty(), 0));
--- a/router/src/test/java/org/burdocktray/process/balance/FleetRoutesTests.java
+++ b/router/src/test/java/org/burdocktray/process/balance/FleetRoutesTests.java
@@ -33,8 +33,6 @@
 
 	private final List<String> reasons = new ArrayList<>();
 
-	private double slowdownFactor = 1;
-
 	private long nowNanos;
 
 	private FleetRoutes routes = create(Activation.AUTO);
@@ -92,7 +90,7 @@
 	}
 
 	private FleetRoutes create(Activation activation) {
-		return new FleetRoutes(GHENT, new BalancingOptions(activation, 1.3, 10_000), (engine) -> this.slowdownFactor,
+		return new FleetRoutes(GHENT, new BalancingOptions(activation, 1.3, 10_000), (engine) -> 1, new ReplicaTimes(),
 				(now) -> List.of(new DataCentreDemand(GHENT, 1, DemandReport.NONE, now)), new FleetRoutes.Listener() {
 					@Override
 					public void onActivation(String service, boolean isActive, String reason) {
--- a/router/src/test/java/org/burdocktray/request/path/FlowPathChoiceTests.java
+++ b/router/src/test/java/org/burdocktray/request/path/FlowPathChoiceTests.java
@@ -13,6 +13,7 @@
 import org.burdocktray.model.DataCentre;
 import org.burdocktray.process.balance.DataCentreLoad;
 import org.burdocktray.process.balance.FleetRoutes;
+import org.burdocktray.process.balance.ReplicaTimes;
 import org.burdocktray.process.balance.StreamTargets;
 import org.burdocktray.process.demand.ClassLoad;
 import org.burdocktray.process.demand.DataCentreDemand;
@@ -218,8 +219,8 @@
 			this.fleet = fleet;
 			this.search = new PathSearch(dataCentre, this.loads, random);
 			this.spread = new LoadSpread(this.loads, random);
-			this.routes = new FleetRoutes(dataCentre, OPTIONS, this.loads::slowdownFactor, new WaveDemand(fleet),
-					new CapacityListener(fleet));
+			this.routes = new FleetRoutes(dataCentre, OPTIONS, this.loads::slowdownFactor, new ReplicaTimes(),
+					new WaveDemand(fleet), new CapacityListener(fleet));
 			this.choice = new FlowPathChoice(this.routes, this.loads, this.spread, random);
 			this.offsetMillis = random.nextInt(200);
 		}
