Balancing: streams of a lost engine are spread over the engines that can take over

Cause: all streams behind the head of a path that has lost an engine look for another one at the same time and take the cheapest, until its KV cache is full.

Change: while balancing is in effect they turn away from engines early like new streams, and avoid silent ones; without such an engine they choose as before. Rates are bounded for profiles that state times of 0.

The spread behind heads has no test of its own yet.

--- a/router/src/main/java/org/burdocktray/process/balance/PassTimes.java
+++ b/router/src/main/java/org/burdocktray/process/balance/PassTimes.java
@@ -29,6 +29,9 @@
 	/** Requests arrive in the middle of a pass on average. */
 	private static final double MEAN_WAIT_PASSES = 0.5;
 
+	/** Bounds the rate where a profile states times of 0. */
+	private static final double MAX_RATE = 1e6;
+
 	private static final double MILLIS_PER_SECOND = 1_000;
 
 	private static final double TOKENS_PER_CONTEXT_UNIT = 1_000;
@@ -90,7 +93,7 @@
 		double passMillis = this.profile.stepsPerPass() * stepMillis + prefillMillis;
 		double durationMillis = passes * passMillis + outputTokens * stepMillis;
 		double byPrefill = MAX_PREFILL_SHARE * this.profile.promptTokensPerPass() / passMillis / promptTokens;
-		return MILLIS_PER_SECOND * Math.min(sequences / durationMillis, byPrefill);
+		return Math.min(MAX_RATE, MILLIS_PER_SECOND * Math.min(sequences / durationMillis, byPrefill));
 	}
 
 	private double millisPerSequence() {
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/TargetSelector.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/TargetSelector.java
@@ -15,6 +15,7 @@
 import org.burdocktray.request.path.LayerPath;
 import org.burdocktray.request.path.LoadSpread;
 import org.burdocktray.request.path.PathDemand;
+import org.burdocktray.request.path.PathStage;
 import org.burdocktray.version.rules.EngineProfile;
 import org.burdocktray.version.rules.ServiceRule;
 
@@ -183,13 +184,25 @@
 	 * @return a target with the new path, empty when there is none
 	 */
 	Optional<Target> selectBehindHead(Target current) {
-		LayerPath path = current.path().orElseThrow();
+		PathStage head = current.path().orElseThrow().stages().get(0);
 		EngineProfile profile = this.service.engine().orElseThrow();
-		return this.context.pathSearch()
-			.findAfter(path.stages().get(0), candidates(), createPathDemand(profile, 1), profile)
+		List<Replica> engines = candidates();
+		return findBehindHead(head, engines, profile)
+			.or(() -> this.context.pathSearch().findAfter(head, engines, createPathDemand(profile, 1), profile))
 			.map((found) -> new Target(current.replica(), Optional.of(found), current.tokens()));
 	}
 
+	// All streams of a lost engine look for another one at the same time, so they are
+	// spread like new ones.
+	private Optional<LayerPath> findBehindHead(PathStage head, List<Replica> engines, EngineProfile profile) {
+		if (this.context.routes().filter((routes) -> routes.isActive(this.service.name())).isEmpty()) {
+			return Optional.empty();
+		}
+		return this.context.pathSearch()
+			.findAfter(head, withoutSilent(engines), createPathDemand(profile, this.context.loadSpread().drawKvShare()),
+					profile);
+	}
+
 	private List<Replica> without(Replica silent) {
 		return candidates().stream().filter((replica) -> !replica.id().equals(silent.id())).toList();
 	}
