--- a/router/src/test/java/org/burdocktray/request/path/FlowPathChoiceTests.java
+++ b/router/src/test/java/org/burdocktray/request/path/FlowPathChoiceTests.java
@@ -72,6 +72,9 @@
 	private static final List<DataCentre> DATA_CENTRES = List.of(new DataCentre("ghent"), new DataCentre("leuven"),
 			new DataCentre("mons"));
 
+	/** How often engines of other data centres report. */
+	private static final long REMOTE_REPORT_MILLIS = 3_000;
+
 	private static final long RUN_MILLIS = 30_000;
 
 	private static final long WAVE_MILLIS = 15_000;
@@ -116,8 +119,24 @@
 		assertThat(served).as(figures).isGreaterThanOrEqualTo(MIN_SERVED).isGreaterThanOrEqualTo(servedBefore);
 	}
 
+	/** Guards against herds and full paths when all reports are 3 s old. */
+	@ParameterizedTest
+	@ValueSource(ints = { 9, 95 })
+	void servesWaveOfDemandWithOldReports(int vmCount) {
+		Fleet before = new Fleet(vmCount, 98, 1.2, false);
+		Fleet balanced = new Fleet(vmCount, 98, 1.2, true);
+		before.localReportMillis = REMOTE_REPORT_MILLIS;
+		balanced.localReportMillis = REMOTE_REPORT_MILLIS;
+		double servedBefore = before.run();
+		double served = balanced.run();
+		String figures = "served=%.3f before=%.3f".formatted(served, servedBefore);
+		assertThat(served).as(figures).isGreaterThanOrEqualTo(MIN_SERVED).isGreaterThanOrEqualTo(servedBefore);
+	}
+
 	private static final class Fleet {
 
+		private long localReportMillis = 400;
+
 		private final Set<Replica> lost = new HashSet<>();
 
 		private long loseGroupMillis = Long.MAX_VALUE;
@@ -266,14 +285,13 @@
 			this.offsetMillis = random.nextInt(200);
 		}
 
-		// Reports of local engines come every 0.4 s, those of others every 3 s.
 		void tick(long millis) {
 			long nowNanos = TimeUnit.MILLISECONDS.toNanos(millis);
 			if (millis % 50 == 0) {
 				this.routes.tick(this.fleet.listed, RULES, nowNanos);
 			}
-			boolean isLocalDue = (millis + this.offsetMillis) % 400 == 0;
-			boolean isRemoteDue = (millis + this.offsetMillis) % 3_000 == 0;
+			boolean isLocalDue = (millis + this.offsetMillis) % this.fleet.localReportMillis == 0;
+			boolean isRemoteDue = (millis + this.offsetMillis) % REMOTE_REPORT_MILLIS == 0;
 			if (!isLocalDue && !isRemoteDue) {
 				return;
 			}
