Balancing: a shorter first solution of the flow

Cause: the first solution runs on the event loop when the VM starts, and took 49 to 114 ms (five runs, C1 only), nearly all of it the linkage of lambdas and of the hash codes of records.

Change: EngineFlow and FlowNetwork use loops, comparators as classes, and lists instead of maps keyed by records. Results are the same.

--- a/router/src/main/java/org/burdocktray/process/balance/EngineFlow.java
+++ b/router/src/main/java/org/burdocktray/process/balance/EngineFlow.java
@@ -4,10 +4,9 @@
 import java.util.Arrays;
 import java.util.Collections;
 import java.util.Comparator;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
+import java.util.function.ToDoubleFunction;
 import java.util.random.RandomGenerator;
 
 import org.burdocktray.process.directory.Replica;
@@ -19,8 +18,10 @@
  * boundaries between layers; an engine leads from each boundary that it covers to its
  * last layer, and bears a rate that depends on the speed of the paths through it. Where
  * several engines are not fully used, the flow is spread over them evenly. Invariants:
- * each drawn path runs every layer once; the result is deterministic. Thread safety:
- * immutable.
+ * each drawn path runs every layer once; the result is deterministic. The first solution
+ * of a process runs on its event loop in interpreted code, so it is written without
+ * lambdas and hash codes of records, whose linkage takes longer than the solution. Thread
+ * safety: immutable.
  */
 public final class EngineFlow {
 
@@ -38,9 +39,9 @@
 	private final int layers;
 
 	/** The engines that run on from a boundary, null where the flow does not pass. */
-	private final List<WeightedChoice<FlowEngine>> choices;
+	private final List<WeightedChoice<WeightedEngine>> choices;
 
-	private EngineFlow(double requestsPerSecond, int layers, List<WeightedChoice<FlowEngine>> choices) {
+	private EngineFlow(double requestsPerSecond, int layers, List<WeightedChoice<WeightedEngine>> choices) {
 		this.requestsPerSecond = requestsPerSecond;
 		this.layers = layers;
 		this.choices = choices;
@@ -104,11 +105,11 @@
 		List<Replica> path = new ArrayList<>();
 		int layer = 0;
 		while (layer < this.layers) {
-			WeightedChoice<FlowEngine> choice = this.choices.get(layer);
+			WeightedChoice<WeightedEngine> choice = this.choices.get(layer);
 			if (choice == null || choice.isEmpty()) {
 				return Optional.empty();
 			}
-			FlowEngine next = choice.pick(random.nextDouble());
+			FlowEngine next = choice.pick(random.nextDouble()).engine();
 			path.add(next.engine());
 			layer = next.held().to();
 		}
@@ -137,20 +138,25 @@
 
 		Solver(List<FlowEngine> engines, PassTimes times, StreamTargets targets) {
 			this.layers = times.profile().layers();
-			this.engines = engines.stream()
-				.filter((engine) -> engine.held().to() <= this.layers)
-				.sorted(Comparator.comparing((FlowEngine engine) -> engine.engine().id()))
-				.toList();
+			this.engines = new ArrayList<>(engines.size());
+			for (FlowEngine engine : engines) {
+				if (engine.held().to() <= this.layers) {
+					this.engines.add(engine);
+				}
+			}
+			this.engines.sort(FlowEngine.BY_ID);
 			this.times = times;
 			this.targets = targets;
 			this.isBoundary = new boolean[this.layers + 1];
 			this.isBoundary[0] = true;
-			this.engines.forEach((engine) -> this.isBoundary[engine.held().to()] = true);
+			for (FlowEngine engine : this.engines) {
+				this.isBoundary[engine.held().to()] = true;
+			}
 		}
 
 		EngineFlow solve() {
 			double[] factors = lowestPathFactors();
-			if (Double.isInfinite(Arrays.stream(factors).min().orElse(Double.POSITIVE_INFINITY))) {
+			if (isInfinite(factors)) {
 				return new EngineFlow(0, this.layers, noChoices());
 			}
 			solve(capacities(factors));
@@ -160,6 +166,15 @@
 			return new EngineFlow(total / FLOW_UNITS, this.layers, choices());
 		}
 
+		private static boolean isInfinite(double[] factors) {
+			for (double factor : factors) {
+				if (!Double.isInfinite(factor)) {
+					return false;
+				}
+			}
+			return true;
+		}
+
 		private long solve(long[] capacities) {
 			int firstEngineNode = this.layers + 1;
 			this.network = new FlowNetwork(firstEngineNode + 2 * this.engines.size());
@@ -237,9 +252,8 @@
 			Arrays.fill(after, Double.POSITIVE_INFINITY);
 			before[0] = 0;
 			after[this.layers] = 0;
-			List<FlowEngine> byEnd = this.engines.stream()
-				.sorted(Comparator.comparingInt((FlowEngine engine) -> engine.held().to()))
-				.toList();
+			List<FlowEngine> byEnd = new ArrayList<>(this.engines);
+			byEnd.sort(FlowEngine.BY_END);
 			for (FlowEngine engine : byEnd) {
 				int end = engine.held().to();
 				before[end] = Math.min(before[end], factorUpTo(engine, before));
@@ -251,9 +265,12 @@
 							engine.pathFactor(layer, this.layers) + after[engine.held().to()]);
 				}
 			}
-			return this.engines.stream()
-				.mapToDouble((engine) -> factorUpTo(engine, before) + after[engine.held().to()])
-				.toArray();
+			double[] result = new double[this.engines.size()];
+			for (int index = 0; index < result.length; index++) {
+				FlowEngine engine = this.engines.get(index);
+				result[index] = factorUpTo(engine, before) + after[engine.held().to()];
+			}
+			return result;
 		}
 
 		private double factorUpTo(FlowEngine engine, double[] before) {
@@ -274,10 +291,13 @@
 			double[] after = new double[this.layers + 1];
 			double[] inflow = new double[this.layers + 1];
 			double[] outflow = new double[this.layers + 1];
-			List<Entry> byLayer = this.entries.stream()
-				.filter((entry) -> this.network.flow(entry.edge()) > 0)
-				.sorted(Comparator.comparingInt(Entry::layer))
-				.toList();
+			List<Entry> byLayer = new ArrayList<>(this.entries.size());
+			for (Entry entry : this.entries) {
+				if (this.network.flow(entry.edge()) > 0) {
+					byLayer.add(entry);
+				}
+			}
+			byLayer.sort(Entry.BY_LAYER);
 			for (Entry entry : byLayer) {
 				long flow = this.network.flow(entry.edge());
 				FlowEngine engine = this.engines.get(entry.engine());
@@ -309,30 +329,47 @@
 			return (weight[index] > 0) ? weightedSum[index] / weight[index] : 0;
 		}
 
-		private List<WeightedChoice<FlowEngine>> choices() {
-			List<WeightedChoice<FlowEngine>> result = noChoices();
-			for (int layer = 0; layer < this.layers; layer++) {
-				if (!this.isBoundary[layer]) {
-					continue;
+		private List<WeightedChoice<WeightedEngine>> choices() {
+			List<List<WeightedEngine>> flows = new ArrayList<>(Collections.nCopies(this.layers + 1, null));
+			for (Entry entry : this.entries) {
+				if (flows.get(entry.layer()) == null) {
+					flows.set(entry.layer(), new ArrayList<>());
 				}
-				int boundary = layer;
-				Map<FlowEngine, Long> flows = new LinkedHashMap<>();
-				this.entries.stream()
-					.filter((entry) -> entry.layer() == boundary)
-					.forEach((entry) -> flows.put(this.engines.get(entry.engine()), this.network.flow(entry.edge())));
-				if (!flows.isEmpty()) {
-					result.set(layer, WeightedChoice.of(List.copyOf(flows.keySet()), flows::get));
+				flows.get(entry.layer())
+					.add(new WeightedEngine(this.engines.get(entry.engine()), this.network.flow(entry.edge())));
+			}
+			List<WeightedChoice<WeightedEngine>> result = noChoices();
+			for (int layer = 0; layer < this.layers; layer++) {
+				if (flows.get(layer) != null) {
+					result.set(layer, WeightedChoice.of(flows.get(layer), WeightedEngine.FLOW));
 				}
 			}
 			return result;
 		}
 
-		private List<WeightedChoice<FlowEngine>> noChoices() {
+		private List<WeightedChoice<WeightedEngine>> noChoices() {
 			return new ArrayList<>(Collections.nCopies(this.layers + 1, null));
 		}
 
 	}
 
+	/**
+	 * An engine that runs on from a boundary.
+	 *
+	 * @param engine the engine
+	 * @param flow the flow that enters it there
+	 */
+	private record WeightedEngine(FlowEngine engine, long flow) {
+
+		private static final ToDoubleFunction<WeightedEngine> FLOW = new ToDoubleFunction<>() {
+			@Override
+			public double applyAsDouble(WeightedEngine weighted) {
+				return weighted.flow();
+			}
+		};
+
+	}
+
 	/**
 	 * The edge by which requests enter an engine at a layer.
 	 *
@@ -342,6 +379,13 @@
 	 */
 	private record Entry(int engine, int layer, int edge) {
 
+		private static final Comparator<Entry> BY_LAYER = new Comparator<>() {
+			@Override
+			public int compare(Entry first, Entry second) {
+				return Integer.compare(first.layer(), second.layer());
+			}
+		};
+
 	}
 
 }
--- a/router/src/main/java/org/burdocktray/process/balance/FlowEngine.java
+++ b/router/src/main/java/org/burdocktray/process/balance/FlowEngine.java
@@ -1,5 +1,7 @@
 package org.burdocktray.process.balance;
 
+import java.util.Comparator;
+
 import org.burdocktray.process.directory.LayerRange;
 import org.burdocktray.process.directory.Replica;
 import org.burdocktray.version.rules.AcceleratorKind;
@@ -14,6 +16,22 @@
  */
 record FlowEngine(Replica engine, LayerRange held, AcceleratorKind kind, double slowdownFactor) {
 
+	/** The order of ids. */
+	static final Comparator<FlowEngine> BY_ID = new Comparator<>() {
+		@Override
+		public int compare(FlowEngine first, FlowEngine second) {
+			return first.engine.id().compareTo(second.engine.id());
+		}
+	};
+
+	/** The order of the last held layers. */
+	static final Comparator<FlowEngine> BY_END = new Comparator<>() {
+		@Override
+		public int compare(FlowEngine first, FlowEngine second) {
+			return Integer.compare(first.held.to(), second.held.to());
+		}
+	};
+
 	double stepFactor() {
 		return this.kind.stepFactor() * this.slowdownFactor;
 	}
--- a/router/src/main/java/org/burdocktray/version/routing/FlowNetwork.java
+++ b/router/src/main/java/org/burdocktray/version/routing/FlowNetwork.java
@@ -1,6 +1,5 @@
 package org.burdocktray.version.routing;
 
-import java.util.ArrayDeque;
 import java.util.Arrays;
 
 /**
@@ -120,15 +119,16 @@
 	private boolean assignLevels(int source, int sink) {
 		Arrays.fill(this.level, NONE);
 		this.level[source] = 0;
-		ArrayDeque<Integer> queue = new ArrayDeque<>();
-		queue.add(source);
-		while (!queue.isEmpty()) {
-			int node = queue.remove();
+		int[] queue = new int[this.level.length];
+		int queued = 0;
+		queue[queued++] = source;
+		for (int position = 0; position < queued; position++) {
+			int node = queue[position];
 			for (int edge = this.firstEdge[node]; edge != NONE; edge = this.nextEdge[edge]) {
 				int next = this.target[edge];
 				if (this.residual[edge] > 0 && this.level[next] == NONE) {
 					this.level[next] = this.level[node] + 1;
-					queue.add(next);
+					queue[queued++] = next;
 				}
 			}
 		}
