Balancing: a new engine does not load other layers shortly before its predecessor leaves

Cause: while nothing is lost, an engine without layers got those that add to the flow at once. A successor registers before its predecessor leaves, so the layers of the predecessor would have been left without a holder.

Differences by rounding are no gain.

Result: FlowPlacementTests.successorWaitsForItsPredecessorToLeave.

--- a/router/src/main/java/org/burdocktray/process/placement/FlowPlacement.java
+++ b/router/src/main/java/org/burdocktray/process/placement/FlowPlacement.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 
 import org.burdocktray.process.balance.FlowCapacity;
 import org.burdocktray.process.directory.LayerRange;
@@ -35,6 +36,16 @@
 	/** A smaller part of the flow is within the error of the estimate. */
 	private static final double MIN_GAIN_SHARE = 0.02;
 
+	/** Excludes differences by rounding. */
+	private static final double MIN_GAIN_PER_SECOND = 0.001;
+
+	/**
+	 * The gain from which layers that are held by others are worth loading before an
+	 * engine has settled. Below it, the engine may be the successor of one that is about
+	 * to leave, and should get its layers.
+	 */
+	private static final double BOTTLENECK_GAIN_SHARE = 0.1;
+
 	/**
 	 * How much a gain counts that needs the other lost engines to return. It may not
 	 * outweigh a similar gain that is certain.
@@ -70,7 +81,7 @@
 		State state = new State(engines, context.departed().stream().filter(this::isSupported).toList());
 		if (!state.placed.isEmpty() || !context.departed().isEmpty()) {
 			restore(state);
-			assignByFlow(state);
+			assignByFlow(state, context.isSettled());
 			if (canRebuild && state.changes.isEmpty()) {
 				rebuild(state);
 			}
@@ -99,19 +110,22 @@
 		}
 	}
 
-	private void assignByFlow(State state) {
+	private void assignByFlow(State state, Predicate<Replica> isSettled) {
 		while (!state.unplaced.isEmpty()) {
 			Option best = null;
 			double base = this.capacity.requestsPerSecond(state.placed);
 			double expectedBase = expected(state, Optional.empty(), Optional.empty());
+			boolean isAnyLost = !state.missing.isEmpty() || !unheldRanges(state.placed).isEmpty();
 			Map<KindRange, Option> assessed = new HashMap<>();
 			for (Replica engine : state.unplaced) {
+				double minGainShare = (isAnyLost || isSettled.test(engine)) ? MIN_GAIN_SHARE : BOTTLENECK_GAIN_SHARE;
 				for (LayerRange range : candidates(engine, state)) {
 					Option option = assessed.computeIfAbsent(
 							new KindRange(engine.acceleratorKind().orElseThrow(), range),
 							(key) -> assess(engine, range, state, base, expectedBase));
-					if (option.score() > 0 && (best == null || option.perLayer() > best.perLayer())) {
-						best = option;
+					if (option.score() > Math.max(MIN_GAIN_PER_SECOND, minGainShare * base)
+							&& (best == null || option.perLayer() > best.perLayer())) {
+						best = option.forEngine(engine);
 					}
 				}
 			}
@@ -134,8 +148,7 @@
 		double gain = this.capacity.requestsPerSecond(with) - base;
 		double expectedGain = state.missing.isEmpty() ? 0
 				: expected(state, Optional.of(changed), Optional.of(range)) - expectedBase(state, range, expectedBase);
-		double score = gain + EXPECTED_GAIN_WEIGHT * Math.max(0, expectedGain);
-		return new Option(engine, range, gain, (score > MIN_GAIN_SHARE * Math.max(base, 1e-9)) ? score : 0);
+		return new Option(engine, range, gain, gain + EXPECTED_GAIN_WEIGHT * Math.max(0, expectedGain));
 	}
 
 	// The flow if the lost engines return, but for one that held a range.
@@ -295,6 +308,11 @@
 
 	private record Option(Replica engine, LayerRange range, double gain, double score) {
 
+		// Engines of one kind share an assessment.
+		Option forEngine(Replica other) {
+			return new Option(other, this.range, this.gain, this.score);
+		}
+
 		double perLayer() {
 			return this.score / this.range.size();
 		}
--- a/router/src/test/java/org/burdocktray/process/placement/FlowPlacementTests.java
+++ b/router/src/test/java/org/burdocktray/process/placement/FlowPlacementTests.java
@@ -75,6 +75,22 @@
 		assertThat(after).isGreaterThanOrEqualTo(0.9 * before);
 	}
 
+	/**
+	 * Guards against a successor that loads other layers shortly before its predecessor
+	 * leaves, and against one that waits once it has left.
+	 */
+	@Test
+	void successorWaitsForItsPredecessorToLeave() {
+		List<Replica> all = placedFleet();
+		Replica predecessor = all.get(8);
+		List<Replica> both = new ArrayList<>(all);
+		both.add(renamed(predecessor, "successor"));
+		assertThat(PLACEMENT.computeChanges(both, unsettled(List.of()), false)).isEmpty();
+		both.remove(predecessor);
+		assertThat(PLACEMENT.computeChanges(both, unsettled(List.of(predecessor)), false).get("successor").layers())
+			.isEqualTo(predecessor.layers().orElseThrow());
+	}
+
 	/** Guards against engines of a broken path that stay idle with their layers. */
 	@Test
 	void engineOfBrokenPathGetsOtherLayers() {
