Balancing: engines of a broken path keep their layers

Cause: after the loss of some engines, placement divided all engines of the data centre that were on no complete path into pipelines anew. With engines lost in groups every few seconds, all loaded at once and the next loss began it anew; paths through two data centres, which the flow does not count, lost their engines.

Change: only engines without layers get layers by flow.

--- a/router/src/main/java/org/burdocktray/process/balance/EngineFlow.java
+++ b/router/src/main/java/org/burdocktray/process/balance/EngineFlow.java
@@ -70,24 +70,6 @@
 		return solver.solve(solver.capacities(solver.lowestPathFactors())) / FLOW_UNITS;
 	}
 
-	/**
-	 * Finds the engines that no complete path passes through.
-	 * @param engines the engines of one data centre
-	 * @param times the times of passes of the engines
-	 * @return the engines that can serve no request
-	 */
-	static List<Replica> withoutPath(List<FlowEngine> engines, PassTimes times) {
-		Solver solver = new Solver(engines, times, StreamTargets.NONE);
-		double[] factors = solver.lowestPathFactors();
-		List<Replica> result = new ArrayList<>();
-		for (int index = 0; index < factors.length; index++) {
-			if (Double.isInfinite(factors[index])) {
-				result.add(solver.engines.get(index).engine());
-			}
-		}
-		return result;
-	}
-
 	/**
 	 * Returns the rate of typical requests that the engines bear.
 	 * @return requests per second
--- a/router/src/main/java/org/burdocktray/process/balance/FlowCapacity.java
+++ b/router/src/main/java/org/burdocktray/process/balance/FlowCapacity.java
@@ -26,15 +26,6 @@
 		return EngineFlow.estimate(flowEngines(engines), new PassTimes(this.profile), this.targets);
 	}
 
-	/**
-	 * Finds the engines that hold layers but are on no complete path.
-	 * @param engines the engines of one data centre
-	 * @return the engines that can serve no request, by id
-	 */
-	public List<Replica> withoutPath(List<Replica> engines) {
-		return EngineFlow.withoutPath(flowEngines(engines), new PassTimes(this.profile));
-	}
-
 	private List<FlowEngine> flowEngines(List<Replica> engines) {
 		List<FlowEngine> result = new ArrayList<>(engines.size());
 		for (Replica engine : engines) {
--- a/router/src/main/java/org/burdocktray/process/placement/DepartedEngines.java
+++ b/router/src/main/java/org/burdocktray/process/placement/DepartedEngines.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.List;
@@ -62,26 +61,6 @@
 		return found.stream().map(Departure::engine).toList();
 	}
 
-	/**
-	 * Returns how long engines of a data centre have been missing.
-	 * @param service the name of the service
-	 * @param dataCentre the data centre
-	 * @param minCount the number of engines that have to be missing
-	 * @param nowNanos the current time of the monotonic clock
-	 * @return the time for which as many engines have been missing, negative if fewer are
-	 */
-	public long missingNanos(String service, DataCentre dataCentre, int minCount, long nowNanos) {
-		return this.departures.values()
-			.stream()
-			.filter((departure) -> departure.engine().service().equals(service)
-					&& departure.engine().dataCentre().equals(dataCentre))
-			.map((departure) -> nowNanos - departure.sinceNanos())
-			.sorted(Comparator.reverseOrder())
-			.skip(minCount - 1)
-			.findFirst()
-			.orElse(-1L);
-	}
-
 	/**
 	 * Records that an engine was assigned layers. Removes the first departed engine that
 	 * held exactly these layers.
--- a/router/src/main/java/org/burdocktray/process/placement/FlowPlacement.java
+++ b/router/src/main/java/org/burdocktray/process/placement/FlowPlacement.java
@@ -19,14 +19,14 @@
 import org.burdocktray.version.rules.EngineProfile;
 
 /**
- * Decides which layers engines without any get, by the flow that they add, and rebuilds
- * paths that have lost engines. An engine that has restarted gets back what it held,
- * since the others of its group are expected as well. Another one is given at once the
- * layers that add most to the flow for each layer loaded, whether or not an engine that
- * held them is expected back. What adds nothing to the flow is left to
- * {@link LayerPlacement}. Invariants: no engine gets more layers than fit into its
- * memory; engines on a complete path keep their layers; the result is deterministic, and
- * its order is that in which orders should be sent. Thread safety: immutable.
+ * Decides which layers engines without any get, by the flow that they add. An engine that
+ * has restarted gets back what it held, since the others of its group are expected as
+ * well. Another one is given at once the layers that add most to the flow for each layer
+ * loaded, whether or not an engine that held them is expected back. What adds nothing to
+ * the flow is left to {@link LayerPlacement}. Invariants: no engine gets more layers than
+ * fit into its memory; engines that hold layers keep them, but for what
+ * {@link LayerPlacement} moves; the result is deterministic, and its order is that in
+ * which orders should be sent. Thread safety: immutable.
  */
 public final class FlowPlacement {
 
@@ -72,19 +72,14 @@
 	 * Computes the layers of the engines that have to load other layers.
 	 * @param engines the engines of one data centre that are not draining
 	 * @param context the engines that left recently, and which changes are allowed
-	 * @param canRebuild whether engines on no complete path may get other layers
 	 * @return the changes by engine id, the most urgent first; engines that keep their
 	 * layers are missing
 	 */
-	public Map<String, PlacementChange> computeChanges(List<Replica> engines, PlacementContext context,
-			boolean canRebuild) {
+	public Map<String, PlacementChange> computeChanges(List<Replica> engines, PlacementContext context) {
 		State state = new State(engines, context.departed().stream().filter(this::isSupported).toList());
 		if (!state.placed.isEmpty() || !context.departed().isEmpty()) {
 			restore(state);
 			assignByFlow(state, context.isSettled());
-			if (canRebuild && state.changes.isEmpty()) {
-				rebuild(state);
-			}
 		}
 		List<Replica> present = new ArrayList<>(state.placed);
 		present.addAll(state.unplaced);
@@ -229,35 +224,6 @@
 		return result;
 	}
 
-	// Engines on no complete path serve nothing, so that new layers cost them nothing.
-	private void rebuild(State state) {
-		List<Replica> idle = this.capacity.withoutPath(state.placed);
-		if (idle.isEmpty()) {
-			return;
-		}
-		List<Replica> serving = new ArrayList<>(state.placed);
-		serving.removeAll(idle);
-		List<Replica> free = new ArrayList<>(idle);
-		free.addAll(state.unplaced);
-		Map<String, LayerRange> ranges = PipelinePartition.partition(free, this.profile);
-		List<Replica> rebuilt = new ArrayList<>(serving);
-		free.stream()
-			.filter((engine) -> ranges.containsKey(engine.id()))
-			.forEach((engine) -> rebuilt.add(engine.withLayers(Optional.of(ranges.get(engine.id())))));
-		double base = this.capacity.requestsPerSecond(serving);
-		double gain = this.capacity.requestsPerSecond(rebuilt) - base;
-		if (gain <= MIN_GAIN_SHARE * base) {
-			return;
-		}
-		for (Replica engine : free) {
-			LayerRange range = ranges.get(engine.id());
-			if (range != null && !engine.layers().equals(Optional.of(range))) {
-				state.placed.remove(engine);
-				state.place(engine, new PlacementChange(range, Reason.BROKEN_PATH, gain));
-			}
-		}
-	}
-
 	private boolean isSupported(Replica engine) {
 		return engine.acceleratorKind().flatMap(this.profile::kind).isPresent();
 	}
--- a/router/src/main/java/org/burdocktray/process/placement/PlacementChange.java
+++ b/router/src/main/java/org/burdocktray/process/placement/PlacementChange.java
@@ -23,9 +23,6 @@
 		/** The engine has none, and these add most to the flow. */
 		FLOW,
 
-		/** No complete path passes through the engine since others were lost. */
-		BROKEN_PATH,
-
 		/** The number of engines that hold a layer. */
 		HOLDERS
 
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/PlacementLoop.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/PlacementLoop.java
@@ -48,17 +48,6 @@
 	/** How long the predecessor of a new engine may stay listed. */
 	private static final long REPLACEMENT_NANOS = TimeUnit.MILLISECONDS.toNanos(2_500);
 
-	/**
-	 * How long engines of a broken path keep their layers, since a restart takes less
-	 * time than a move.
-	 */
-	private static final long REBUILD_NANOS = REPLACEMENT_NANOS;
-
-	/** The same where as many as a group are missing. */
-	private static final long REBUILD_GROUP_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
-
-	private static final int MIN_LOST_GROUP = 2;
-
 	/** How long a decision holds while nothing changes. */
 	private static final long DECISION_NANOS = TimeUnit.SECONDS.toNanos(1);
 
@@ -171,14 +160,12 @@
 
 	private void placeByFlow(EngineGroup group, List<Replica> engines, EngineProfile profile, long nowNanos) {
 		PlacementContext placementContext = createContext(group, engines, profile, nowNanos);
-		boolean canRebuild = isMissingFor(group, 1, REBUILD_NANOS, nowNanos)
-				|| isMissingFor(group, MIN_LOST_GROUP, REBUILD_GROUP_NANOS, nowNanos);
 		Decision decision = this.decisions.get(group);
-		if (decision == null || !decision.isFor(engines, placementContext, canRebuild, nowNanos)) {
+		if (decision == null || !decision.isFor(engines, placementContext, nowNanos)) {
 			StreamTargets targets = StreamTargets.strictest(this.rules.current().orElseThrow(), group.service());
 			Map<String, PlacementChange> changes = new FlowPlacement(new FlowCapacity(profile, targets))
-				.computeChanges(engines, placementContext, canRebuild);
-			decision = new Decision(List.copyOf(engines), placementContext, canRebuild, nowNanos, changes);
+				.computeChanges(engines, placementContext);
+			decision = new Decision(List.copyOf(engines), placementContext, nowNanos, changes);
 			this.decisions.put(group, decision);
 		}
 		Map<String, Replica> byId = engines.stream().collect(Collectors.toMap(Replica::id, (engine) -> engine));
@@ -191,10 +178,6 @@
 		});
 	}
 
-	private boolean isMissingFor(EngineGroup group, int minCount, long minNanos, long nowNanos) {
-		return this.departedEngines.missingNanos(group.service(), group.dataCentre(), minCount, nowNanos) > minNanos;
-	}
-
 	private void placeLayers(EngineGroup group, List<Replica> engines, EngineProfile profile, long nowNanos) {
 		PlacementContext placementContext = createContext(group, engines, profile, nowNanos);
 		Map<String, LayerRange> changes = LayerPlacement.computeChanges(engines, profile, placementContext);
@@ -275,11 +258,11 @@
 	/**
 	 * A decision by flow and what it was based on.
 	 */
-	private record Decision(List<Replica> engines, PlacementContext context, boolean canRebuild, long decidedNanos,
+	private record Decision(List<Replica> engines, PlacementContext context, long decidedNanos,
 			Map<String, PlacementChange> changes) {
 
-		boolean isFor(List<Replica> others, PlacementContext other, boolean otherCanRebuild, long nowNanos) {
-			return nowNanos - this.decidedNanos < DECISION_NANOS && this.canRebuild == otherCanRebuild
+		boolean isFor(List<Replica> others, PlacementContext other, long nowNanos) {
+			return nowNanos - this.decidedNanos < DECISION_NANOS
 					&& this.context.canMoveEngines() == other.canMoveEngines()
 					&& this.context.departed().equals(other.departed()) && this.engines.equals(others);
 		}
