--- a/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayMetrics.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayMetrics.java
@@ -4,12 +4,15 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
+import java.util.Locale;
 
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.core.metrics.Gauge;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import org.burdocktray.process.balance.DataCentreLoad;
+import org.burdocktray.process.placement.PlacementChange;
 
 /**
  * The metrics of a gateway. Label values come from bounded sets. Thread safety: can be
@@ -142,6 +145,36 @@
 		.labelNames("asked_by", "heard")
 		.register(this.registry);
 
+	private final Counter pathChoices = Counter.builder()
+		.name("burdocktray_gateway_path_choices_total")
+		.help("Paths chosen for runs, by whether they were drawn by flow or found by search")
+		.labelNames("by")
+		.register(this.registry);
+
+	private final Counter layersAssigned = Counter.builder()
+		.name("burdocktray_gateway_layers_assigned_total")
+		.help("Orders to load layers that this VM decided on by flow, by reason")
+		.labelNames("reason")
+		.register(this.registry);
+
+	private final Gauge dataCentreDemand = Gauge.builder()
+		.name("burdocktray_gateway_data_centre_demand")
+		.help("Typical requests per second that are expected in a data centre, by service")
+		.labelNames("service", "data_centre")
+		.register(this.registry);
+
+	private final Gauge dataCentreCapacity = Gauge.builder()
+		.name("burdocktray_gateway_data_centre_capacity")
+		.help("Typical requests per second that the engines of a data centre bear within the targets, by service")
+		.labelNames("service", "data_centre")
+		.register(this.registry);
+
+	private final Gauge dataCentreShare = Gauge.builder()
+		.name("burdocktray_gateway_data_centre_share")
+		.help("Share of the requests of this VM's data centre that a data centre serves, by service")
+		.labelNames("service", "data_centre")
+		.register(this.registry);
+
 	private final Gauge rulesVersion = Gauge.builder()
 		.name("burdocktray_gateway_rules_version")
 		.help("The version of the rules in force")
@@ -247,6 +280,25 @@
 		this.silentReports.labelValues(isOwn ? "this" : "other", isHeard ? "yes" : "no").inc();
 	}
 
+	/**
+	 * Records that a path was chosen.
+	 * @param method {@code flow} or {@code search}
+	 */
+	void recordPathChoice(String method) {
+		this.pathChoices.labelValues(method).inc();
+	}
+
+	void recordLayersAssigned(PlacementChange.Reason reason) {
+		this.layersAssigned.labelValues(reason.name().toLowerCase(Locale.ROOT)).inc();
+	}
+
+	void setDataCentreLoad(String service, DataCentreLoad load) {
+		String dataCentre = load.dataCentre().name();
+		this.dataCentreDemand.labelValues(service, dataCentre).set(load.demandPerSecond());
+		this.dataCentreCapacity.labelValues(service, dataCentre).set(load.capacityPerSecond());
+		this.dataCentreShare.labelValues(service, dataCentre).set(load.share());
+	}
+
 	void setRulesVersion(long version) {
 		this.rulesVersion.set(version);
 	}
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayServer.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayServer.java
@@ -15,6 +15,10 @@
 import org.burdocktray.connection.http.MergedAnswer;
 import org.burdocktray.connection.platform.StoredObject;
 import org.burdocktray.model.NetworkAddress;
+import org.burdocktray.process.balance.DataCentreLoad;
+import org.burdocktray.process.balance.EnginePace;
+import org.burdocktray.process.balance.FleetRoutes;
+import org.burdocktray.process.balance.ReplicaTimes;
 import org.burdocktray.process.demand.DemandExchange;
 import org.burdocktray.process.demand.DemandMeter;
 import org.burdocktray.process.directory.Replica;
@@ -33,6 +37,7 @@
 import org.burdocktray.process.quarantine.Quarantine;
 import org.burdocktray.process.quarantine.QuarantineSettings;
 import org.burdocktray.process.settings.GatewayOptions;
+import org.burdocktray.request.path.FlowPathChoice;
 import org.burdocktray.request.path.LoadSpread;
 import org.burdocktray.request.path.PathSearch;
 import org.burdocktray.version.rules.RulesGate;
@@ -200,16 +205,26 @@
 		Optional<DemandMeter> demandMeter = needsDemand() ? Optional.of(new DemandMeter()) : Optional.empty();
 		Optional<DemandExchange> demand = demandMeter.map((meter) -> new DemandExchange(this.settings.dataCentre(),
 				this.settings.peerAddress(), meter, nowNanos));
+		LoadSpread loadSpread = new LoadSpread(loads, random);
+		EnginePace enginePace = new EnginePace();
+		ReplicaTimes replicaTimes = new ReplicaTimes();
+		Optional<FleetRoutes> routes = demand.flatMap((exchange) -> this.options.balancing()
+			.map((balancing) -> new FleetRoutes(this.settings.dataCentre(), balancing, loads::slowdownFactor,
+					replicaTimes, exchange, new BalancingListener())));
+		Optional<FlowPathChoice> flowPaths = routes
+			.map((fleetRoutes) -> new FlowPathChoice(fleetRoutes, loads, loadSpread, enginePace, random));
 		GatewayContext context = new GatewayContext(this.vertx, this.eventLoopDelay, this.settings.dataCentre(),
-				this.adapter.headers(), this.rules, this.freshness, this.directory, loads, new StreamOutputs(),
-				contacts, reach, relays, relayKey, limits, monitor, engineControl, connections,
-				new PathSearch(this.settings.dataCentre(), loads, random), new LoadSpread(loads, random), retryBudget,
-				demandMeter, crashes, random, this.metrics);
+				this.adapter.headers(), this.rules, this.freshness, this.directory, loads,
+				this.options.balancing().isPresent() ? new StreamOutputs(enginePace) : new StreamOutputs(), contacts,
+				reach, relays, relayKey, limits, monitor, engineControl, connections,
+				new PathSearch(this.settings.dataCentre(), loads, random), loadSpread, routes, replicaTimes, flowPaths,
+				retryBudget, demandMeter, crashes, random, this.metrics);
 		BodyMemory bodyMemory = BodyMemory.ofHeap();
 		GatewayRequestHandler requestHandler = new GatewayRequestHandler(context, this.requestsInProgress,
 				this.rulesPollInterval, bodyMemory, this.gracefulStop::isStopping, this.gracefulStop::isRejecting);
 		PlacementLease placementLease = new PlacementLease(this.adapter.store(), this.settings.vmName());
-		PlacementLoop placementLoop = new PlacementLoop(this.rules, this.directory, engineControl, placementLease);
+		PlacementLoop placementLoop = new PlacementLoop(this.rules, this.directory, engineControl, placementLease,
+				(service) -> routes.filter((fleetRoutes) -> fleetRoutes.isActive(service)).isPresent(), this.metrics);
 		RelayReceiver relayReceiver = new RelayReceiver(relayKey, relayLimit, reach, datagrams, requestHandler,
 				this::isReady, this.metrics);
 		LoadReportBroadcaster loadBroadcaster = new LoadReportBroadcaster(datagrams,
@@ -295,6 +310,8 @@
 			runTick("reach", () -> reach.tick(tickNanos));
 			runTick("relays", () -> relays.tick(tickNanos));
 			runTick("directory", () -> this.directory.tick(tickNanos));
+			routes.ifPresent((fleetRoutes) -> runTick("routes", () -> this.rules.current()
+				.ifPresent((current) -> fleetRoutes.tick(this.directory.usable(), current, tickNanos))));
 			if (!reach.isCutOff()) {
 				runTick("placement", () -> placementLoop.tick(tickNanos));
 			}
@@ -405,4 +422,25 @@
 		return this.gracefulStop.start();
 	}
 
+	/**
+	 * Logs and counts what balancing decides.
+	 */
+	private final class BalancingListener implements FleetRoutes.Listener {
+
+		@Override
+		public void onActivation(String service, boolean isActive, String reason) {
+			LOGGER.infof("Balancing changed: service=%s active=%s reason=%s", service, isActive, reason);
+		}
+
+		@Override
+		public void onShares(String service, List<DataCentreLoad> loads, boolean isLarge) {
+			loads.forEach((load) -> GatewayServer.this.metrics.setDataCentreLoad(service, load));
+			if (isLarge) {
+				LOGGER.infof("Shares of data centres changed: service=%s loads=%s", service,
+						loads.stream().map(DataCentreLoad::describe).collect(Collectors.joining(",")));
+			}
+		}
+
+	}
+
 }
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/TargetSelector.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/TargetSelector.java
@@ -9,10 +9,13 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
 
+import org.burdocktray.process.balance.StreamTargets;
 import org.burdocktray.process.directory.Replica;
+import org.burdocktray.request.path.FlowPathChoice;
 import org.burdocktray.request.path.LayerPath;
 import org.burdocktray.request.path.LoadSpread;
 import org.burdocktray.request.path.PathDemand;
+import org.burdocktray.request.path.PathStage;
 import org.burdocktray.version.rules.EngineProfile;
 import org.burdocktray.version.rules.ServiceRule;
 
@@ -35,6 +38,8 @@
 
 	private final ServiceRule service;
 
+	private final StreamTargets targets;
+
 	private final RequestHead requestHead;
 
 	/** False for requests that another VM relays already. */
@@ -48,6 +53,7 @@
 	TargetSelector(GatewayContext context, AdmittedRequest admitted) {
 		this.context = context;
 		this.service = admitted.service();
+		this.targets = StreamTargets.of(admitted.route());
 		this.requestHead = admitted.head();
 		this.mayBeRelayed = admitted.relayed().isEmpty();
 	}
@@ -178,13 +184,25 @@
 	 * @return a target with the new path, empty when there is none
 	 */
 	Optional<Target> selectBehindHead(Target current) {
-		LayerPath path = current.path().orElseThrow();
+		PathStage head = current.path().orElseThrow().stages().get(0);
 		EngineProfile profile = this.service.engine().orElseThrow();
-		return this.context.pathSearch()
-			.findAfter(path.stages().get(0), candidates(), createPathDemand(profile, 1), profile)
+		List<Replica> engines = candidates();
+		return findBehindHead(head, engines, profile)
+			.or(() -> this.context.pathSearch().findAfter(head, engines, createPathDemand(profile, 1), profile))
 			.map((found) -> new Target(current.replica(), Optional.of(found), current.tokens()));
 	}
 
+	// All streams of a lost engine look for another one at the same time, so they are
+	// spread like new ones.
+	private Optional<LayerPath> findBehindHead(PathStage head, List<Replica> engines, EngineProfile profile) {
+		if (this.context.routes().filter((routes) -> routes.isActive(this.service.name())).isEmpty()) {
+			return Optional.empty();
+		}
+		return this.context.pathSearch()
+			.findAfter(head, withoutSilent(engines), createPathDemand(profile, this.context.loadSpread().drawKvShare()),
+					profile);
+	}
+
 	private List<Replica> without(Replica silent) {
 		return candidates().stream().filter((replica) -> !replica.id().equals(silent.id())).toList();
 	}
@@ -194,15 +212,34 @@
 		LoadSpread spread = this.context.loadSpread();
 		Predicate<Replica> hasRoom = this.context.limits()::hasRoom;
 		PathDemand demand = createPathDemand(profile, LoadSpread.MAX_KV_SHARE);
-		Optional<LayerPath> found = findPath(responsive, createPathDemand(profile, spread.drawKvShare()), profile,
+		Optional<LayerPath> found = drawPath(profile, demand, responsive, hasRoom);
+		if (found.isPresent()) {
+			this.context.metrics().recordPathChoice("flow");
+			return found.map((path) -> new Target(path.head(), Optional.of(path), demand.totalTokens()));
+		}
+		found = findPath(responsive, createPathDemand(profile, spread.drawKvShare()), profile,
 				hasRoom.and(spread::mayBegin))
 			.or(() -> findPath(responsive, demand, profile, hasRoom));
 		if (found.isEmpty() && responsive.size() < engines.size()) {
 			found = findPath(engines, demand, profile, hasRoom);
 		}
+		found.ifPresent((path) -> this.context.metrics().recordPathChoice("search"));
 		return found.map((path) -> new Target(path.head(), Optional.of(path), demand.totalTokens()));
 	}
 
+	private Optional<LayerPath> drawPath(EngineProfile profile, PathDemand demand, List<Replica> engines,
+			Predicate<Replica> mayBeFirst) {
+		if (this.context.flowPaths().isEmpty()) {
+			return Optional.empty();
+		}
+		Map<String, Replica> usable = new HashMap<>();
+		engines.forEach((engine) -> usable.put(engine.id(), engine));
+		return this.context.flowPaths()
+			.get()
+			.choose(new FlowPathChoice.Request(this.service.name(), profile, this.targets, demand),
+					(engine) -> engine.equals(usable.get(engine.id())), mayBeFirst, System.nanoTime());
+	}
+
 	private List<Replica> withoutSilent(List<Replica> engines) {
 		long nowNanos = System.nanoTime();
 		return engines.stream().filter((engine) -> !this.context.outputs().isSilent(engine, nowNanos)).toList();
@@ -222,8 +259,14 @@
 	}
 
 	private Optional<Target> selectAmong(List<Replica> selectable) {
-		return selectable.stream()
-			.filter(this.context.limits()::hasRoom)
+		List<Replica> withRoom = selectable.stream().filter(this.context.limits()::hasRoom).toList();
+		Optional<Replica> drawn = this.context.routes()
+			.flatMap((routes) -> routes.choosePlain(this.service.name(), withRoom, this.context.loads()::inFlight,
+					this.context.random(), System.nanoTime()));
+		if (drawn.isPresent()) {
+			return drawn.map((replica) -> new Target(replica, Optional.empty(), 0));
+		}
+		return withRoom.stream()
 			.map((replica) -> new ScoredReplica(replica, score(replica)))
 			.min(Comparator.comparingDouble(ScoredReplica::score))
 			.map((scored) -> new Target(scored.replica(), Optional.empty(), 0));
--- a/router/src/main/java/org/burdocktray/version/routing/FlowNetwork.java
+++ b/router/src/main/java/org/burdocktray/version/routing/FlowNetwork.java
@@ -1,6 +1,5 @@
 package org.burdocktray.version.routing;
 
-import java.util.ArrayDeque;
 import java.util.Arrays;
 
 /**
@@ -8,10 +7,10 @@
  * Capacities are integers, so results are exact. Invariant: the flow of an edge is
  * between 0 and its capacity. Thread safety: none, confined to one solver.
  */
-final class FlowNetwork {
+public final class FlowNetwork {
 
 	/** A capacity above any sum of finite capacities. */
-	static final long UNBOUNDED = Long.MAX_VALUE / 4;
+	public static final long UNBOUNDED = Long.MAX_VALUE / 4;
 
 	private static final int INITIAL_EDGES = 64;
 
@@ -31,7 +30,11 @@
 
 	private int edges;
 
-	FlowNetwork(int nodes) {
+	/**
+	 * Creates a graph without edges.
+	 * @param nodes the number of nodes
+	 */
+	public FlowNetwork(int nodes) {
 		this.firstEdge = new int[nodes];
 		Arrays.fill(this.firstEdge, NONE);
 		this.level = new int[nodes];
@@ -45,7 +48,7 @@
 	 * @param capacity the maximum flow
 	 * @return the index of the edge
 	 */
-	int addEdge(int from, int to, long capacity) {
+	public int addEdge(int from, int to, long capacity) {
 		int edge = this.edges;
 		append(from, to, capacity);
 		append(to, from, 0);
@@ -57,11 +60,16 @@
 	 * @param edge the index of the edge
 	 * @param added the increase of the capacity
 	 */
-	void raiseCapacity(int edge, long added) {
+	public void raiseCapacity(int edge, long added) {
 		this.residual[edge] += added;
 	}
 
-	long flow(int edge) {
+	/**
+	 * Returns the flow of an edge.
+	 * @param edge the index of the edge
+	 * @return the flow, from 0 to the capacity
+	 */
+	public long flow(int edge) {
 		return this.residual[edge ^ 1];
 	}
 
@@ -71,7 +79,7 @@
 	 * @param sink the node at which the flow ends
 	 * @return the increase of the flow
 	 */
-	long augment(int source, int sink) {
+	public long augment(int source, int sink) {
 		long added = 0;
 		while (assignLevels(source, sink)) {
 			System.arraycopy(this.firstEdge, 0, this.nextUntriedEdge, 0, this.nextUntriedEdge.length);
@@ -90,7 +98,7 @@
 	 * @param node the node
 	 * @return true if the node is reachable from the source in the residual graph
 	 */
-	boolean isOnSourceSide(int node) {
+	public boolean isOnSourceSide(int node) {
 		return this.level[node] != NONE;
 	}
 
@@ -111,15 +119,16 @@
 	private boolean assignLevels(int source, int sink) {
 		Arrays.fill(this.level, NONE);
 		this.level[source] = 0;
-		ArrayDeque<Integer> queue = new ArrayDeque<>();
-		queue.add(source);
-		while (!queue.isEmpty()) {
-			int node = queue.remove();
+		int[] queue = new int[this.level.length];
+		int queued = 0;
+		queue[queued++] = source;
+		for (int position = 0; position < queued; position++) {
+			int node = queue[position];
 			for (int edge = this.firstEdge[node]; edge != NONE; edge = this.nextEdge[edge]) {
 				int next = this.target[edge];
 				if (this.residual[edge] > 0 && this.level[next] == NONE) {
 					this.level[next] = this.level[node] + 1;
-					queue.add(next);
+					queue[queued++] = next;
 				}
 			}
 		}
