Hedged runs in the gateway

Cause: the decisions of request.hedge were not used.

Change: with the section hedging in its options, the gateway starts a second run of a late request through RunHandover. The first useful answer wins. Of the run that loses nothing is recorded against its replica, and a hedged run becomes an ordinary successor if the first run falls silent. Metrics, log lines, a sentence of explain. Without the section nothing changes.

--- a/router/src/main/java/org/burdocktray/process/explain/RequestTimeline.java
+++ b/router/src/main/java/org/burdocktray/process/explain/RequestTimeline.java
@@ -90,7 +90,8 @@
 		}
 		String status = last.field("status").orElse("?");
 		String reason = last.lastField("cause").orElse("");
-		return describeOutcome(status, last) + EndCause.explain(reason) + describeStoreOutage(reason, timeline);
+		return describeOutcome(status, last) + EndCause.explain(reason) + describeHedge(timeline)
+				+ describeStoreOutage(reason, timeline);
 	}
 
 	private static String describeOutcome(String status, LogLine last) {
@@ -104,13 +105,26 @@
 		return end + duration + "; " + ran + ". ";
 	}
 
+	private static String describeHedge(List<LogLine> timeline) {
+		Optional<LogLine> sent = findLast("Hedged run sent", timeline);
+		if (sent.isEmpty()) {
+			return "";
+		}
+		String result = findLast("Hedged run ended", timeline).flatMap((line) -> line.field("result")).orElse("?");
+		return " It was late, so a second run was hedged to " + sent.get().field("replica").orElse("?") + " beside "
+				+ sent.get().field("first").orElse("?") + " after " + sent.get().field("delayMillis").orElse("?")
+				+ " ms: " + result + ".";
+	}
+
+	private static Optional<LogLine> findLast(String event, List<LogLine> timeline) {
+		return timeline.stream().filter((line) -> line.event().equals(event)).reduce((first, second) -> second);
+	}
+
 	private static String describeStoreOutage(String reason, List<LogLine> timeline) {
 		if (!reason.startsWith(EndCause.RULES_STALE_PREFIX)) {
 			return "";
 		}
-		return timeline.stream()
-			.filter((line) -> line.event().equals("Store does not answer"))
-			.reduce((first, second) -> second)
+		return findLast("Store does not answer", timeline)
 			.map((line) -> " The VM detected at " + line.time() + " that the store did not respond.")
 			.orElse("");
 	}
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/AdmittedRequest.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/AdmittedRequest.java
@@ -27,6 +27,23 @@
 
 	private static final int ORGANISATION_PRIORITY_FACTOR = 1_000;
 
+	/**
+	 * Returns the name of the organisation whose limits apply.
+	 * @return the name, empty on public routes
+	 */
+	String organisationName() {
+		return this.organisation.map(OrganisationRule::name).orElse("");
+	}
+
+	/**
+	 * Returns whether this VM may start a second run of the request if it is late.
+	 * @return false for calls that may not be repeated, and for requests that another VM
+	 * relays
+	 */
+	boolean isHedgeable() {
+		return this.route.isRepeatable() && this.relayed.isEmpty();
+	}
+
 	/**
 	 * Returns the priority of the request. The priority of its organisation takes
 	 * precedence over that of its route.
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/ForwardExchange.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/ForwardExchange.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
 
@@ -15,6 +16,7 @@
 import org.burdocktray.request.forward.ForwardState;
 import org.burdocktray.request.forward.ResponseTiming;
 import org.burdocktray.request.forward.WaitingRequest;
+import org.burdocktray.request.hedge.HedgeClass;
 import org.burdocktray.version.rules.RequestKind;
 
 /**
@@ -49,6 +51,11 @@
 	 */
 	private static final long CUT_OFF_SILENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
 
+	/**
+	 * The silence after which a hedged run through a failed engine counts as lost.
+	 */
+	private static final long HEDGED_SILENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
+
 	/**
 	 * The silence after which a VM that relays a stream has failed. It recovers the
 	 * stream from the silence of a replica sooner.
@@ -85,6 +92,9 @@
 
 	private Optional<Attempt> attempt = Optional.empty();
 
+	/** The attempt whose first event hedging waits for. */
+	private Optional<Attempt> timedAttempt = Optional.empty();
+
 	private final RequestDispatch dispatch;
 
 	private boolean ended;
@@ -118,6 +128,9 @@
 		this.requestsInProgress.add(this);
 		if (this.admitted.relayed().isEmpty()) {
 			this.context.retryBudget().recordFirstAttempt(this.admitted.service().name(), System.nanoTime());
+			this.context.hedging()
+				.ifPresent((policy) -> policy.recordRequest(this.admitted.service().name(),
+						this.admitted.organisationName(), System.nanoTime()));
 		}
 		this.callerResponse.onDisconnect(this::onCallerDisconnect);
 		this.timeLimitMillis = Math.max(1, this.admitted.request().remainingMillis());
@@ -195,6 +208,40 @@
 	public void onSend() {
 		this.runGuard.startRun(currentAttempt(), currentAttempt().target());
 		startSilenceTimer(currentAttempt());
+		startHedgeTimer(currentAttempt());
+	}
+
+	private void startHedgeTimer(Attempt started) {
+		if (this.context.hedging().isEmpty() || !this.admitted.isHedgeable() || this.callerResponse.isStarted()
+				|| started.target().isRelay()) {
+			return;
+		}
+		this.timedAttempt = Optional.of(started);
+		OptionalLong delayNanos = this.context.hedging().get().recordStart(hedgeClass(), System.nanoTime());
+		if (delayNanos.isEmpty()) {
+			return;
+		}
+		long delayMillis = Math.max(1, delayNanos.getAsLong() / NANOS_PER_MILLI);
+		this.context.vertx().setTimer(delayMillis, (timer) -> {
+			if (isCurrent(started) && !this.callerResponse.isStarted()) {
+				this.handover.hedge(started);
+			}
+		});
+	}
+
+	// Is called at the first event, before anything is cancelled.
+	private void recordFirstEvent() {
+		this.timedAttempt.filter(this::isCurrent).ifPresent((timed) -> {
+			long nowNanos = System.nanoTime();
+			this.context.hedging()
+				.ifPresent((policy) -> policy.recordFirstEvent(hedgeClass(), nowNanos - timed.sentNanos(), nowNanos));
+		});
+		this.timedAttempt = Optional.empty();
+	}
+
+	private HedgeClass hedgeClass() {
+		int size = this.admitted.head().promptTokens().orElse(this.admitted.request().body().length());
+		return HedgeClass.of(this.admitted.route().name(), this.admitted.service().name(), size);
 	}
 
 	private void startSilenceTimer(Attempt timedAttempt) {
@@ -224,6 +271,9 @@
 			retryAfterFailure(head, body, replica);
 			return;
 		}
+		if (head.statusCode() / 100 == 2) {
+			recordFirstEvent();
+		}
 		endSilence();
 		this.runGuard.recordResponse(currentAttempt(), head.statusCode());
 		deliver(head, body, currentAttempt());
@@ -300,6 +350,7 @@
 			return;
 		}
 		this.streamRecovery.recordProgress();
+		recordFirstEvent();
 		endSilence();
 		this.runGuard.recordOutput(currentAttempt(), System.nanoTime());
 		if (isFirst) {
@@ -310,7 +361,7 @@
 
 	// The present run responds, so it needs no successor.
 	private void endSilence() {
-		this.handover.cancel();
+		this.handover.cancelForResponse();
 		this.runGuard.resumeRun(currentAttempt());
 	}
 
@@ -390,7 +441,9 @@
 				SILENT_RELAY_NANOS);
 		if (this.handover.isInProgress()) {
 			this.handover.checkProgress(nowNanos);
-			return;
+			if (!this.handover.isHedging()) {
+				return;
+			}
 		}
 		this.attempt.ifPresent((running) -> this.streamRecovery.check(running, nowNanos));
 	}
@@ -417,11 +470,19 @@
 	void onEngineFailure(Replica engine) {
 		if (this.handover.isInProgress()) {
 			this.handover.onEngineFailure(engine);
+			startSuccessorOfHedged(engine);
 			return;
 		}
 		this.attempt.ifPresent((running) -> this.streamRecovery.onEngineFailure(running, engine));
 	}
 
+	// The hedged run becomes the successor, so the path is not changed.
+	private void startSuccessorOfHedged(Replica engine) {
+		if (this.handover.isHedging()) {
+			startSuccessorIfSilent((running) -> running.target().contains(engine), HEDGED_SILENCE_NANOS);
+		}
+	}
+
 	@Override
 	public void startSuccessor(Attempt silent, String cause) {
 		if (!isCurrent(silent)) {
@@ -442,6 +503,9 @@
 	@Override
 	public Attempt.Listener takeOver(RunHandover.Successor successor) {
 		Attempt silent = currentAttempt();
+		if (successor.isHedge()) {
+			return takeOverFromLoser(silent, successor);
+		}
 		RequestEventLog.logRunHandedOver(this.admitted, silent.target(), successor.attempt().target(),
 				silentNanos(silent));
 		this.state.recordOutcome(AttemptOutcome.LOST);
@@ -455,6 +519,16 @@
 		return this;
 	}
 
+	// A run that loses has not failed: nothing is held against its replica.
+	private Attempt.Listener takeOverFromLoser(Attempt loser, RunHandover.Successor winner) {
+		recordFirstEvent();
+		this.state.recordOutcome(AttemptOutcome.LOST);
+		loser.cancel();
+		this.runGuard.end(loser);
+		continueWith(winner);
+		return this;
+	}
+
 	@Override
 	public void onSuccessorFailure(String cause) {
 		this.finalResponse.setLastCause(cause);
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayMetrics.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayMetrics.java
@@ -43,6 +43,34 @@
 		.help("Runs started beside a silent run of the same request")
 		.register(this.registry);
 
+	private final Counter hedges = Counter.builder()
+		.name("burdocktray_gateway_hedges_total")
+		.help("Hedged runs, by what became of them")
+		.labelNames("result")
+		.register(this.registry);
+
+	private final Counter skippedHedges = Counter.builder()
+		.name("burdocktray_gateway_hedges_skipped_total")
+		.help("Late requests that got no hedged run, by the reason")
+		.labelNames("reason")
+		.register(this.registry);
+
+	private final Counter hedgeLosers = Counter.builder()
+		.name("burdocktray_gateway_hedge_losers_total")
+		.help("Runs cancelled since the other run of a hedged request has won, by whether they had responded")
+		.labelNames("responded")
+		.register(this.registry);
+
+	private final Counter hedgeWasteSeconds = Counter.builder()
+		.name("burdocktray_gateway_hedge_waste_seconds_total")
+		.help("Time for which runs were in progress that lost to the other run of a hedged request")
+		.register(this.registry);
+
+	private final Counter hedgeWasteTokens = Counter.builder()
+		.name("burdocktray_gateway_hedge_waste_tokens_total")
+		.help("Prompt tokens of runs that lost to the other run of a hedged request")
+		.register(this.registry);
+
 	private final Counter brokenOffResponses = Counter.builder()
 		.name("burdocktray_gateway_broken_off_responses_total")
 		.help("Responses that this VM broke off after their start")
@@ -149,6 +177,26 @@
 		this.successors.inc();
 	}
 
+	void recordHedge(String result) {
+		this.hedges.labelValues(result).inc();
+	}
+
+	void recordHedgeSkipped(String reason) {
+		this.skippedHedges.labelValues(reason).inc();
+	}
+
+	/**
+	 * Records a run that lost to the other run of its request.
+	 * @param hasResponded whether it had begun to respond when it was cancelled
+	 * @param runNanos how long it was in progress
+	 * @param promptTokens the tokens of its prompt
+	 */
+	void recordHedgeLoser(boolean hasResponded, long runNanos, int promptTokens) {
+		this.hedgeLosers.labelValues(hasResponded ? "yes" : "no").inc();
+		this.hedgeWasteSeconds.inc(runNanos / NANOS_PER_SECOND);
+		this.hedgeWasteTokens.inc(promptTokens);
+	}
+
 	void recordBrokenOffResponse() {
 		this.brokenOffResponses.inc();
 	}
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayServer.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayServer.java
@@ -32,6 +32,8 @@
 import org.burdocktray.process.quarantine.Quarantine;
 import org.burdocktray.process.quarantine.QuarantineSettings;
 import org.burdocktray.process.settings.GatewayOptions;
+import org.burdocktray.request.hedge.HedgePolicy;
+import org.burdocktray.request.hedge.KnownLoadCapacity;
 import org.burdocktray.request.path.LoadSpread;
 import org.burdocktray.request.path.PathSearch;
 import org.burdocktray.version.rules.RulesGate;
@@ -199,11 +201,12 @@
 		Optional<DemandMeter> demandMeter = needsDemand() ? Optional.of(new DemandMeter()) : Optional.empty();
 		Optional<DemandExchange> demand = demandMeter.map((meter) -> new DemandExchange(this.settings.dataCentre(),
 				this.settings.peerAddress(), meter, nowNanos));
+		Optional<HedgePolicy> hedging = createHedging(retryBudget, loads);
 		GatewayContext context = new GatewayContext(this.vertx, this.eventLoopDelay, this.settings.dataCentre(),
 				this.adapter.headers(), this.rules, this.freshness, this.directory, loads, new StreamOutputs(),
 				contacts, reach, relays, relayKey, limits, monitor, engineControl, connections,
 				new PathSearch(this.settings.dataCentre(), loads, random), new LoadSpread(loads, random), retryBudget,
-				demandMeter, crashes, random, this.metrics);
+				demandMeter, hedging, crashes, random, this.metrics);
 		GatewayRequestHandler requestHandler = new GatewayRequestHandler(context, this.requestsInProgress,
 				this.rulesPollInterval, this.gracefulStop::isStopping, this.gracefulStop::isRejecting);
 		PlacementLease placementLease = new PlacementLease(this.adapter.store(), this.settings.vmName());
@@ -260,6 +263,7 @@
 				(vms) -> {
 					List<String> vmNames = vms.stream().map(FleetRegistry.RegisteredVm::name).toList();
 					retryBudget.setVmCount(vms.size());
+					hedging.ifPresent((policy) -> policy.setVmCount(vms.size()));
 					replicaLimits.setVms(vmNames);
 					placementLease.setVms(vmNames);
 					List<FleetRegistry.RegisteredVm> localVms = vms.stream()
@@ -306,6 +310,13 @@
 			.onSuccess((listening) -> listeners.listenToRelays(relayReceiver::handle));
 	}
 
+	private Optional<HedgePolicy> createHedging(FleetRetryBudget retryBudget, ReplicaLoads loads) {
+		return this.options.hedging()
+			.map((hedging) -> new HedgePolicy(hedging,
+					TimeUnit.MILLISECONDS.toNanos(this.settings.bounds().retryWindowMillis()), retryBudget,
+					new KnownLoadCapacity(loads, this.requestsInProgress::isAnyWaiting)));
+	}
+
 	private boolean needsDemand() {
 		return this.options.overload().isPresent() || this.options.balancing().isPresent();
 	}
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/RequestEventLog.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/RequestEventLog.java
@@ -69,6 +69,16 @@
 				silentNanos / NANOS_PER_MILLI, cause);
 	}
 
+	static void logHedgeSent(AdmittedRequest admitted, Target first, Target hedged, long delayNanos) {
+		LOGGER.infof("Hedged run sent: request=%s replica=%s path=%s first=%s delayMillis=%d", requestId(admitted),
+				hedged.replica().id(), formatPath(hedged.path()), first.replica().id(), delayNanos / NANOS_PER_MILLI);
+	}
+
+	static void logHedgeEnded(AdmittedRequest admitted, Target hedged, String result) {
+		LOGGER.infof("Hedged run ended: request=%s replica=%s result=%s", requestId(admitted), hedged.replica().id(),
+				result);
+	}
+
 	static void logRunKept(AdmittedRequest admitted, Target silent, String obstacle, long silentNanos) {
 		LOGGER.infof("Silent run kept: request=%s replica=%s path=%s silentMillis=%d cause=%s", requestId(admitted),
 				silent.replica().id(), formatPath(silent.path()), silentNanos / NANOS_PER_MILLI, obstacle);
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/RequestsInProgress.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/RequestsInProgress.java
@@ -50,6 +50,10 @@
 		return this.responses.size();
 	}
 
+	boolean isAnyWaiting() {
+		return this.exchanges.stream().anyMatch(ForwardExchange::isWaiting);
+	}
+
 	/**
 	 * Returns whether no request has been in progress for a while.
 	 * @param quietNanos the time
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/RunGuard.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/RunGuard.java
@@ -101,11 +101,18 @@
 		if (target.isRelay()) {
 			return Single.just(List.of());
 		}
-		boolean isSuspected = (this.hasLostRun && !this.harmless) || !(check() instanceof QuarantineDecision.Run);
-		return isSuspected ? this.detector.findUnresponsive(target.replicas(), this.healthPath)
+		return isSuspected() ? this.detector.findUnresponsive(target.replicas(), this.healthPath)
 				: Single.just(List.of());
 	}
 
+	/**
+	 * Returns whether the request may crash replicas.
+	 * @return true after a lost run without much output, or by the quarantine
+	 */
+	boolean isSuspected() {
+		return (this.hasLostRun && !this.harmless) || !(check() instanceof QuarantineDecision.Run);
+	}
+
 	/**
 	 * Records that a run begins. The runs of a relayed request are recorded by the VM
 	 * that sends it to replicas.
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/RunHandover.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/RunHandover.java
@@ -11,13 +11,18 @@
 import org.burdocktray.request.forward.AttemptOutcome;
 import org.burdocktray.request.forward.EventFramer;
 import org.burdocktray.request.forward.ForwardState;
+import org.burdocktray.request.hedge.HedgeCandidate;
+import org.burdocktray.request.hedge.HedgeObstacle;
+import org.burdocktray.request.hedge.HedgePolicy;
 import org.burdocktray.version.rules.RequestKind;
 
 /**
  * Starts the run that succeeds a silent one. A replica may fall silent for a moment and
  * go on, so silence does not end a run: the silent run is kept until its successor
- * responds. Whichever responds first goes on, the other one is cancelled. Invariants: a
- * request has at most one successor at a time; the silent run is ended only by the
+ * responds. Whichever responds first goes on, the other one is cancelled. A hedged run is
+ * started likewise beside a run that is late, of which nothing is recorded; it becomes an
+ * ordinary successor when that run falls silent. Invariants: a request has at most one
+ * successor at a time, and one hedged run in all; the silent run is ended only by the
  * {@link Owner}, when it takes over the successor at its first whole event. Thread
  * safety: confined to one event loop.
  */
@@ -59,6 +64,11 @@
 
 	private String lastObstacle = "";
 
+	/** The late run, while the successor is a hedged one. */
+	private Optional<Attempt> lateRun = Optional.empty();
+
+	private boolean hedgedBefore;
+
 	RunHandover(GatewayContext context, AdmittedRequest admitted, ForwardState state, TargetSelector targetSelector,
 			RunPreparation preparation, RunGuard runGuard, ReplicaHealth health, Owner owner) {
 		this.context = context;
@@ -87,6 +97,11 @@
 	 * @param cause why it counts as silent, for logs
 	 */
 	void begin(Attempt silent, String cause) {
+		if (isHedging()) {
+			endHedge(HedgeResult.BECAME_SUCCESSOR);
+			lossChecked(silent).subscribe();
+			return;
+		}
 		if (isInProgress() || !this.state.canStartSecondRun()) {
 			return;
 		}
@@ -95,6 +110,76 @@
 		lossChecked(silent).subscribe(() -> prepare(current, 1));
 	}
 
+	/**
+	 * Starts a second run of a late request if it may run twice and there is capacity.
+	 * @param late the attempt without a first event
+	 */
+	void hedge(Attempt late) {
+		HedgePolicy policy = this.context.hedging().orElseThrow();
+		HedgeCandidate candidate = createCandidate();
+		Optional<HedgeObstacle> obstacle = policy.findObstacle(candidate, System.nanoTime());
+		if (obstacle.isPresent()) {
+			this.context.metrics().recordHedgeSkipped(obstacle.get().label());
+			return;
+		}
+		Silence current = new Silence(late, "late");
+		this.silence = Optional.of(current);
+		this.preparation
+			.prepare(
+					(spared) -> this.targetSelector.selectApartFrom(late.target(), spared)
+						.filter((target) -> policy.hasCapacity(candidate.service(), target.replicas())),
+					true, () -> isCurrent(current))
+			.subscribe((result) -> onHedgePrepared(current, candidate, result));
+	}
+
+	private HedgeCandidate createCandidate() {
+		boolean isReachable = !this.targetSelector.isReachUncertain() && !this.context.reach().isCutOff();
+		return new HedgeCandidate(this.admitted.service().name(), this.admitted.organisationName(),
+				this.admitted.isHedgeable(), false, this.hedgedBefore || isInProgress(), this.state.canStartSecondRun(),
+				this.runGuard.isSuspected(), isReachable);
+	}
+
+	private void onHedgePrepared(Silence current, HedgeCandidate candidate, RunPreparation.Result result) {
+		if (!isCurrent(current)) {
+			return;
+		}
+		this.silence = Optional.empty();
+		if (!(result instanceof RunPreparation.Result.Ready ready)) {
+			this.context.metrics().recordHedgeSkipped(findHedgeObstacle(result).label());
+			return;
+		}
+		long nowNanos = System.nanoTime();
+		if (!this.context.hedging().orElseThrow().tryAcquireRun(candidate, nowNanos)) {
+			this.context.retryBudget().returnRetry(candidate.service());
+			this.context.metrics().recordHedgeSkipped(HedgeObstacle.LIMIT.label());
+			return;
+		}
+		this.hedgedBefore = true;
+		this.lateRun = Optional.of(current.silent());
+		RequestEventLog.logHedgeSent(this.admitted, current.silent().target(), ready.target(),
+				nowNanos - current.silent().sentNanos());
+		send(ready.target());
+	}
+
+	private static HedgeObstacle findHedgeObstacle(RunPreparation.Result result) {
+		if (!(result instanceof RunPreparation.Result.Blocked blocked)) {
+			return HedgeObstacle.SUSPECTED;
+		}
+		return switch (blocked.obstacle()) {
+			case BUDGET_SPENT -> HedgeObstacle.BUDGET;
+			case NO_TARGET -> HedgeObstacle.NO_CAPACITY;
+			case LOST_RUN_UNEXPLAINED, OTHER_RUN, TARGET_UNRESPONSIVE, NOT_NEEDED -> HedgeObstacle.SUSPECTED;
+		};
+	}
+
+	/**
+	 * Returns whether a hedged run is in progress.
+	 * @return false also if it has become an ordinary successor
+	 */
+	boolean isHedging() {
+		return this.lateRun.isPresent();
+	}
+
 	// While this VM is cut off, silence is no sign of a loss.
 	private Completable lossChecked(Attempt silent) {
 		if (this.context.reach().isCutOff()) {
@@ -136,6 +221,13 @@
 	}
 
 	private void start(Silence current, Target next) {
+		this.context.metrics().recordSuccessorStarted();
+		RequestEventLog.logSuccessorSent(this.admitted, current.silent().target(), next, current.cause(),
+				this.owner.silentNanos(current.silent()));
+		send(next);
+	}
+
+	private void send(Target next) {
 		this.state.recordSend();
 		this.streamHead = Optional.empty();
 		this.framer.reset();
@@ -143,12 +235,37 @@
 		this.recovery.onAttemptStart(false);
 		Attempt started = new Attempt(this.context, this.owner.nextRequest(), next, this);
 		this.successor = Optional.of(started);
-		this.context.metrics().recordSuccessorStarted();
-		RequestEventLog.logSuccessorSent(this.admitted, current.silent().target(), next, current.cause(),
-				this.owner.silentNanos(current.silent()));
 		started.start();
 	}
 
+	// Must be called before the runs of the request are ended.
+	private void endHedge(HedgeResult result) {
+		this.lateRun.ifPresent((first) -> {
+			Attempt second = this.successor.orElseThrow();
+			this.context.metrics().recordHedge(result.label());
+			RequestEventLog.logHedgeEnded(this.admitted, second.target(), result.label());
+			if (result == HedgeResult.FIRST_WON) {
+				recordLoser(second);
+			}
+			else if (result == HedgeResult.SECOND_WON) {
+				recordLoser(first);
+			}
+			boolean isCancelled = result == HedgeResult.FIRST_WON || result == HedgeResult.NO_WINNER;
+			if (isCancelled && !second.isSent()) {
+				this.context.retryBudget().returnRetry(this.admitted.service().name());
+			}
+		});
+		this.lateRun = Optional.empty();
+	}
+
+	private void recordLoser(Attempt loser) {
+		if (loser.isSent()) {
+			this.context.metrics()
+				.recordHedgeLoser(loser.answerOrigin() != AnswerOrigin.NONE, System.nanoTime() - loser.sentNanos(),
+						this.admitted.head().promptTokens().orElse(0));
+		}
+	}
+
 	private void endPreparation(Silence current) {
 		this.silence = Optional.empty();
 		this.runGuard.resumeRun(current.silent());
@@ -184,8 +301,15 @@
 		this.successor.ifPresent((running) -> this.recovery.onEngineFailure(running, engine));
 	}
 
+	/** Ends the successor, if there is one, because the other run has responded. */
+	void cancelForResponse() {
+		endHedge(HedgeResult.FIRST_WON);
+		cancel();
+	}
+
 	/** Ends the successor, if there is one, because it is not needed any more. */
 	void cancel() {
+		endHedge(HedgeResult.NO_WINNER);
 		this.silence = Optional.empty();
 		this.successor.ifPresent((running) -> {
 			this.state.recordOutcome(running.isSent() ? AttemptOutcome.LOST : AttemptOutcome.NOT_SENT);
@@ -201,9 +325,15 @@
 	 * @return the successor, empty if none was sent
 	 */
 	Optional<Successor> take() {
+		return take(HedgeResult.FIRST_FAILED);
+	}
+
+	private Optional<Successor> take(HedgeResult hedgeResult) {
 		this.silence = Optional.empty();
+		boolean isHedge = isHedging();
+		endHedge(hedgeResult);
 		Optional<Successor> taken = this.successor
-			.map((running) -> new Successor(running, this.streamHead, this.received));
+			.map((running) -> new Successor(running, this.streamHead, this.received, isHedge));
 		this.successor = Optional.empty();
 		return taken;
 	}
@@ -247,12 +377,14 @@
 	}
 
 	private Attempt.Listener handOver() {
-		return this.owner.takeOver(take().orElseThrow());
+		return this.owner.takeOver(take(HedgeResult.SECOND_WON).orElseThrow());
 	}
 
 	@Override
 	public void onFailure(AttemptOutcome outcome, String cause, Optional<NetworkAddress> faultAddress) {
 		Attempt failed = this.successor.orElseThrow();
+		boolean wasHedge = isHedging();
+		endHedge(HedgeResult.SECOND_FAILED);
 		this.successor = Optional.empty();
 		this.state.recordOutcome(outcome);
 		this.context.metrics().recordAttempt(outcome.name());
@@ -264,7 +396,9 @@
 			this.targetSelector.exclude(failed.target().replica());
 		}
 		this.runGuard.recordFailure(failed, outcome, faultAddress.flatMap(this.context.directory()::findByAddress));
-		this.owner.onSuccessorFailure(cause);
+		if (!wasHedge) {
+			this.owner.onSuccessorFailure(cause);
+		}
 	}
 
 	@Override
@@ -300,8 +434,9 @@
 	 * @param attempt the attempt
 	 * @param streamHead the head of its stream, empty before it has come
 	 * @param received the bytes of its stream that have come
+	 * @param isHedge whether it is a hedged run, so that the other run counts as sound
 	 */
-	record Successor(Attempt attempt, Optional<HttpClientResponse> streamHead, Buffer received) {
+	record Successor(Attempt attempt, Optional<HttpClientResponse> streamHead, Buffer received, boolean isHedge) {
 
 	}
 
@@ -309,6 +444,41 @@
 
 	}
 
+	/**
+	 * What became of a hedged run.
+	 */
+	private enum HedgeResult {
+
+		/** The first run has responded first. */
+		FIRST_WON("first_won"),
+
+		/** The hedged run has responded first. */
+		SECOND_WON("second_won"),
+
+		/** The first run has failed; the hedged run goes on. */
+		FIRST_FAILED("first_failed"),
+
+		/** The hedged run has failed; the first run goes on. */
+		SECOND_FAILED("second_failed"),
+
+		/** The first run has fallen silent; the hedged run is its successor. */
+		BECAME_SUCCESSOR("became_successor"),
+
+		/** The request has ended without a response. */
+		NO_WINNER("no_winner");
+
+		private final String label;
+
+		HedgeResult(String label) {
+			this.label = label;
+		}
+
+		private String label() {
+			return this.label;
+		}
+
+	}
+
 	/**
 	 * The request whose run is silent.
 	 */
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/TargetSelector.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/TargetSelector.java
@@ -93,6 +93,28 @@
 		return selectEngines(this.service.engine().get(), without(silent));
 	}
 
+	/**
+	 * Selects a target for a hedged run, only among engines from which new requests do
+	 * not turn away yet.
+	 * @param running the target of the first run
+	 * @param suspectUpstreams the names of replicas that run requests suspected of
+	 * crashing replicas
+	 * @return a target that shares no replica with the first run, empty when there is
+	 * none now
+	 */
+	Optional<Target> selectApartFrom(Target running, Set<String> suspectUpstreams) {
+		this.suspectUpstreams = suspectUpstreams;
+		List<Replica> others = candidates().stream()
+			.filter((replica) -> running.replicas().stream().noneMatch((used) -> used.id().equals(replica.id())))
+			.toList();
+		if (this.service.engine().isEmpty()) {
+			return selectAmong(others);
+		}
+		PathDemand demand = createPathDemand(this.service.engine().get(), LoadSpread.EARLY_KV_SHARE);
+		return findPath(withoutSilent(others), demand, this.service.engine().get(), this.context.limits()::hasRoom)
+			.map((path) -> new Target(path.head(), Optional.of(path), demand.totalTokens()));
+	}
+
 	/**
 	 * Returns whether it is not known yet which way requests can be sent.
 	 * @return true for a moment after this VM has lost contact to replicas
--- a/router/src/main/java/org/burdocktray/request/path/LoadSpread.java
+++ b/router/src/main/java/org/burdocktray/request/path/LoadSpread.java
@@ -18,7 +18,7 @@
 	public static final double MAX_KV_SHARE = 0.85;
 
 	/** The share of the KV cache up to which no request turns away. */
-	private static final double EARLY_KV_SHARE = 0.35;
+	public static final double EARLY_KV_SHARE = 0.35;
 
 	/** The share of taken slots up to which no request turns away. */
 	private static final double EARLY_SLOT_SHARE = 0.5;
--- a/router/src/test/java/org/burdocktray/process/explain/RequestTimelineTests.java
+++ b/router/src/test/java/org/burdocktray/process/explain/RequestTimelineTests.java
@@ -36,6 +36,14 @@
 		assertThat(timeline("r1").cause()).contains("it may have run").contains("could not be sent again");
 	}
 
+	@Test
+	void namesAHedgedRunAndWhichRunWon() {
+		addLine(2, "vm-1", "Hedged run sent: request=r1 replica=i-2 path= first=i-1 delayMillis=53");
+		addLine(3, "vm-1", "Hedged run ended: request=r1 replica=i-2 result=second_won");
+		addLine(3, "vm-1", "Request ended: request=r1 status=200 ran=yes millis=90 cause=answered by i-2");
+		assertThat(timeline("r1").cause()).contains("hedged to i-2 beside i-1 after 53 ms: second_won.");
+	}
+
 	@Test
 	void includesMissingReportsOfTheEnginesOfAnAbortedStream() {
 		addLine(1, "vm-1", "Engine gave no report: replica=i-2 fault=no answer in 500 ms");
