Check of the gateways' rules: config check

Cause: rules were written to the store unchecked; a route that never matches, a key of two organisations or a timeout under its target showed only in use.

Change: burdocktray config check FILE [--against FILE] [--json] [--strict]. The checks work on RulesDocument (package version.rules.check); the platform's RulesFileReader reads the file with the lines of its fields, each part on its own. Keys are held as digests, and messages of the JSON parser are not passed on, since they may quote keys.

--- a/router/src/main/java/org/burdocktray/process/cli/Main.java
+++ b/router/src/main/java/org/burdocktray/process/cli/Main.java
@@ -10,8 +10,8 @@
 	private static final List<Command> COMMANDS = List.of(new SettingsCheckCommand(), new BundleValidateCommand(),
 			new BundleDiffCommand(), new BundleKeygenCommand(), new BundleProposeCommand(), new BundleApproveCommand(),
 			new BundleRollCommand(), new BundleShowCommand(), new StatusCommand(), new ReportBurnCommand(),
-			new ServeCommand(), new GatewayCommand(), new ExplainCommand(System.in), new ClaimsListCommand(),
-			new ClaimsCloseCommand());
+			new ServeCommand(), new GatewayCommand(), new ConfigCheckCommand(), new ExplainCommand(System.in),
+			new ClaimsListCommand(), new ClaimsCloseCommand());
 
 	private Main() {
 	}
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayPlatform.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayPlatform.java
@@ -1,6 +1,7 @@
 package org.burdocktray.process.serve.gateway;
 
 import io.vavr.control.Either;
+import org.burdocktray.version.rules.check.RulesDocument;
 
 /**
  * A platform that the gateway runs on. The implementation is found by
@@ -14,4 +15,11 @@
 	 */
 	Either<String, GatewaySettings> readSettings();
 
+	/**
+	 * Returns the reader for files of rules, which are checked before operators write
+	 * them to the platform's store.
+	 * @return the reader
+	 */
+	RulesDocument.Reader rulesReader();
+
 }
--- /dev/null
+++ b/router/src/main/java/org/burdocktray/version/rules/check/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Checks of routing rules before operators write them to the platform's store.
+ */
+package org.burdocktray.version.rules.check;
