Hedging: timers end with their request, slow services are logged

Cause: the timer of a late request kept it, body included, until the delay had passed; nothing in the log told that hedging had stopped for a service.

Change: the timer is cancelled at the first event and at the end. OverdueShare has a lower bound for going on, and logs each change.

--- a/router/src/main/java/org/burdocktray/process/serve/gateway/ForwardExchange.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/ForwardExchange.java
@@ -32,6 +32,8 @@
 
 	private static final int FIRST_SERVER_ERROR = 500;
 
+	private static final long NO_TIMER = -1;
+
 	/**
 	 * The share of the caller's timeout after which a replica without a response has
 	 * failed.
@@ -95,6 +97,8 @@
 	/** The attempt whose first event hedging waits for. */
 	private Optional<Attempt> timedAttempt = Optional.empty();
 
+	private long hedgeTimer = NO_TIMER;
+
 	private final RequestDispatch dispatch;
 
 	private boolean ended;
@@ -216,13 +220,14 @@
 				|| started.target().isRelay()) {
 			return;
 		}
+		endHedgeTimer();
 		this.timedAttempt = Optional.of(started);
 		OptionalLong delayNanos = this.context.hedging().get().recordStart(hedgeClass(), System.nanoTime());
 		if (delayNanos.isEmpty()) {
 			return;
 		}
 		long delayMillis = Math.max(1, delayNanos.getAsLong() / NANOS_PER_MILLI);
-		this.context.vertx().setTimer(delayMillis, (timer) -> {
+		this.hedgeTimer = this.context.vertx().setTimer(delayMillis, (timer) -> {
 			if (isCurrent(started) && !this.callerResponse.isStarted()) {
 				this.handover.hedge(started);
 			}
@@ -236,7 +241,12 @@
 			this.context.hedging()
 				.ifPresent((policy) -> policy.recordFirstEvent(hedgeClass(), nowNanos - timed.sentNanos(), nowNanos));
 		});
+		endHedgeTimer();
+	}
+
+	private void endHedgeTimer() {
 		this.timedAttempt = Optional.empty();
+		this.context.vertx().cancelTimer(this.hedgeTimer);
 	}
 
 	private HedgeClass hedgeClass() {
@@ -650,6 +660,7 @@
 		this.ended = true;
 		this.dispatch.endWait();
 		this.handover.cancel();
+		endHedgeTimer();
 		this.runGuard.close();
 		this.attempt = Optional.empty();
 		this.context.vertx().cancelTimer(this.deadlineTimer);
--- a/router/src/main/java/org/burdocktray/request/hedge/OverdueShare.java
+++ b/router/src/main/java/org/burdocktray/request/hedge/OverdueShare.java
@@ -3,6 +3,8 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
+import org.jboss.logging.Logger;
+
 /**
  * Finds out whether all replicas of a service are slow, by the share of requests without
  * a first event at the time at which their second run would start. A second run is no
@@ -10,6 +12,8 @@
  */
 final class OverdueShare {
 
+	private static final Logger LOGGER = Logger.getLogger(OverdueShare.class);
+
 	private static final int MAX_SERVICES = 256;
 
 	private static final long WINDOW_NANOS = TimeUnit.SECONDS.toNanos(2);
@@ -20,6 +24,9 @@
 	 */
 	private static final double MAX_SHARE = 0.25;
 
+	/** The share below which a slow service counts as sound again. */
+	private static final double MAX_SOUND_SHARE = 0.125;
+
 	/** A few late requests of an idle service show nothing. */
 	private static final int MIN_OVERDUE = 4;
 
@@ -36,7 +43,15 @@
 	boolean isServiceSlow(String service, long nowNanos) {
 		Service counts = service(service);
 		int overdue = counts.overdue.upperBound(nowNanos);
-		return overdue >= MIN_OVERDUE && overdue > MAX_SHARE * counts.started.upperBound(nowNanos);
+		int started = counts.started.upperBound(nowNanos);
+		double maxShare = counts.slow ? MAX_SOUND_SHARE : MAX_SHARE;
+		boolean isSlow = overdue >= MIN_OVERDUE && overdue > maxShare * started;
+		if (isSlow != counts.slow) {
+			counts.slow = isSlow;
+			LOGGER.infof("Hedging %s: service=%s overdue=%d started=%d", isSlow ? "stops" : "goes on", service, overdue,
+					started);
+		}
+		return isSlow;
 	}
 
 	private Service service(String name) {
@@ -49,6 +64,8 @@
 
 		private final SlidingCount overdue = new SlidingCount(WINDOW_NANOS);
 
+		private boolean slow;
+
 	}
 
 }
