--- a/router/src/test/java/org/burdocktray/request/hedge/HedgingTailTests.java
+++ b/router/src/test/java/org/burdocktray/request/hedge/HedgingTailTests.java
@@ -57,7 +57,7 @@
 	}
 
 	@ParameterizedTest
-	@CsvSource({ "1, 0.01", "1, 0.05", "1, 0.1", "3, 0.05" })
+	@CsvSource({ "1, 0.01", "1, 0.05", "1, 0.1", "3, 0.05", "9, 0.05", "30, 0.05" })
 	void burstsAboveTheCapacityGetNoSlower(int vmCount, double share) {
 		double capacity = 3 * 6 * 1_000 / WORK_MILLIS;
 		HedgingRun before = new HedgingRun(2, 0, vmCount, 0, (replica, nowNanos, draws) -> WORK_MILLIS).play(SECONDS,
