--- a/router/src/main/java/org/burdocktray/request/hedge/OverdueShare.java
+++ b/router/src/main/java/org/burdocktray/request/hedge/OverdueShare.java
@@ -19,8 +19,8 @@
 	private static final long WINDOW_NANOS = TimeUnit.SECONDS.toNanos(2);
 
 	/**
-	 * Several times what is expected beyond the delay. With half, VMs hedged for seconds
-	 * after all replicas had become slow, while the learned delay followed.
+	 * Several times the share that is expected beyond the delay. A larger one lets VMs
+	 * hedge after all replicas have become slow, until the learned delay has followed.
 	 */
 	private static final double MAX_SHARE = 0.25;
 
