Hedging: a silent first run goes on being watched beside its successor

When a hedged run became the successor, the silent run was recorded as lost and never as in progress again, so a crash of its replica was no evidence. The timer of a request is cancelled once, not at each event of its stream.

--- a/router/src/main/java/org/burdocktray/process/serve/gateway/ForwardExchange.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/ForwardExchange.java
@@ -246,7 +246,10 @@
 
 	private void endHedgeTimer() {
 		this.timedAttempt = Optional.empty();
-		this.context.vertx().cancelTimer(this.hedgeTimer);
+		if (this.hedgeTimer != NO_TIMER) {
+			this.context.vertx().cancelTimer(this.hedgeTimer);
+			this.hedgeTimer = NO_TIMER;
+		}
 	}
 
 	private HedgeClass hedgeClass() {
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/RunHandover.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/RunHandover.java
@@ -99,7 +99,7 @@
 	void begin(Attempt silent, String cause) {
 		if (isHedging()) {
 			endHedge(HedgeResult.BECAME_SUCCESSOR);
-			lossChecked(silent).subscribe();
+			lossChecked(silent).subscribe(() -> resumeIfCurrent(silent));
 			return;
 		}
 		if (isInProgress() || !this.state.canStartSecondRun()) {
@@ -180,6 +180,13 @@
 		return this.lateRun.isPresent();
 	}
 
+	// A crash of its replica counts as long as the silent run goes on.
+	private void resumeIfCurrent(Attempt silent) {
+		if (this.owner.isCurrent(silent)) {
+			this.runGuard.resumeRun(silent);
+		}
+	}
+
 	// While this VM is cut off, silence is no sign of a loss.
 	private Completable lossChecked(Attempt silent) {
 		if (this.context.reach().isCutOff()) {
