--- a/router/src/main/java/org/burdocktray/process/serve/gateway/RunHandover.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/RunHandover.java
@@ -366,6 +366,10 @@
 
 	@Override
 	public void onStreamEnd() {
+		if (isHedging() && this.framer.hasPartialEvent()) {
+			onFailure(AttemptOutcome.LOST, "stream ended within an event", Optional.empty());
+			return;
+		}
 		handOver().onStreamEnd();
 	}
 
