--- a/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayContext.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayContext.java
@@ -14,6 +14,7 @@
 import org.burdocktray.process.directory.StreamOutputs;
 import org.burdocktray.process.freshness.RulesFreshness;
 import org.burdocktray.process.limits.FleetRetryBudget;
+import org.burdocktray.request.hedge.HedgePolicy;
 import org.burdocktray.request.path.FlowPathChoice;
 import org.burdocktray.request.path.LoadSpread;
 import org.burdocktray.request.path.PathSearch;
@@ -47,6 +48,7 @@
  * @param flowPaths chooses paths by the flow that engines can serve, if balancing is on
  * @param retryBudget limits retries
  * @param demand measures the requests that arrive, if a feature needs it
+ * @param hedging decides on second runs of late requests, if that feature is on
  * @param crashes finds out which requests crash replicas
  * @param random the source of randomness
  * @param metrics the metrics of the process
@@ -57,6 +59,6 @@
 		LimitedReplicas limits, EngineMonitor monitor, EngineControl engineControl, ReplicaConnections connections,
 		PathSearch pathSearch, LoadSpread loadSpread, Optional<FleetRoutes> routes, ReplicaTimes replicaTimes,
 		Optional<FlowPathChoice> flowPaths, FleetRetryBudget retryBudget, Optional<DemandMeter> demand,
-		CrashDetector crashes, RandomGenerator random, GatewayMetrics metrics) {
+		Optional<HedgePolicy> hedging, CrashDetector crashes, RandomGenerator random, GatewayMetrics metrics) {
 
 }
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayServer.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayServer.java
@@ -37,6 +37,8 @@
 import org.burdocktray.process.quarantine.Quarantine;
 import org.burdocktray.process.quarantine.QuarantineSettings;
 import org.burdocktray.process.settings.GatewayOptions;
+import org.burdocktray.request.hedge.HedgePolicy;
+import org.burdocktray.request.hedge.KnownLoadCapacity;
 import org.burdocktray.request.path.FlowPathChoice;
 import org.burdocktray.request.path.LoadSpread;
 import org.burdocktray.request.path.PathSearch;
@@ -213,12 +215,13 @@
 					replicaTimes, exchange, new BalancingListener())));
 		Optional<FlowPathChoice> flowPaths = routes
 			.map((fleetRoutes) -> new FlowPathChoice(fleetRoutes, loads, loadSpread, enginePace, random));
+		Optional<HedgePolicy> hedging = createHedging(retryBudget, loads);
 		GatewayContext context = new GatewayContext(this.vertx, this.eventLoopDelay, this.settings.dataCentre(),
 				this.adapter.headers(), this.rules, this.freshness, this.directory, loads,
 				this.options.balancing().isPresent() ? new StreamOutputs(enginePace) : new StreamOutputs(), contacts,
 				reach, relays, relayKey, limits, monitor, engineControl, connections,
 				new PathSearch(this.settings.dataCentre(), loads, random), loadSpread, routes, replicaTimes, flowPaths,
-				retryBudget, demandMeter, crashes, random, this.metrics);
+				retryBudget, demandMeter, hedging, crashes, random, this.metrics);
 		BodyMemory bodyMemory = BodyMemory.ofHeap();
 		GatewayRequestHandler requestHandler = new GatewayRequestHandler(context, this.requestsInProgress,
 				this.rulesPollInterval, bodyMemory, this.gracefulStop::isStopping, this.gracefulStop::isRejecting);
@@ -277,6 +280,7 @@
 				(vms) -> {
 					List<String> vmNames = vms.stream().map(FleetRegistry.RegisteredVm::name).toList();
 					retryBudget.setVmCount(vms.size());
+					hedging.ifPresent((policy) -> policy.setVmCount(vms.size()));
 					replicaLimits.setVms(vmNames);
 					placementLease.setVms(vmNames);
 					List<FleetRegistry.RegisteredVm> localVms = vms.stream()
@@ -325,6 +329,13 @@
 			.onSuccess((listening) -> listeners.listenToRelays(relayReceiver::handle));
 	}
 
+	private Optional<HedgePolicy> createHedging(FleetRetryBudget retryBudget, ReplicaLoads loads) {
+		return this.options.hedging()
+			.map((hedging) -> new HedgePolicy(hedging,
+					TimeUnit.MILLISECONDS.toNanos(this.settings.bounds().retryWindowMillis()), retryBudget,
+					new KnownLoadCapacity(loads, this.requestsInProgress::isAnyWaiting)));
+	}
+
 	private boolean needsDemand() {
 		return this.options.overload().isPresent() || this.options.balancing().isPresent();
 	}
