--- a/router/src/main/java/org/burdocktray/process/freshness/RulesFreshness.java
+++ b/router/src/main/java/org/burdocktray/process/freshness/RulesFreshness.java
@@ -46,6 +46,16 @@
 		return Math.max(1, (this.maxAgeMillis - MAX_CALL_DELAY_MILLIS) / 2);
 	}
 
+	/**
+	 * Returns the wait of a VM that watches for others. The confirmation of another VM is
+	 * older by one wait, since its request was sent one wait before the answer; so three
+	 * waits take the time of two waits of a VM that watches for itself.
+	 * @return milliseconds, at least 1
+	 */
+	public long sharedWaitMillis() {
+		return Math.max(1, 2 * minWaitMillis() / 3);
+	}
+
 	/**
 	 * Returns the minimum wait of a long-poll call for changes. Shorter waits would keep
 	 * the rules fresh for longer than it takes to detect that the store is unavailable.
@@ -117,15 +127,43 @@
 					this.epochMillis + confirmedMillis);
 		}
 
+		/**
+		 * Returns an earlier time.
+		 * @param millis how much earlier; later if negative
+		 * @return the time by both clocks
+		 */
+		public Timestamp minusMillis(long millis) {
+			return new Timestamp(this.monotonicNanos - millis * NANOS_PER_MILLI, this.epochMillis - millis);
+		}
+
 		private long monotonicMillisSince(Timestamp earlier) {
 			return (this.monotonicNanos - earlier.monotonicNanos) / NANOS_PER_MILLI;
 		}
 
-		long millisSince(Timestamp earlier) {
+		/**
+		 * Returns the time that has passed at most.
+		 * @param earlier an earlier time
+		 * @return milliseconds, by the clock that shows more
+		 */
+		public long millisSince(Timestamp earlier) {
 			return Math.max(monotonicMillisSince(earlier), this.epochMillis - earlier.epochMillis);
 		}
 
-		boolean isAfter(Timestamp other) {
+		/**
+		 * Returns the time that has passed at least.
+		 * @param earlier an earlier time
+		 * @return milliseconds, by the clock that shows less
+		 */
+		public long minMillisSince(Timestamp earlier) {
+			return Math.min(monotonicMillisSince(earlier), this.epochMillis - earlier.epochMillis);
+		}
+
+		/**
+		 * Returns whether this is later, by the monotonic clock.
+		 * @param other another time
+		 * @return whether it is later
+		 */
+		public boolean isAfter(Timestamp other) {
 			return this.monotonicNanos - other.monotonicNanos > 0;
 		}
 
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/StoreWatcher.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/StoreWatcher.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 
@@ -153,7 +154,8 @@
 		this.listingsUntilWatch--;
 		boolean isWatchPutOff = this.listingsUntilWatch > 0;
 		this.revision = Optional.of(result.get().revision()).filter((listed) -> !isWatchPutOff);
-		handleSuccess(() -> this.listener.onListing(result.get(), sentAt), isWatchPutOff ? RELIST_MILLIS : 0);
+		Timestamp confirmedAt = confirmedAt(sentAt, result.get().confirmationLagMillis());
+		handleSuccess(() -> this.listener.onListing(result.get(), confirmedAt), isWatchPutOff ? RELIST_MILLIS : 0);
 	}
 
 	private void handleChanges(Either<StoreError, ObjectChanges> result, Timestamp sentAt, long waitedMillis) {
@@ -169,8 +171,16 @@
 		this.historyLosses = 0;
 		this.revision = Optional.of(result.get().revision());
 		boolean isQuiet = result.get().changes().isEmpty();
-		Timestamp confirmedAt = isQuiet ? sentAt.confirmedByWait(waitedMillis, Timestamp.now()) : sentAt;
-		handleSuccess(() -> this.listener.onChanges(result.get(), confirmedAt), isQuiet ? 0 : this.batchMillis);
+		// Another VM that passes changes on has paused after them already.
+		boolean isPassedOn = result.get().confirmationLagMillis().isPresent();
+		Timestamp confirmedAt = (isQuiet && !isPassedOn) ? sentAt.confirmedByWait(waitedMillis, Timestamp.now())
+				: confirmedAt(sentAt, result.get().confirmationLagMillis());
+		handleSuccess(() -> this.listener.onChanges(result.get(), confirmedAt),
+				(isQuiet || isPassedOn) ? 0 : this.batchMillis);
+	}
+
+	private static Timestamp confirmedAt(Timestamp sentAt, OptionalLong lagMillis) {
+		return sentAt.minusMillis(lagMillis.orElse(0));
 	}
 
 	// The store may drop its history for a while. Listings alone then cost half of the
--- /dev/null
+++ b/router/src/main/java/org/burdocktray/process/watch/ChangeLog.java
@@ -0,0 +1,240 @@
+package org.burdocktray.process.watch;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.burdocktray.connection.platform.ObjectChanges;
+import org.burdocktray.connection.platform.ObjectChanges.ObjectChange;
+import org.burdocktray.connection.platform.ObjectListing;
+import org.burdocktray.connection.platform.StoredObject;
+import org.burdocktray.process.freshness.RulesFreshness.Timestamp;
+
+/**
+ * What this VM has from the store itself of one kind of objects: the objects, the recent
+ * changes, and since when they are confirmed. Invariants: the revision never decreases;
+ * the changes kept are all changes between the oldest revision kept and the present one;
+ * they are bounded in number and size. Thread safety: none, confined to one event loop.
+ */
+final class ChangeLog {
+
+	private static final int MAX_CHANGES = 4_096;
+
+	private static final long MAX_CHARACTERS = 2 << 20;
+
+	private final Deque<Batch> batches = new ArrayDeque<>();
+
+	private Map<String, StoredObject> objects = new HashMap<>();
+
+	/** Whether all objects are known, not only the changed ones. */
+	private boolean complete;
+
+	private long oldestRevision;
+
+	private long revision;
+
+	private Optional<Timestamp> confirmedAt = Optional.empty();
+
+	private boolean storeLost;
+
+	private int keptChanges;
+
+	private long keptCharacters;
+
+	/**
+	 * Records a listing of the store.
+	 * @param listing all objects
+	 * @param confirmedTime the time whose state it shows at least
+	 */
+	void recordListing(ObjectListing listing, Timestamp confirmedTime) {
+		this.storeLost = false;
+		if (isKnown() && listing.revision() < this.revision) {
+			return;
+		}
+		Map<String, StoredObject> listed = new HashMap<>();
+		listing.objects().forEach((object) -> listed.put(object.key(), object));
+		if (this.complete) {
+			append(difference(listed), listing.revision());
+		}
+		else {
+			restart(listing.revision());
+		}
+		this.objects = listed;
+		this.complete = true;
+		confirm(confirmedTime);
+	}
+
+	private List<ObjectChange> difference(Map<String, StoredObject> listed) {
+		List<ObjectChange> changes = new ArrayList<>();
+		this.objects.values()
+			.stream()
+			.filter((object) -> !listed.containsKey(object.key()))
+			.forEach((object) -> changes.add(new ObjectChange(object, true)));
+		listed.values().stream().filter((object) -> {
+			StoredObject known = this.objects.get(object.key());
+			return known == null || known.version() != object.version();
+		}).forEach((object) -> changes.add(new ObjectChange(object, false)));
+		return changes;
+	}
+
+	/**
+	 * Records changes that the store has returned.
+	 * @param afterRevision the revision after which they were asked for
+	 * @param changes the changes
+	 * @param confirmedTime the time whose state they show at least
+	 */
+	void recordChanges(long afterRevision, ObjectChanges changes, Timestamp confirmedTime) {
+		this.storeLost = false;
+		if (isKnown() && changes.revision() < this.revision) {
+			return;
+		}
+		if (!isKnown() || afterRevision > this.revision) {
+			clear();
+			restart(afterRevision);
+		}
+		boolean isNext = afterRevision == this.revision;
+		changes.changes().forEach((change) -> apply(change, isNext));
+		if (isNext) {
+			append(changes.changes(), changes.revision());
+		}
+		else {
+			// Some of the changes are known already and must not be repeated.
+			restart(changes.revision());
+		}
+		confirm(confirmedTime);
+	}
+
+	private void apply(ObjectChange change, boolean isNext) {
+		StoredObject known = this.objects.get(change.object().key());
+		if (!isNext && known != null && known.version() > change.object().version()) {
+			return;
+		}
+		if (change.removed()) {
+			this.objects.remove(change.object().key());
+		}
+		else if (this.complete) {
+			this.objects.put(change.object().key(), change.object());
+		}
+	}
+
+	private void append(List<ObjectChange> changes, long toRevision) {
+		if (!changes.isEmpty()) {
+			Batch batch = new Batch(toRevision, List.copyOf(changes));
+			this.batches.addLast(batch);
+			this.keptChanges += changes.size();
+			this.keptCharacters += batch.characters();
+		}
+		this.revision = toRevision;
+		while (this.keptChanges > MAX_CHANGES || this.keptCharacters > MAX_CHARACTERS) {
+			Batch oldest = this.batches.removeFirst();
+			this.keptChanges -= oldest.changes().size();
+			this.keptCharacters -= oldest.characters();
+			this.oldestRevision = oldest.toRevision();
+		}
+	}
+
+	private void restart(long atRevision) {
+		this.batches.clear();
+		this.keptChanges = 0;
+		this.keptCharacters = 0;
+		this.oldestRevision = atRevision;
+		this.revision = atRevision;
+	}
+
+	// A listing and a watch of the same VM may end in another order than they began.
+	private void confirm(Timestamp confirmedTime) {
+		if (this.confirmedAt.filter((known) -> known.isAfter(confirmedTime)).isEmpty()) {
+			this.confirmedAt = Optional.of(confirmedTime);
+		}
+	}
+
+	/** Records that a call to the store has failed. */
+	void recordFailure() {
+		this.storeLost = true;
+	}
+
+	/** Forgets everything, since this VM no longer watches. */
+	void clear() {
+		restart(0);
+		this.objects = new HashMap<>();
+		this.complete = false;
+		this.confirmedAt = Optional.empty();
+		this.storeLost = false;
+	}
+
+	boolean isKnown() {
+		return this.confirmedAt.isPresent();
+	}
+
+	boolean isComplete() {
+		return this.complete;
+	}
+
+	boolean isStoreLost() {
+		return this.storeLost;
+	}
+
+	long revision() {
+		return this.revision;
+	}
+
+	/**
+	 * Returns the age of the content.
+	 * @param now the current time
+	 * @return milliseconds, {@link Long#MAX_VALUE} if nothing is known
+	 */
+	long ageMillis(Timestamp now) {
+		return this.confirmedAt.map(now::millisSince).orElse(Long.MAX_VALUE);
+	}
+
+	/**
+	 * Returns whether all changes after a revision are known.
+	 * @param afterRevision the revision, at most the present one
+	 * @return false if they are no longer kept
+	 */
+	boolean hasChangesAfter(long afterRevision) {
+		return isKnown() && afterRevision >= this.oldestRevision;
+	}
+
+	/**
+	 * Returns the last change of each object after a revision.
+	 * @param afterRevision the revision
+	 * @return the changes, possibly with some that were made before
+	 */
+	List<ObjectChange> changesAfter(long afterRevision) {
+		Map<String, ObjectChange> last = new LinkedHashMap<>();
+		for (Batch batch : this.batches) {
+			if (batch.toRevision() > afterRevision) {
+				batch.changes().forEach((change) -> {
+					last.remove(change.object().key());
+					last.put(change.object().key(), change);
+				});
+			}
+		}
+		return List.copyOf(last.values());
+	}
+
+	List<StoredObject> objects() {
+		return List.copyOf(this.objects.values());
+	}
+
+	/**
+	 * The changes of one answer. Thread safety: immutable.
+	 *
+	 * @param toRevision the revision after them
+	 * @param changes the changes
+	 */
+	private record Batch(long toRevision, List<ObjectChange> changes) {
+
+		private long characters() {
+			return this.changes.stream().mapToLong((change) -> change.object().value().length()).sum();
+		}
+
+	}
+
+}
--- /dev/null
+++ b/router/src/main/java/org/burdocktray/process/watch/SharedFeed.java
@@ -0,0 +1,369 @@
+package org.burdocktray.process.watch;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
+
+import io.reactivex.rxjava3.core.Single;
+import io.reactivex.rxjava3.core.SingleEmitter;
+import io.vavr.control.Either;
+import org.burdocktray.connection.peer.generated.WatchAnswer;
+import org.burdocktray.connection.peer.generated.WatchRequest;
+import org.burdocktray.connection.platform.ChangeFeed;
+import org.burdocktray.connection.platform.ObjectChanges;
+import org.burdocktray.connection.platform.ObjectChanges.ObjectChange;
+import org.burdocktray.connection.platform.ObjectListing;
+import org.burdocktray.connection.platform.StoreError;
+import org.burdocktray.model.DataCentre;
+import org.burdocktray.process.freshness.RulesFreshness.Timestamp;
+import org.jboss.logging.Logger;
+
+/**
+ * Gets objects from the store, or from a VM that watches it. Invariants: an answer of
+ * another VM is used only if it is an answer to the request, if its revision is at least
+ * the one known here, and with the age that its sender states counted from the sending of
+ * the request; only answers of the store itself are recorded for other VMs. Thread
+ * safety: none, confined to one event loop.
+ */
+final class SharedFeed implements ChangeFeed {
+
+	private static final Logger LOGGER = Logger.getLogger(SharedFeed.class);
+
+	/**
+	 * How long after its wait a call to a VM is abandoned; an answer comes at the end of
+	 * the wait whatever the store does.
+	 */
+	private static final long TIMEOUT_MARGIN_MILLIS = 400;
+
+	private final ChangeFeed store;
+
+	private final Map<String, WatchedKind> kinds = new HashMap<>();
+
+	private final DataCentre localDataCentre;
+
+	private final WatchSources sources;
+
+	private final FollowerAnswers answers;
+
+	private final WatchCalls calls;
+
+	private final Supplier<Timestamp> clock;
+
+	private final Timers timers;
+
+	private final RandomGenerator random;
+
+	private final WatchListener listener;
+
+	private final Map<String, Long> revisions = new HashMap<>();
+
+	private final Map<String, WatchSource> lastSources = new HashMap<>();
+
+	SharedFeed(ChangeFeed store, List<WatchedKind> kinds, DataCentre localDataCentre, WatchSources sources,
+			FollowerAnswers answers, WatchCalls calls, Supplier<Timestamp> clock, Timers timers, RandomGenerator random,
+			WatchListener listener) {
+		this.store = store;
+		kinds.forEach((kind) -> this.kinds.put(kind.name(), kind));
+		this.localDataCentre = localDataCentre;
+		this.sources = sources;
+		this.answers = answers;
+		this.calls = calls;
+		this.clock = clock;
+		this.timers = timers;
+		this.random = random;
+		this.listener = listener;
+	}
+
+	boolean has(String kind) {
+		return this.kinds.containsKey(kind);
+	}
+
+	@Override
+	public Single<Either<StoreError, ObjectListing>> listObjects(String kind) {
+		return Single.create((emitter) -> next(new ListingCall(kind, emitter)));
+	}
+
+	@Override
+	public Single<Either<StoreError, ObjectChanges>> awaitChanges(String kind, long afterRevision, long waitMillis) {
+		return Single.create((emitter) -> next(new ChangesCall(kind, emitter, afterRevision, waitMillis)));
+	}
+
+	/**
+	 * Lists the objects of a kind from the store, for other VMs.
+	 * @param kind the kind
+	 */
+	void listForOthers(String kind) {
+		Timestamp sentAt = this.clock.get();
+		this.store.listObjects(kind).subscribe((result) -> {
+			recordStoreResult(kind, result.isRight() || result.getLeft() == StoreError.NOT_FOUND);
+			result.peek((listing) -> this.answers.recordListing(kind, listing, sentAt))
+				.peekLeft((error) -> this.answers.recordFailure(kind));
+		});
+	}
+
+	/**
+	 * Returns whether the next call goes to the store.
+	 * @return false if it goes to another VM
+	 */
+	boolean callsStoreNext() {
+		return this.sources.next(List.of(), nowNanos()).filter((next) -> next.source().isStore()).isPresent();
+	}
+
+	/**
+	 * Records the result of a call to the store.
+	 * @param kind the kind of the objects
+	 * @param isAnswered whether the store has answered
+	 */
+	void recordStoreResult(String kind, boolean isAnswered) {
+		this.listener.onCall(kind, "store", isAnswered ? "ok" : "failed");
+		if (isAnswered) {
+			this.sources.recordAnswer(WatchSource.STORE, nowNanos());
+		}
+		else {
+			this.sources.recordFailure(WatchSource.STORE, nowNanos());
+		}
+	}
+
+	private void next(Call<?> call) {
+		Optional<WatchSources.Selection> selection = this.sources.next(call.tried, nowNanos());
+		if (selection.isEmpty()) {
+			call.fail(StoreError.UNAVAILABLE);
+			return;
+		}
+		WatchSource source = selection.get().source();
+		if (selection.get().delayMillis() > 0) {
+			this.timers.schedule(selection.get().delayMillis(), () -> run(call, source));
+			return;
+		}
+		run(call, source);
+	}
+
+	private void run(Call<?> call, WatchSource source) {
+		call.tried.add(source);
+		WatchSource previous = this.lastSources.put(call.kind, source);
+		boolean isChange = previous != null && !previous.equals(source);
+		if (isChange) {
+			LOGGER.infof("Objects come from another source: kind=%s from=%s before=%s", call.kind, source, previous);
+		}
+		if (source.isStore()) {
+			call.callStore();
+			return;
+		}
+		WatchedKind kind = this.kinds.get(call.kind);
+		WatchRequest.Builder request = WatchRequest.newBuilder()
+			.setRequestId(this.random.nextLong())
+			.setKind(call.kind)
+			.setWaitMillis((int) kind.waitMillis())
+			.setMaxAgeMillis((int) kind.maxAgeMillis())
+			.setAtOnce(isChange);
+		call.describe(request);
+		WatchRequest sent = request.build();
+		Timestamp sentAt = this.clock.get();
+		this.calls.ask(source.watcher().orElseThrow().address(), sent, kind.waitMillis() + TIMEOUT_MARGIN_MILLIS,
+				(answer) -> handleAnswer(call, source, sent, sentAt, answer));
+	}
+
+	private <T> void handleAnswer(Call<T> call, WatchSource source, WatchRequest request, Timestamp sentAt,
+			Optional<WatchAnswer> received) {
+		Optional<WatchAnswer> answer = received.filter((found) -> found.getRequestId() == request.getRequestId());
+		WatchAnswer.Status status = answer.map(WatchAnswer::getStatus).orElse(WatchAnswer.Status.STATUS_UNKNOWN);
+		switch (status) {
+			case STATUS_OK -> handleContent(call, source, sentAt, answer.get());
+			case STATUS_HISTORY_GONE -> {
+				recordCall(call, source, "gap");
+				this.sources.recordAnswer(source, nowNanos());
+				call.fail(StoreError.NOT_FOUND);
+			}
+			case STATUS_STORE_UNAVAILABLE -> {
+				recordCall(call, source, "store_lost");
+				this.sources.recordStoreLost(source, nowNanos());
+				next(call);
+			}
+			case STATUS_BEHIND -> {
+				recordCall(call, source, "behind");
+				this.sources.recordBehind(source, nowNanos());
+				next(call);
+			}
+			default -> handleFailure(call, source);
+		}
+	}
+
+	private <T> void handleContent(Call<T> call, WatchSource source, Timestamp sentAt, WatchAnswer answer) {
+		boolean isStepBack = answer.getRevision() < call.minRevision();
+		Optional<List<ObjectChange>> content = isStepBack ? Optional.empty() : WatchCodec.decode(answer.getContent());
+		if (content.isEmpty() || answer.getAgeMillis() < 0) {
+			handleFailure(call, source);
+			return;
+		}
+		recordCall(call, source, "ok");
+		this.sources.recordAnswer(source, nowNanos());
+		if (!this.sources.isWatcher(nowNanos())) {
+			this.answers.clear(call.kind);
+		}
+		this.listener.onConfirmation(call.kind, this.clock.get().millisSince(sentAt) + answer.getAgeMillis());
+		this.revisions.put(call.kind, answer.getRevision());
+		long lagMillis = answer.getAgeMillis() - Math.max(0, sentAt.minMillisSince(call.startedAt));
+		call.succeed(call.toResult(content.get(), answer.getRevision(), lagMillis));
+	}
+
+	private void handleFailure(Call<?> call, WatchSource source) {
+		recordCall(call, source, "failed");
+		this.sources.recordFailure(source, nowNanos());
+		next(call);
+	}
+
+	private void recordCall(Call<?> call, WatchSource source, String result) {
+		boolean isLocal = source.watcher().filter((vm) -> vm.dataCentre().equals(this.localDataCentre)).isPresent();
+		this.listener.onCall(call.kind, isLocal ? "watcher" : "remote_watcher", result);
+	}
+
+	private long nowNanos() {
+		return this.clock.get().monotonicNanos();
+	}
+
+	/**
+	 * One call of the consumer, which may need several sources. Thread safety: none.
+	 *
+	 * @param <T> the type of the result
+	 */
+	private abstract class Call<T> {
+
+		private final String kind;
+
+		private final SingleEmitter<Either<StoreError, T>> emitter;
+
+		private final List<WatchSource> tried = new ArrayList<>();
+
+		private final Timestamp startedAt = SharedFeed.this.clock.get();
+
+		Call(String kind, SingleEmitter<Either<StoreError, T>> emitter) {
+			this.kind = kind;
+			this.emitter = emitter;
+		}
+
+		String kind() {
+			return this.kind;
+		}
+
+		void fail(StoreError error) {
+			this.emitter.onSuccess(Either.left(error));
+		}
+
+		void succeed(T result) {
+			this.emitter.onSuccess(Either.right(result));
+		}
+
+		long minRevision() {
+			return SharedFeed.this.revisions.getOrDefault(this.kind, 0L);
+		}
+
+		void handleStoreResult(Either<StoreError, T> result, long revision, Runnable recording) {
+			boolean isAnswered = result.isRight() || result.getLeft() == StoreError.NOT_FOUND;
+			recordStoreResult(this.kind, isAnswered);
+			if (!isAnswered) {
+				SharedFeed.this.answers.recordFailure(this.kind);
+				next(this);
+				return;
+			}
+			if (result.isRight()) {
+				SharedFeed.this.revisions.put(this.kind, revision);
+				if (SharedFeed.this.sources.isActive()) {
+					recording.run();
+				}
+			}
+			this.emitter.onSuccess(result);
+		}
+
+		abstract void callStore();
+
+		abstract void describe(WatchRequest.Builder request);
+
+		abstract T toResult(List<ObjectChange> content, long revision, long lagMillis);
+
+	}
+
+	/**
+	 * A call for all objects. Thread safety: none.
+	 */
+	private final class ListingCall extends Call<ObjectListing> {
+
+		ListingCall(String kind, SingleEmitter<Either<StoreError, ObjectListing>> emitter) {
+			super(kind, emitter);
+		}
+
+		@Override
+		void callStore() {
+			Timestamp sentAt = SharedFeed.this.clock.get();
+			SharedFeed.this.store.listObjects(kind())
+				.subscribe((result) -> handleStoreResult(result, result.map(ObjectListing::revision).getOrElse(0L),
+						() -> SharedFeed.this.answers.recordListing(kind(), result.get(), sentAt)));
+		}
+
+		@Override
+		void describe(WatchRequest.Builder request) {
+			request.setListing(true).setAfterRevision(minRevision());
+		}
+
+		@Override
+		ObjectListing toResult(List<ObjectChange> content, long revision, long lagMillis) {
+			return new ObjectListing(content.stream().map(ObjectChange::object).toList(), revision,
+					OptionalLong.of(lagMillis));
+		}
+
+	}
+
+	/**
+	 * A call for changes. Thread safety: none.
+	 */
+	private final class ChangesCall extends Call<ObjectChanges> {
+
+		private final long afterRevision;
+
+		private final long waitMillis;
+
+		ChangesCall(String kind, SingleEmitter<Either<StoreError, ObjectChanges>> emitter, long afterRevision,
+				long waitMillis) {
+			super(kind, emitter);
+			this.afterRevision = afterRevision;
+			this.waitMillis = waitMillis;
+		}
+
+		@Override
+		void callStore() {
+			Timestamp sentAt = SharedFeed.this.clock.get();
+			long sharedMillis = SharedFeed.this.sources.isActive()
+					? Math.min(this.waitMillis, SharedFeed.this.kinds.get(kind()).waitMillis()) : this.waitMillis;
+			SharedFeed.this.store.awaitChanges(kind(), this.afterRevision, sharedMillis)
+				.subscribe((result) -> handleStoreResult(result, result.map(ObjectChanges::revision).getOrElse(0L),
+						() -> SharedFeed.this.answers.recordChanges(kind(), this.afterRevision, result.get(),
+								confirmedAt(result.get(), sentAt, sharedMillis))));
+		}
+
+		private Timestamp confirmedAt(ObjectChanges changes, Timestamp sentAt, long waitedMillis) {
+			return changes.changes().isEmpty() ? sentAt.confirmedByWait(waitedMillis, SharedFeed.this.clock.get())
+					: sentAt;
+		}
+
+		@Override
+		long minRevision() {
+			return this.afterRevision;
+		}
+
+		@Override
+		void describe(WatchRequest.Builder request) {
+			request.setAfterRevision(this.afterRevision);
+		}
+
+		@Override
+		ObjectChanges toResult(List<ObjectChange> content, long revision, long lagMillis) {
+			return new ObjectChanges(content, revision, OptionalLong.of(lagMillis));
+		}
+
+	}
+
+}
--- /dev/null
+++ b/router/src/main/java/org/burdocktray/process/watch/WatchSources.java
@@ -0,0 +1,427 @@
+package org.burdocktray.process.watch;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
+
+import org.burdocktray.model.DataCentre;
+import org.burdocktray.model.RendezvousHash;
+import org.burdocktray.process.settings.GatewayOptions.WatchOptions;
+
+/**
+ * Selects where this VM gets objects of the store from: a watcher of its data centre, one
+ * of another data centre, or the store itself. Invariants: a VM that watches, or that
+ * others ask, prefers the store; calls that a VM makes to the store because its watchers
+ * fail are spread in time; a watcher that fails is left out for a while, so that the next
+ * one of the ranking takes its place. Thread safety: none, confined to one event loop.
+ */
+public final class WatchSources {
+
+	/** How long a VM watches after it was asked last. */
+	private static final long ASKED_NANOS = TimeUnit.SECONDS.toNanos(15);
+
+	private static final long MIN_WATCHER_BACKOFF_MILLIS = 1_000;
+
+	private static final long MAX_WATCHER_BACKOFF_MILLIS = 60_000;
+
+	private static final long MIN_SEARCH_BACKOFF_MILLIS = 1_000;
+
+	private static final long MAX_SEARCH_BACKOFF_MILLIS = 30_000;
+
+	/** How long a watcher that has lost the store is asked after the others. */
+	private static final long DEMOTION_MILLIS = 2_000;
+
+	private static final int MAX_LOCAL_WATCHERS_TRIED = 2;
+
+	/** The part of a second that one VM adds to the delay of calls to the store. */
+	private static final long SPREAD_MILLIS_PER_VM = 5;
+
+	/**
+	 * The part of the mean interval that one VM adds between calls to a store that is
+	 * unavailable for its watchers. The calls of all VMs together do not grow with the
+	 * fleet.
+	 */
+	private static final long OUTAGE_MILLIS_PER_VM = 50;
+
+	/** Leaves most of the bound on the age of the rules. */
+	private static final long MAX_SPREAD_MILLIS = 500;
+
+	private final WatchOptions options;
+
+	private final String ownName;
+
+	private final DataCentre localDataCentre;
+
+	private final RandomGenerator random;
+
+	private final Map<String, Failures> watcherFailures = new HashMap<>();
+
+	private final Map<String, Long> demotedUntilNanos = new HashMap<>();
+
+	private Map<DataCentre, WatcherRanking> rankings = Map.of();
+
+	private int vmCount;
+
+	private boolean keyKnown;
+
+	private Optional<Long> askedNanos = Optional.empty();
+
+	private final Failures storeFailures = new Failures();
+
+	/**
+	 * After failures of all watchers that were tried, the store is called for a while.
+	 */
+	private final Failures watcherSearches = new Failures();
+
+	/** When this VM may call the store although watchers say that it is unavailable. */
+	private Optional<Long> storeLostCallNanos = Optional.empty();
+
+	/** When this VM may call the store in place of watchers that fail. */
+	private Optional<Long> fallbackNanos = Optional.empty();
+
+	/**
+	 * Creates an instance that selects the store, since no VMs are registered.
+	 * @param options how many VMs watch
+	 * @param ownName the name of this VM
+	 * @param localDataCentre the data centre of this VM
+	 * @param random spreads calls in time
+	 */
+	public WatchSources(WatchOptions options, String ownName, DataCentre localDataCentre, RandomGenerator random) {
+		this.options = options;
+		this.ownName = ownName;
+		this.localDataCentre = localDataCentre;
+		this.random = random;
+	}
+
+	/**
+	 * Sets the registered VMs.
+	 * @param vms the VMs that can be asked, including this one
+	 */
+	public void setVms(Collection<WatchVm> vms) {
+		this.vmCount = vms.size();
+		Map<DataCentre, WatcherRanking> next = new TreeMap<>(Comparator.comparing(DataCentre::name));
+		vms.stream()
+			.collect(Collectors.groupingBy(WatchVm::dataCentre))
+			.forEach((dataCentre, members) -> next.put(dataCentre, new WatcherRanking(members, this.options)));
+		this.rankings = next;
+		Set<String> names = vms.stream().map(WatchVm::name).collect(Collectors.toSet());
+		this.watcherFailures.keySet().retainAll(names);
+		this.demotedUntilNanos.keySet().retainAll(names);
+	}
+
+	/**
+	 * Sets whether this VM can authenticate itself to others.
+	 * @param isKnown whether the key of the VMs is known
+	 */
+	public void setKeyKnown(boolean isKnown) {
+		this.keyKnown = isKnown;
+	}
+
+	/**
+	 * Returns whether few VMs watch the store.
+	 * @return false while the fleet is small or not known
+	 */
+	public boolean isActive() {
+		return this.keyKnown && this.vmCount >= this.options.minVmCount()
+				&& this.rankings.containsKey(this.localDataCentre);
+	}
+
+	/**
+	 * Records that another VM has asked this one.
+	 * @param nowNanos the current time of the monotonic clock
+	 */
+	void recordAsked(long nowNanos) {
+		this.askedNanos = Optional.of(nowNanos);
+	}
+
+	/**
+	 * Returns whether this VM is to watch the store.
+	 * @param nowNanos the current time of the monotonic clock
+	 * @return whether it is one of the first of the ranking, or was asked of late
+	 */
+	public boolean isWatcher(long nowNanos) {
+		return !isActive() || this.askedNanos.filter((asked) -> nowNanos - asked < ASKED_NANOS).isPresent()
+				|| watchersOf(this.localDataCentre, nowNanos).stream().anyMatch(this::isOwn);
+	}
+
+	/**
+	 * Selects the next source of a call.
+	 * @param tried the sources that have failed the call
+	 * @param nowNanos the current time of the monotonic clock
+	 * @return the source, empty if the call fails
+	 */
+	Optional<Selection> next(Collection<WatchSource> tried, long nowNanos) {
+		if (!isActive()) {
+			return tried.isEmpty() ? Optional.of(new Selection(WatchSource.STORE, 0)) : Optional.empty();
+		}
+		boolean isWatcher = isWatcher(nowNanos);
+		if (isWatcher && !tried.contains(WatchSource.STORE) && this.storeFailures.isOver(nowNanos)) {
+			return Optional.of(new Selection(WatchSource.STORE, 0));
+		}
+		boolean searchesWatcher = this.watcherSearches.isOver(nowNanos) || !this.storeFailures.isOver(nowNanos)
+				|| tried.contains(WatchSource.STORE);
+		Optional<WatchSource> watcher = searchesWatcher ? nextWatcher(tried, nowNanos) : Optional.empty();
+		if (watcher.isPresent() || tried.contains(WatchSource.STORE) || !mayCallStore(nowNanos)) {
+			return watcher.map((source) -> new Selection(source, 0));
+		}
+		return Optional.of(new Selection(WatchSource.STORE, fallbackDelayMillis(nowNanos)));
+	}
+
+	/**
+	 * Returns whether this VM may call the store now.
+	 * @param nowNanos the current time of the monotonic clock
+	 * @return false after failures, until the backoff has passed
+	 */
+	boolean mayCallStore(long nowNanos) {
+		return this.storeFailures.isOver(nowNanos)
+				&& this.storeLostCallNanos.filter((allowed) -> nowNanos - allowed < 0).isEmpty();
+	}
+
+	private Optional<WatchSource> nextWatcher(Collection<WatchSource> tried, long nowNanos) {
+		Set<WatchVm> triedVms = tried.stream()
+			.flatMap((source) -> source.watcher().stream())
+			.collect(Collectors.toSet());
+		if (!triedVms.isEmpty() && this.watcherSearches.hasFailed() && this.storeFailures.isOver(nowNanos)) {
+			return Optional.empty();
+		}
+		long triedLocally = triedVms.stream().filter((vm) -> vm.dataCentre().equals(this.localDataCentre)).count();
+		if (triedLocally < MAX_LOCAL_WATCHERS_TRIED) {
+			Optional<WatchSource> local = preferred(this.localDataCentre, triedVms, nowNanos);
+			if (local.isPresent()) {
+				return local;
+			}
+		}
+		if (triedLocally < triedVms.size()) {
+			return Optional.empty();
+		}
+		List<DataCentre> remote = this.rankings.keySet()
+			.stream()
+			.filter((dataCentre) -> !dataCentre.equals(this.localDataCentre))
+			.toList();
+		return RendezvousHash.ranked(this.ownName, remote, DataCentre::name)
+			.stream()
+			.flatMap((dataCentre) -> preferred(dataCentre, triedVms, nowNanos).stream())
+			.findFirst();
+	}
+
+	// Each VM prefers another watcher; when one is lost, its followers spread over the
+	// others.
+	private Optional<WatchSource> preferred(DataCentre dataCentre, Set<WatchVm> tried, long nowNanos) {
+		List<WatchVm> open = watchersOf(dataCentre, nowNanos).stream()
+			.filter((vm) -> !isOwn(vm) && !tried.contains(vm))
+			.toList();
+		List<WatchVm> ranked = RendezvousHash.ranked(this.ownName, open, WatchVm::name);
+		return ranked.stream()
+			.filter((vm) -> !isDemoted(vm, nowNanos))
+			.findFirst()
+			.or(() -> ranked.stream().findFirst())
+			.map(WatchSource::of);
+	}
+
+	// The first VMs of the ranking that have not failed of late.
+	private List<WatchVm> watchersOf(DataCentre dataCentre, long nowNanos) {
+		WatcherRanking ranking = this.rankings.get(dataCentre);
+		List<WatchVm> watchers = new ArrayList<>();
+		for (WatchVm vm : ranking.ranked()) {
+			if (watchers.size() == ranking.watcherCount()) {
+				break;
+			}
+			Failures failures = this.watcherFailures.get(vm.name());
+			if (failures == null || failures.isOver(nowNanos)) {
+				watchers.add(vm);
+			}
+		}
+		return watchers;
+	}
+
+	private boolean isDemoted(WatchVm vm, long nowNanos) {
+		Long until = this.demotedUntilNanos.get(vm.name());
+		return until != null && nowNanos - until < 0;
+	}
+
+	private boolean isOwn(WatchVm vm) {
+		return vm.name().equals(this.ownName);
+	}
+
+	private long fallbackDelayMillis(long nowNanos) {
+		if (this.fallbackNanos.isEmpty()) {
+			long spreadMillis = Math.min(MAX_SPREAD_MILLIS, SPREAD_MILLIS_PER_VM * this.vmCount);
+			this.fallbackNanos = Optional
+				.of(nowNanos + TimeUnit.MILLISECONDS.toNanos(this.random.nextLong(spreadMillis + 1)));
+		}
+		return Math.max(0, TimeUnit.NANOSECONDS.toMillis(this.fallbackNanos.get() - nowNanos));
+	}
+
+	/**
+	 * Records that a source has answered.
+	 * @param source the source
+	 * @param nowNanos the current time of the monotonic clock
+	 */
+	void recordAnswer(WatchSource source, long nowNanos) {
+		if (source.isStore()) {
+			this.storeFailures.reset();
+			this.storeLostCallNanos = Optional.empty();
+			if (!isWatcher(nowNanos) && this.watcherSearches.isOver(nowNanos)) {
+				this.watcherSearches.add(nowNanos, MIN_SEARCH_BACKOFF_MILLIS, MAX_SEARCH_BACKOFF_MILLIS, this.random);
+			}
+			return;
+		}
+		this.fallbackNanos = Optional.empty();
+		this.storeLostCallNanos = Optional.empty();
+		this.watcherSearches.reset();
+		String name = source.watcher().orElseThrow().name();
+		this.watcherFailures.remove(name);
+		this.demotedUntilNanos.remove(name);
+		// Another VM has the store, so it is worth a call.
+		this.storeFailures.shorten(nowNanos, this.random);
+	}
+
+	/**
+	 * Records that a source has failed.
+	 * @param source the source
+	 * @param nowNanos the current time of the monotonic clock
+	 */
+	void recordFailure(WatchSource source, long nowNanos) {
+		if (source.isStore()) {
+			if (isActive()) {
+				StoreBackoff backoff = storeBackoff(nowNanos);
+				long fleetMillis = (backoff == StoreBackoff.FOLLOWER) ? OUTAGE_MILLIS_PER_VM * this.vmCount : 0;
+				long minMillis = Math.min(backoff.maxMillis(), Math.max(backoff.minMillis(), fleetMillis));
+				this.storeFailures.add(nowNanos, minMillis, backoff.maxMillis(), this.random);
+			}
+			return;
+		}
+		this.watcherFailures.computeIfAbsent(source.watcher().orElseThrow().name(), (name) -> new Failures())
+			.add(nowNanos, MIN_WATCHER_BACKOFF_MILLIS, MAX_WATCHER_BACKOFF_MILLIS, this.random);
+	}
+
+	/**
+	 * Records that a watcher has answered that it has lost the store.
+	 * @param source the watcher
+	 * @param nowNanos the current time of the monotonic clock
+	 */
+	void recordStoreLost(WatchSource source, long nowNanos) {
+		String name = source.watcher().orElseThrow().name();
+		this.watcherFailures.remove(name);
+		this.demotedUntilNanos.put(name, nowNanos + TimeUnit.MILLISECONDS.toNanos(DEMOTION_MILLIS));
+		if (this.storeLostCallNanos.isEmpty() && !isWatcher(nowNanos)) {
+			long delayMillis = this.random.nextLong(2 * OUTAGE_MILLIS_PER_VM * this.vmCount + 1);
+			this.storeLostCallNanos = Optional.of(nowNanos + TimeUnit.MILLISECONDS.toNanos(delayMillis));
+		}
+	}
+
+	/**
+	 * Records that a watcher does not have what was asked for yet.
+	 * @param source the watcher
+	 * @param nowNanos the current time of the monotonic clock
+	 */
+	void recordBehind(WatchSource source, long nowNanos) {
+		this.demotedUntilNanos.put(source.watcher().orElseThrow().name(),
+				nowNanos + TimeUnit.MILLISECONDS.toNanos(DEMOTION_MILLIS));
+	}
+
+	private StoreBackoff storeBackoff(long nowNanos) {
+		List<WatchVm> watchers = watchersOf(this.localDataCentre, nowNanos);
+		if (!watchers.isEmpty() && isOwn(watchers.get(0))) {
+			return StoreBackoff.PROBER;
+		}
+		return isWatcher(nowNanos) ? StoreBackoff.WATCHER : StoreBackoff.FOLLOWER;
+	}
+
+	/**
+	 * A selected source. Thread safety: immutable.
+	 *
+	 * @param source the source
+	 * @param delayMillis how long to wait before it is called
+	 */
+	record Selection(WatchSource source, long delayMillis) {
+
+	}
+
+	/**
+	 * How long a VM waits after failed calls to the store.
+	 */
+	private enum StoreBackoff {
+
+		/** The first watcher finds out for its data centre when an outage ends. */
+		PROBER(50, 800),
+
+		/** The store may reject the first watcher and serve another one. */
+		WATCHER(1_000, 8_000),
+
+		/** The store may reject all watchers. */
+		FOLLOWER(1_000, 30_000);
+
+		private final long minMillis;
+
+		private final long maxMillis;
+
+		StoreBackoff(long minMillis, long maxMillis) {
+			this.minMillis = minMillis;
+			this.maxMillis = maxMillis;
+		}
+
+		private long minMillis() {
+			return this.minMillis;
+		}
+
+		private long maxMillis() {
+			return this.maxMillis;
+		}
+
+	}
+
+	/**
+	 * Failures in succession with the time until which they count. Thread safety: none.
+	 */
+	private static final class Failures {
+
+		private static final int MAX_DOUBLINGS = 16;
+
+		private static final long SHORT_MILLIS = 500;
+
+		private int count;
+
+		private long untilNanos;
+
+		private boolean isOver(long nowNanos) {
+			return this.count == 0 || nowNanos - this.untilNanos >= 0;
+		}
+
+		private boolean hasFailed() {
+			return this.count > 0;
+		}
+
+		private void add(long nowNanos, long minMillis, long maxMillis, RandomGenerator random) {
+			long ceilingMillis = Math.min(maxMillis, minMillis << Math.min(MAX_DOUBLINGS, this.count));
+			this.count++;
+			long delayMillis = minMillis / 2 + random.nextLong(ceilingMillis - minMillis / 2 + 1);
+			this.untilNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(delayMillis);
+		}
+
+		private void shorten(long nowNanos, RandomGenerator random) {
+			if (this.count > 1) {
+				this.count = 1;
+				long soonNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(random.nextLong(SHORT_MILLIS));
+				if (this.untilNanos - soonNanos > 0) {
+					this.untilNanos = soonNanos;
+				}
+			}
+		}
+
+		private void reset() {
+			this.count = 0;
+		}
+
+	}
+
+}
