Few VMs watch the store: HTTP on the peer port, wiring, metrics

With the section watch, the feeds of a gateway go through StoreSharing; registered VMs are listed through the same feed and tell their size. Without it, feeds are the adapter's.

--- a/router/src/main/java/org/burdocktray/process/serve/gateway/FleetRegistry.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/FleetRegistry.java
@@ -7,6 +7,7 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.json.DecodeException;
 import io.vertx.core.json.JsonObject;
+import org.burdocktray.connection.platform.ChangeFeed;
 import org.burdocktray.connection.platform.PlatformStore;
 import org.burdocktray.connection.platform.StoreError;
 import org.burdocktray.connection.platform.StoredObject;
@@ -23,12 +24,19 @@
 
 	private static final Logger LOGGER = Logger.getLogger(FleetRegistry.class);
 
-	private static final String KEY_PREFIX = "burdocktray-vms/";
+	/** The kind of the registrations. */
+	static final String KIND = "burdocktray-vms";
+
+	private static final String KEY_PREFIX = KIND + "/";
 
 	private static final String DATA_CENTRE = "dataCentre";
 
 	private static final String ADDRESS = "address";
 
+	private static final String CORES = "cores";
+
+	private static final String LINK = "linkBitsPerSecond";
+
 	/** The largest text that is kept; far more than the name of a data centre has. */
 	private static final int MAX_TEXT_CHARACTERS = 1_024;
 
@@ -40,15 +48,19 @@
 
 	private final PlatformStore store;
 
+	private final ChangeFeed listings;
+
 	private final RegisteredVm ownVm;
 
 	private final Consumer<List<RegisteredVm>> listener;
 
 	private long intervalMillis = INITIAL_INTERVAL_MILLIS;
 
-	FleetRegistry(Vertx vertx, PlatformStore store, RegisteredVm ownVm, Consumer<List<RegisteredVm>> listener) {
+	FleetRegistry(Vertx vertx, PlatformStore store, ChangeFeed listings, RegisteredVm ownVm,
+			Consumer<List<RegisteredVm>> listener) {
 		this.vertx = vertx;
 		this.store = store;
+		this.listings = listings;
 		this.ownVm = ownVm;
 		this.listener = listener;
 	}
@@ -56,6 +68,8 @@
 	void start() {
 		String value = new JsonObject().put(DATA_CENTRE, this.ownVm.dataCentre().name())
 			.put(ADDRESS, this.ownVm.address().map(NetworkAddress::toString).orElse(""))
+			.put(CORES, this.ownVm.cores())
+			.put(LINK, this.ownVm.linkBitsPerSecond())
 			.encode();
 		this.store.create(KEY_PREFIX + this.ownVm.name(), value).subscribe((result) -> {
 			boolean isRegistered = result.isRight() || result.getLeft() == StoreError.CONFLICT;
@@ -74,8 +88,9 @@
 	}
 
 	private void list() {
-		this.store.list(KEY_PREFIX).subscribe((listed) -> {
-			listed.peek((objects) -> this.listener.accept(objects.stream().map(FleetRegistry::decode).toList()))
+		this.listings.listObjects(KIND).subscribe((listed) -> {
+			listed
+				.peek((listing) -> this.listener.accept(listing.objects().stream().map(FleetRegistry::decode).toList()))
 				.peekLeft((error) -> LOGGER.infof("Registered VMs cannot be listed: error=%s", error));
 			this.vertx.setTimer(this.intervalMillis, (timer) -> list());
 			this.intervalMillis = listed.isRight() ? Math.min(MAX_INTERVAL_MILLIS, 2 * this.intervalMillis)
@@ -84,15 +99,16 @@
 	}
 
 	private static RegisteredVm decode(StoredObject object) {
-		String name = object.key().substring(KEY_PREFIX.length());
+		String name = object.key();
 		try {
 			JsonObject value = new JsonObject(object.value());
 			Optional<NetworkAddress> address = text(value, ADDRESS).flatMap(NetworkAddress::parse);
-			return new RegisteredVm(name, new DataCentre(text(value, DATA_CENTRE).orElse("")), address);
+			return new RegisteredVm(name, new DataCentre(text(value, DATA_CENTRE).orElse("")), address,
+					number(value, CORES), number(value, LINK));
 		}
 		catch (DecodeException | ClassCastException ex) {
 			LOGGER.warnf("VM entry is invalid, the VM is only counted: vm=%s cause=%s", name, ex.getMessage());
-			return new RegisteredVm(name, new DataCentre(""), Optional.empty());
+			return new RegisteredVm(name, new DataCentre(""), Optional.empty(), 0, 0);
 		}
 	}
 
@@ -100,6 +116,11 @@
 		return Optional.ofNullable(value.getString(field)).filter((text) -> text.length() <= MAX_TEXT_CHARACTERS);
 	}
 
+	// Builds before the sizes of VMs do not tell them.
+	private static double number(JsonObject value, String field) {
+		return Optional.ofNullable(value.getDouble(field)).filter((number) -> number > 0).orElse(0.0);
+	}
+
 	/**
 	 * A registered VM. Thread safety: immutable.
 	 *
@@ -108,8 +129,15 @@
 	 * entry is invalid
 	 * @param address the address on which it receives messages of other VMs, empty when
 	 * the entry is invalid
+	 * @param cores its processor cores, 0 if it does not tell them
+	 * @param linkBitsPerSecond the bandwidth of its link, 0 if it does not tell it
 	 */
-	record RegisteredVm(String name, DataCentre dataCentre, Optional<NetworkAddress> address) {
+	record RegisteredVm(String name, DataCentre dataCentre, Optional<NetworkAddress> address, double cores,
+			double linkBitsPerSecond) {
+
+		RegisteredVm(String name, DataCentre dataCentre, Optional<NetworkAddress> address) {
+			this(name, dataCentre, address, 0, 0);
+		}
 
 	}
 
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayAdapter.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayAdapter.java
@@ -18,6 +18,16 @@
 public record GatewayAdapter(HeaderCodec headers, ObjectCodec objects, PlatformStore store, ChangeFeed feed,
 		ChangeFeed hintFeed, EngineControl engineControl) {
 
+	/**
+	 * Returns an adapter with other feeds.
+	 * @param nextFeed lists objects and returns their changes
+	 * @param nextHintFeed the same for what may be old
+	 * @return the adapter
+	 */
+	GatewayAdapter withFeeds(ChangeFeed nextFeed, ChangeFeed nextHintFeed) {
+		return new GatewayAdapter(this.headers, this.objects, this.store, nextFeed, nextHintFeed, this.engineControl);
+	}
+
 	/**
 	 * Creates the adapter of a process.
 	 */
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayMetrics.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayMetrics.java
@@ -10,15 +10,18 @@
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import org.burdocktray.process.watch.WatchListener;
 
 /**
  * The metrics of a gateway. Label values come from bounded sets. Thread safety: can be
  * used from any thread.
  */
-final class GatewayMetrics {
+final class GatewayMetrics implements WatchListener {
 
 	private static final double NANOS_PER_SECOND = 1e9;
 
+	private static final double MILLIS_PER_SECOND = 1e3;
+
 	private static final double[] LATENCY_BUCKET_BOUNDS_SECONDS = { 0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10,
 			20 };
 
@@ -121,6 +124,31 @@
 		.labelNames("kind", "call")
 		.register(this.registry);
 
+	private final Counter watchCalls = Counter.builder()
+		.name("burdocktray_gateway_watch_calls_total")
+		.help("Calls for objects of the store by kind, by who was asked and by result; a gap is filled by a listing")
+		.labelNames("kind", "source", "result")
+		.register(this.registry);
+
+	private final Counter watchAnswers = Counter.builder()
+		.name("burdocktray_gateway_watch_answers_total")
+		.help("Answers to other VMs that asked for objects of the store")
+		.labelNames("kind", "result")
+		.register(this.registry);
+
+	private final Histogram watchAge = Histogram.builder()
+		.name("burdocktray_gateway_watch_age_seconds")
+		.help("Age of the state of the store that another VM has passed on, when it was received")
+		.labelNames("kind")
+		.classicOnly()
+		.classicUpperBounds(LATENCY_BUCKET_BOUNDS_SECONDS)
+		.register(this.registry);
+
+	private final Gauge watching = Gauge.builder()
+		.name("burdocktray_gateway_watching")
+		.help("Whether this VM watches the store: 1 or 0")
+		.register(this.registry);
+
 	private final Gauge replicasHeard = Gauge.builder()
 		.name("burdocktray_gateway_replicas_heard")
 		.help("Replicas that have sent something to this VM in the last two seconds")
@@ -165,6 +193,26 @@
 		this.oversizedResponses.inc();
 	}
 
+	@Override
+	public void onCall(String kind, String source, String result) {
+		this.watchCalls.labelValues(kind, source, result).inc();
+	}
+
+	@Override
+	public void onAnswer(String kind, String result) {
+		this.watchAnswers.labelValues(kind, result).inc();
+	}
+
+	@Override
+	public void onConfirmation(String kind, long ageMillis) {
+		this.watchAge.labelValues(kind).observe(ageMillis / MILLIS_PER_SECOND);
+	}
+
+	@Override
+	public void onWatching(boolean isWatcher) {
+		this.watching.set(isWatcher ? 1 : 0);
+	}
+
 	void recordStoreCall(String kind, String call) {
 		this.storeCalls.labelValues(kind, call).inc();
 	}
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayServer.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayServer.java
@@ -8,10 +8,12 @@
 import java.util.stream.Collectors;
 
 import io.vertx.core.Future;
+import io.vertx.core.Handler;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import io.vertx.core.file.FileSystemOptions;
+import io.vertx.core.http.HttpServerRequest;
 import org.burdocktray.connection.http.MergedAnswer;
 import org.burdocktray.connection.platform.StoredObject;
 import org.burdocktray.model.NetworkAddress;
@@ -31,7 +33,13 @@
 import org.burdocktray.process.limits.ReplicaLimits;
 import org.burdocktray.process.quarantine.Quarantine;
 import org.burdocktray.process.quarantine.QuarantineSettings;
+import org.burdocktray.process.serve.watch.WatchClient;
+import org.burdocktray.process.serve.watch.WatchEndpoint;
 import org.burdocktray.process.settings.GatewayOptions;
+import org.burdocktray.process.settings.GatewayOptions.WatchOptions;
+import org.burdocktray.process.watch.StoreSharing;
+import org.burdocktray.process.watch.WatchVm;
+import org.burdocktray.process.watch.WatchedKind;
 import org.burdocktray.request.path.LoadSpread;
 import org.burdocktray.request.path.PathSearch;
 import org.burdocktray.version.rules.RulesGate;
@@ -68,6 +76,12 @@
 	/** The share of the drain time limit for which changes of replicas are batched. */
 	private static final double REPLICAS_BATCH_SHARE = 0.25;
 
+	/** A drain must be known within the bound although a watcher may be lost. */
+	private static final long REPLICAS_WAITS_PER_DRAIN = 3;
+
+	/** Bounds the age of listings of VMs to about the interval of each VM. */
+	private static final long VM_LISTING_WAIT_MILLIS = 7_000;
+
 	private final GatewaySettings settings;
 
 	private final GatewayOptions options;
@@ -97,6 +111,11 @@
 
 	private final GracefulStop gracefulStop;
 
+	private final RelayKey relayKey;
+
+	/** Lets few VMs watch the store; empty if each VM watches it. */
+	private final Optional<StoreSharing> storeSharing;
+
 	private volatile boolean closing;
 
 	/**
@@ -126,7 +145,11 @@
 			.setInternalBlockingPoolSize(1)
 			.setFileSystemOptions(
 					new FileSystemOptions().setClassPathResolvingEnabled(false).setFileCachingEnabled(false)));
-		this.adapter = CountedStore.count(adapterFactory.create(this.vertx, settings), this.metrics);
+		GatewayAdapter counted = CountedStore.count(adapterFactory.create(this.vertx, settings), this.metrics);
+		this.relayKey = new RelayKey(this.vertx, counted.store());
+		this.storeSharing = options.watch().map((watch) -> shareStore(watch, counted));
+		this.adapter = this.storeSharing.map((sharing) -> counted.withFeeds(sharing.feed(), sharing.hintFeed()))
+			.orElse(counted);
 		this.gracefulStop = new GracefulStop(this.vertx, settings, this.requestsInProgress, this::close);
 	}
 
@@ -194,21 +217,20 @@
 		CrashDetector crashes = new CrashDetector(this.quarantine, probe,
 				new SilenceWatch(this.vertx, probe, System::nanoTime), new RefusedReplicas(this.vertx), reach,
 				this.metrics);
-		RelayKey relayKey = new RelayKey(this.vertx, this.adapter.store());
 		RelayLimit relayLimit = new RelayLimit();
 		Optional<DemandMeter> demandMeter = needsDemand() ? Optional.of(new DemandMeter()) : Optional.empty();
 		Optional<DemandExchange> demand = demandMeter.map((meter) -> new DemandExchange(this.settings.dataCentre(),
 				this.settings.peerAddress(), meter, nowNanos));
 		GatewayContext context = new GatewayContext(this.vertx, this.eventLoopDelay, this.settings.dataCentre(),
 				this.adapter.headers(), this.rules, this.freshness, this.directory, loads, new StreamOutputs(),
-				contacts, reach, relays, relayKey, limits, monitor, engineControl, connections,
+				contacts, reach, relays, this.relayKey, limits, monitor, engineControl, connections,
 				new PathSearch(this.settings.dataCentre(), loads, random), new LoadSpread(loads, random), retryBudget,
 				demandMeter, crashes, random, this.metrics);
 		GatewayRequestHandler requestHandler = new GatewayRequestHandler(context, this.requestsInProgress,
 				this.rulesPollInterval, this.gracefulStop::isStopping, this.gracefulStop::isRejecting);
 		PlacementLease placementLease = new PlacementLease(this.adapter.store(), this.settings.vmName());
 		PlacementLoop placementLoop = new PlacementLoop(this.rules, this.directory, engineControl, placementLease);
-		RelayReceiver relayReceiver = new RelayReceiver(relayKey, relayLimit, reach, datagrams, requestHandler,
+		RelayReceiver relayReceiver = new RelayReceiver(this.relayKey, relayLimit, reach, datagrams, requestHandler,
 				this::isReady, this.metrics);
 		LoadReportBroadcaster loadBroadcaster = new LoadReportBroadcaster(datagrams,
 				(vm, id, startedAtMillis, report) -> this.directory.findById(id)
@@ -254,9 +276,10 @@
 			loadBroadcaster.add(engine, report);
 			report.peek((received) -> crashes.recordSignOfLife());
 		});
-		FleetRegistry fleetRegistry = new FleetRegistry(this.vertx, this.adapter.store(),
+		FleetRegistry fleetRegistry = new FleetRegistry(this.vertx, this.adapter.store(), this.adapter.hintFeed(),
 				new FleetRegistry.RegisteredVm(this.settings.vmName(), this.settings.dataCentre(),
-						Optional.of(this.settings.peerAddress())),
+						Optional.of(this.settings.peerAddress()), this.settings.size().cores(),
+						this.settings.size().linkBitsPerSecond()),
 				(vms) -> {
 					List<String> vmNames = vms.stream().map(FleetRegistry.RegisteredVm::name).toList();
 					retryBudget.setVmCount(vms.size());
@@ -266,6 +289,7 @@
 						.filter((vm) -> vm.dataCentre().equals(this.settings.dataCentre()))
 						.toList();
 					relays.setVms(vms);
+					this.storeSharing.ifPresent((sharing) -> sharing.setVms(watchVms(vms)));
 					demand.ifPresent((exchange) -> exchange.setVms(vms.stream()
 						.filter((vm) -> vm.address().isPresent())
 						.collect(Collectors.toMap((vm) -> vm.address().get(), FleetRegistry.RegisteredVm::dataCentre,
@@ -277,7 +301,7 @@
 		demand.ifPresent((exchange) -> exchangeDemand(exchange, datagrams));
 		startWatchers();
 		fleetRegistry.start();
-		relayKey.start();
+		this.relayKey.start();
 		quarantineSync.start();
 		this.vertx.setPeriodic(LOAD_BROADCAST_MILLIS, (timer) -> loadBroadcaster.flush());
 		this.vertx.setPeriodic(CONTACT_COUNT_MILLIS,
@@ -297,13 +321,46 @@
 				runTick("placement", () -> placementLoop.tick(tickNanos));
 			}
 			runTick("monitor", () -> monitor.tick(usableEngines(), tickNanos));
+			this.storeSharing
+				.ifPresent((sharing) -> runTick("watch", () -> sharing.tick(this.relayKey.value().isPresent())));
 			runTick("requests", () -> this.requestsInProgress.tick(tickNanos));
 			this.metrics.setInProgress(this.requestsInProgress.count());
 		});
 		GatewayListeners listeners = new GatewayListeners(this.vertx, this.settings, this.metrics, this::isReady);
 		return datagrams.start()
 			.compose((listening) -> listeners.listen(requestHandler::handle))
-			.onSuccess((listening) -> listeners.listenToRelays(relayReceiver::handle));
+			.onSuccess((listening) -> listeners.listenToRelays(peerHandler(relayReceiver)));
+	}
+
+	private StoreSharing shareStore(WatchOptions watch, GatewayAdapter direct) {
+		GatewaySettings.Bounds bounds = this.settings.bounds();
+		long replicasWaitMillis = Math.min(bounds.contactMillis(), bounds.drainMillis() / REPLICAS_WAITS_PER_DRAIN);
+		StoreSharing.Kinds kinds = new StoreSharing.Kinds(
+				List.of(new WatchedKind(direct.objects().rulesKind(), this.freshness.sharedWaitMillis()),
+						new WatchedKind(direct.objects().replicasKind(), replicasWaitMillis)),
+				List.of(new WatchedKind(QuarantineSync.KIND, QuarantineSync.WATCH_WAIT_MILLIS),
+						new WatchedKind(FleetRegistry.KIND, VM_LISTING_WAIT_MILLIS)));
+		StoreSharing.Platform platform = new StoreSharing.Platform(direct.feed(), direct.hintFeed(),
+				new WatchClient(this.vertx, this.relayKey::value), Timestamp::now,
+				(delayMillis, action) -> this.vertx.setTimer(delayMillis, (timer) -> action.run()),
+				new SplittableRandom());
+		return new StoreSharing(watch, new StoreSharing.Own(this.settings.vmName(), this.settings.dataCentre()), kinds,
+				platform, this.metrics);
+	}
+
+	private static List<WatchVm> watchVms(List<FleetRegistry.RegisteredVm> vms) {
+		return vms.stream()
+			.filter((vm) -> vm.address().isPresent())
+			.map((vm) -> new WatchVm(vm.name(), vm.dataCentre(), vm.address().get(),
+					WatchVm.capacityOf(vm.cores(), vm.linkBitsPerSecond())))
+			.toList();
+	}
+
+	private Handler<HttpServerRequest> peerHandler(RelayReceiver relayReceiver) {
+		Optional<WatchEndpoint> watch = this.storeSharing
+			.map((sharing) -> new WatchEndpoint(this.relayKey::matches, sharing.answers()));
+		return (request) -> watch.filter((endpoint) -> endpoint.accepts(request))
+			.ifPresentOrElse((endpoint) -> endpoint.handle(request), () -> relayReceiver.handle(request));
 	}
 
 	private boolean needsDemand() {
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/QuarantineSync.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/QuarantineSync.java
@@ -18,7 +18,8 @@
  */
 final class QuarantineSync {
 
-	private static final String KIND = "burdocktray-quarantine";
+	/** The kind of the entries. */
+	static final String KIND = "burdocktray-quarantine";
 
 	private static final long SAVE_INTERVAL_MILLIS = 100;
 
@@ -28,7 +29,7 @@
 	private static final long RETRY_PAUSE_MILLIS = 1_000;
 
 	/** A watch that was lost without a trace is noticed after this time. */
-	private static final long WATCH_WAIT_MILLIS = 10_000;
+	static final long WATCH_WAIT_MILLIS = 10_000;
 
 	/**
 	 * The datagrams bring changes at once; the watch brings those that were lost. Each
--- a/router/src/test/java/org/burdocktray/process/serve/gateway/FleetRegistryTests.java
+++ b/router/src/test/java/org/burdocktray/process/serve/gateway/FleetRegistryTests.java
@@ -10,6 +10,9 @@
 import io.reactivex.rxjava3.core.Single;
 import io.vavr.control.Either;
 import io.vertx.core.Vertx;
+import org.burdocktray.connection.platform.ChangeFeed;
+import org.burdocktray.connection.platform.ObjectChanges;
+import org.burdocktray.connection.platform.ObjectListing;
 import org.burdocktray.connection.platform.PlatformStore;
 import org.burdocktray.connection.platform.StoreError;
 import org.burdocktray.connection.platform.StoredObject;
@@ -61,12 +64,13 @@
 	private List<RegisteredVm> listWith(String foreignValue) throws Exception {
 		CompletableFuture<List<RegisteredVm>> listed = new CompletableFuture<>();
 		RegisteredVm self = new RegisteredVm("vm-0", new DataCentre("ghent"), Optional.of(ADDRESS));
-		FleetRegistry registry = new FleetRegistry(this.vertx, new FakeStore(foreignValue), self, listed::complete);
+		FakeStore store = new FakeStore(foreignValue);
+		FleetRegistry registry = new FleetRegistry(this.vertx, store, store, self, listed::complete);
 		this.vertx.getOrCreateContext().runOnContext((now) -> registry.start());
 		return listed.get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
 	}
 
-	private static final class FakeStore implements PlatformStore {
+	private static final class FakeStore implements PlatformStore, ChangeFeed {
 
 		private final List<StoredObject> objects = new ArrayList<>();
 
@@ -81,7 +85,21 @@
 
 		@Override
 		public Single<Either<StoreError, List<StoredObject>>> list(String prefix) {
-			return Single.just(Either.right(List.copyOf(this.objects)));
+			throw new UnsupportedOperationException();
+		}
+
+		@Override
+		public Single<Either<StoreError, ObjectListing>> listObjects(String kind) {
+			return Single.just(Either.right(new ObjectListing(this.objects.stream()
+				.map((object) -> new StoredObject(object.key().substring(kind.length() + 1), object.version(),
+						object.value()))
+				.toList(), 2)));
+		}
+
+		@Override
+		public Single<Either<StoreError, ObjectChanges>> awaitChanges(String kind, long afterRevision,
+				long waitMillis) {
+			throw new UnsupportedOperationException();
 		}
 
 		@Override
