--- a/router/src/main/java/org/burdocktray/process/explain/RequestTimeline.java
+++ b/router/src/main/java/org/burdocktray/process/explain/RequestTimeline.java
@@ -28,7 +28,8 @@
 	private static final Set<String> FINAL_EVENTS = Set.of("Request ended", "Request turned away");
 
 	private static final Set<String> VM_EVENTS = Set.of("Store does not answer", "Store answers again",
-			"Rules in force", "Gateway stops", "Gateway listens", "Rules cannot be read, the present ones stay");
+			"Rules in force", "Gateway stops", "Gateway listens", "Rules cannot be read, the present ones stay",
+			"Objects come from another source", "Watch of the store by this VM");
 
 	private static final Pattern REPLICA = Pattern.compile("(?:replica|dead)=([^ ,=]+)|(?:path=|,)([^ ,=]+)=\\d");
 
--- a/router/src/main/java/org/burdocktray/process/watch/SharedFeed.java
+++ b/router/src/main/java/org/burdocktray/process/watch/SharedFeed.java
@@ -74,6 +74,8 @@
 
 	private final Map<String, WatchSource> lastSources = new HashMap<>();
 
+	private final Map<String, WatchSource> answeringSources = new HashMap<>();
+
 	SharedFeed(ChangeFeed store, List<WatchedKind> kinds, DataCentre localDataCentre, WatchSources sources,
 			FollowerAnswers answers, WatchCalls calls, Supplier<Timestamp> clock, Timers timers, RandomGenerator random,
 			WatchListener listener) {
@@ -159,9 +161,6 @@
 		call.tried.add(source);
 		WatchSource previous = this.lastSources.put(call.kind, source);
 		boolean isChange = previous != null && !previous.equals(source);
-		if (isChange) {
-			LOGGER.infof("Objects come from another source: kind=%s from=%s before=%s", call.kind, source, previous);
-		}
 		if (source.isStore()) {
 			call.callStore();
 			return;
@@ -222,6 +221,7 @@
 			return;
 		}
 		recordCall(call, source, "ok");
+		logSource(call, source);
 		this.sources.recordAnswer(source, nowNanos());
 		if (!this.sources.isWatcher(nowNanos())) {
 			this.answers.clear(call.kind);
@@ -237,6 +237,13 @@
 		return new Confirmation(-confirmedAt.minMillisSince(call.startedAt), isPassedOn);
 	}
 
+	private void logSource(Call<?> call, WatchSource source) {
+		WatchSource previous = this.answeringSources.put(call.kind, source);
+		if (previous != null && !previous.equals(source)) {
+			LOGGER.infof("Objects come from another source: kind=%s from=%s before=%s", call.kind, source, previous);
+		}
+	}
+
 	private void handleFailure(Call<?> call, WatchSource source) {
 		recordCall(call, source, "failed");
 		this.sources.recordFailure(source, nowNanos());
@@ -302,6 +309,7 @@
 				next(this);
 				return;
 			}
+			logSource(this, WatchSource.STORE);
 			if (this.tried.size() > 1) {
 				SharedFeed.this.sources.recordFallback(nowNanos());
 			}
