Watchers that start keep their place; fewer calls of idle followers and cut-off watchers

Cause: after the start of a fleet, VMs that declined since they did not know the others yet counted as failed, so other VMs were made watchers (10 instead of 6 in a fleet of 95). A watcher cut off from the store alone called it again after each answer of another watcher.

--- a/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayServer.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayServer.java
@@ -336,10 +336,10 @@
 		GatewaySettings.Bounds bounds = this.settings.bounds();
 		long replicasWaitMillis = Math.min(bounds.contactMillis(), bounds.drainMillis() / REPLICAS_WAITS_PER_DRAIN);
 		StoreSharing.Kinds kinds = new StoreSharing.Kinds(
-				List.of(new WatchedKind(direct.objects().rulesKind(), this.freshness.sharedWaitMillis()),
-						new WatchedKind(direct.objects().replicasKind(), replicasWaitMillis)),
-				List.of(new WatchedKind(QuarantineSync.KIND, QuarantineSync.WATCH_WAIT_MILLIS),
-						new WatchedKind(FleetRegistry.KIND, VM_LISTING_WAIT_MILLIS)));
+				List.of(new WatchedKind(direct.objects().rulesKind(), this.freshness.sharedWaitMillis(), true),
+						new WatchedKind(direct.objects().replicasKind(), replicasWaitMillis, false)),
+				List.of(new WatchedKind(QuarantineSync.KIND, QuarantineSync.WATCH_WAIT_MILLIS, false),
+						new WatchedKind(FleetRegistry.KIND, VM_LISTING_WAIT_MILLIS, false)));
 		StoreSharing.Platform platform = new StoreSharing.Platform(direct.feed(), direct.hintFeed(),
 				new WatchClient(this.vertx, this.relayKey::value), Timestamp::now,
 				(delayMillis, action) -> this.vertx.setTimer(delayMillis, (timer) -> action.run()),
--- a/router/src/main/java/org/burdocktray/process/watch/SharedFeed.java
+++ b/router/src/main/java/org/burdocktray/process/watch/SharedFeed.java
@@ -165,7 +165,13 @@
 			call.callStore();
 			return;
 		}
-		ask(call, source, isChange || call.tried.size() > 1);
+		boolean atOnce = isChange || call.tried.size() > 1;
+		long pauseMillis = atOnce ? 0 : call.pauseMillis(this.kinds.get(call.kind));
+		if (pauseMillis > 0) {
+			this.timers.schedule(pauseMillis, () -> ask(call, source, false));
+			return;
+		}
+		ask(call, source, atOnce);
 	}
 
 	private void ask(Call<?> call, WatchSource source, boolean atOnce) {
@@ -209,6 +215,12 @@
 				this.sources.recordBehind(source, nowNanos());
 				next(call);
 			}
+			case STATUS_DECLINED -> {
+				// A VM that has just started declines until it knows the others.
+				recordCall(call, source, "declined");
+				this.sources.recordBehind(source, nowNanos());
+				next(call);
+			}
 			default -> handleFailure(call, source);
 		}
 	}
@@ -328,6 +340,15 @@
 
 		abstract void describe(WatchRequest.Builder request);
 
+		/**
+		 * Returns how long to pause before a watcher is asked.
+		 * @param kind the kind of the objects
+		 * @return milliseconds, 0 for no pause
+		 */
+		long pauseMillis(WatchedKind kind) {
+			return 0;
+		}
+
 		abstract T toResult(List<ObjectChange> content, long revision, Confirmation confirmation);
 
 	}
@@ -417,6 +438,11 @@
 			request.setAfterRevision(this.afterRevision);
 		}
 
+		@Override
+		long pauseMillis(WatchedKind kind) {
+			return kind.pauseMillis(this.waitMillis);
+		}
+
 		@Override
 		ObjectChanges toResult(List<ObjectChange> content, long revision, Confirmation confirmation) {
 			return new ObjectChanges(content, revision, Optional.of(confirmation));
--- a/router/src/main/java/org/burdocktray/process/watch/WatchListener.java
+++ b/router/src/main/java/org/burdocktray/process/watch/WatchListener.java
@@ -9,8 +9,9 @@
 	 * Handles the end of a call for objects.
 	 * @param kind the kind of the objects
 	 * @param source {@code store}, {@code watcher} or {@code remote_watcher}
-	 * @param result {@code ok}, {@code failed}, {@code store_lost}, {@code behind} or
-	 * {@code gap} if changes were missed and all objects are listed again
+	 * @param result {@code ok}, {@code failed}, {@code store_lost}, {@code behind},
+	 * {@code declined}, or {@code gap} if changes were missed and all objects are listed
+	 * again
 	 */
 	void onCall(String kind, String source, String result);
 
--- a/router/src/main/java/org/burdocktray/process/watch/WatchSources.java
+++ b/router/src/main/java/org/burdocktray/process/watch/WatchSources.java
@@ -29,6 +29,9 @@
 	/** How long a VM watches after it was asked last. */
 	private static final long ASKED_NANOS = TimeUnit.SECONDS.toNanos(15);
 
+	/** How long an answer of another VM shows that the store is lost for this VM only. */
+	private static final long PEER_NANOS = TimeUnit.SECONDS.toNanos(3);
+
 	private static final long MIN_WATCHER_BACKOFF_MILLIS = 1_000;
 
 	private static final long MAX_WATCHER_BACKOFF_MILLIS = 60_000;
@@ -59,7 +62,7 @@
 	private static final long MAX_OUTAGE_SPREAD_MILLIS = 1_500;
 
 	/** Leaves most of the bound on the age of the rules. */
-	private static final long MAX_SPREAD_MILLIS = 500;
+	private static final long MAX_SPREAD_MILLIS = 300;
 
 	private final WatchOptions options;
 
@@ -88,6 +91,11 @@
 	 */
 	private final Failures watcherSearches = new Failures();
 
+	/** Whether another VM has told that the store is unavailable for it. */
+	private boolean storeLostForOthers;
+
+	private Optional<Long> peerAnswerNanos = Optional.empty();
+
 	/** When this VM may call the store although watchers say that it is unavailable. */
 	private Optional<Long> storeLostCallNanos = Optional.empty();
 
@@ -284,8 +292,12 @@
 		String name = source.watcher().orElseThrow().name();
 		this.watcherFailures.remove(name);
 		this.demotedUntilNanos.remove(name);
-		// Another VM has the store, so it is worth a call.
-		this.storeFailures.shorten(nowNanos, this.random);
+		this.peerAnswerNanos = Optional.of(nowNanos);
+		if (this.storeLostForOthers) {
+			// The store answers others again, so it is worth a call.
+			this.storeLostForOthers = false;
+			this.storeFailures.shorten(nowNanos, this.random);
+		}
 	}
 
 	/**
@@ -326,6 +338,7 @@
 		String name = source.watcher().orElseThrow().name();
 		this.watcherFailures.remove(name);
 		this.demotedUntilNanos.put(name, nowNanos + TimeUnit.MILLISECONDS.toNanos(DEMOTION_MILLIS));
+		this.storeLostForOthers = true;
 		boolean isStoreKnown = this.watcherSearches.hasFailed() && this.storeFailures.isOver(nowNanos);
 		if (this.storeLostCallNanos.isEmpty() && !isStoreKnown && !isWatcher(nowNanos)) {
 			long spreadMillis = Math.min(MAX_OUTAGE_SPREAD_MILLIS, OUTAGE_MILLIS_PER_VM * this.vmCount);
@@ -335,7 +348,7 @@
 	}
 
 	/**
-	 * Records that a watcher does not have what was asked for yet.
+	 * Records that a watcher does not have what was asked for, or does not answer yet.
 	 * @param source the watcher
 	 * @param nowNanos the current time of the monotonic clock
 	 */
@@ -346,7 +359,8 @@
 
 	private StoreBackoff storeBackoff(long nowNanos) {
 		List<WatchVm> watchers = watchersOf(this.localDataCentre, nowNanos);
-		if (!watchers.isEmpty() && isOwn(watchers.get(0))) {
+		boolean hasPeer = this.peerAnswerNanos.filter((answered) -> nowNanos - answered < PEER_NANOS).isPresent();
+		if (!hasPeer && !watchers.isEmpty() && isOwn(watchers.get(0))) {
 			return StoreBackoff.PROBER;
 		}
 		return isWatcher(nowNanos) ? StoreBackoff.WATCHER : StoreBackoff.FOLLOWER;
--- a/router/src/main/java/org/burdocktray/process/watch/WatchedKind.java
+++ b/router/src/main/java/org/burdocktray/process/watch/WatchedKind.java
@@ -5,12 +5,29 @@
  *
  * @param name the name of the kind
  * @param waitMillis how long a watcher, and those that ask it, wait for changes
+ * @param pausesWhenIdle whether a VM that would wait longer by itself asks for every
+ * second answer of its watcher only
  */
-public record WatchedKind(String name, long waitMillis) {
+public record WatchedKind(String name, long waitMillis, boolean pausesWhenIdle) {
+
+	/** Makes sure that a pause ends after the answer that is left out. */
+	private static final long PAUSE_MARGIN_MILLIS = 100;
 
 	/** The time of a late call and of the pause after changes. */
 	private static final long MARGIN_MILLIS = 1_500;
 
+	/**
+	 * Returns how long a VM pauses before it asks a watcher. With a pause, its
+	 * confirmation has the age of four waits at most; without the watcher, that of two
+	 * waits of its own.
+	 * @param ownWaitMillis how long the VM would wait by itself
+	 * @return milliseconds, 0 for no pause
+	 */
+	long pauseMillis(long ownWaitMillis) {
+		long pauseMillis = this.waitMillis + PAUSE_MARGIN_MILLIS;
+		return (this.pausesWhenIdle && 2 * ownWaitMillis >= 3 * this.waitMillis + pauseMillis) ? pauseMillis : 0;
+	}
+
 	/**
 	 * Returns the maximum age of what a watcher may answer. What is older shows that it
 	 * no longer watches.
--- a/router/src/test/java/org/burdocktray/process/serve/gateway/WatchFleet.java
+++ b/router/src/test/java/org/burdocktray/process/serve/gateway/WatchFleet.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 import java.util.function.UnaryOperator;
 
 import io.reactivex.rxjava3.core.Single;
@@ -54,9 +55,6 @@
 
 	private static final long STORE_TIMEOUT_MARGIN_MILLIS = 700;
 
-	/** The wait of a VM with 8 requests a second. */
-	private static final long RULES_WAIT_MILLIS = 1_000;
-
 	private static final long VM_LISTING_MILLIS = 16_000;
 
 	/** The heads of a request and an answer over HTTP. */
@@ -79,6 +77,9 @@
 	/** Changes answers on their way; identity unless a fault is planted. */
 	UnaryOperator<WatchAnswer> answerFault = UnaryOperator.identity();
 
+	/** The wait of a VM with 8 requests a second. */
+	long rulesWaitMillis = 1_000;
+
 	long messageBytes;
 
 	private long version;
@@ -204,6 +205,11 @@
 			return new Timestamp(WatchFleet.this.time.nanos(), WatchFleet.this.time.millis() + this.epochSkewMillis);
 		}
 
+		boolean isUpToDate() {
+			return this.known.get(RULES) == current(RULES) && this.known.get(REPLICAS) == current(REPLICAS)
+					&& this.freshness.isFresh(clock());
+		}
+
 		long rulesAgeMillis() {
 			return this.freshness.ageMillis(clock());
 		}
@@ -238,9 +244,10 @@
 			this.freshness = new RulesFreshness(MAX_AGE_MILLIS);
 			this.disturbedUntilMillis = WatchFleet.this.time.millis() + CHANGE_MILLIS;
 			this.watching = true;
-			List<WatchedKind> confirmed = List.of(new WatchedKind(RULES, this.freshness.sharedWaitMillis()),
-					new WatchedKind(REPLICAS, 1_000));
-			List<WatchedKind> hints = List.of(new WatchedKind(QUARANTINE, 10_000), new WatchedKind(VMS, 7_000));
+			List<WatchedKind> confirmed = List.of(new WatchedKind(RULES, this.freshness.sharedWaitMillis(), true),
+					new WatchedKind(REPLICAS, 1_000, false));
+			List<WatchedKind> hints = List.of(new WatchedKind(QUARANTINE, 10_000, false),
+					new WatchedKind(VMS, 7_000, false));
 			this.sharing = new StoreSharing(WatchFleet.this.options, new StoreSharing.Own(this.name, this.dataCentre),
 					new StoreSharing.Kinds(confirmed, hints), new StoreSharing.Platform(directFeed(), directFeed(),
 							this::ask, this::clock, this::schedule, WatchFleet.this.random.split()),
@@ -248,9 +255,10 @@
 			ChangeFeed feed = this.older ? directFeed() : this.sharing.feed();
 			ChangeFeed hintFeed = this.older ? directFeed() : this.sharing.hintFeed();
 			StoreOutage outage = new StoreOutage();
-			watch(feed, hintFeed, RULES, RULES_WAIT_MILLIS, 250, outage, StoreWatcher.OutageRole.PROBES);
-			watch(feed, hintFeed, REPLICAS, 3_000, 500, outage, StoreWatcher.OutageRole.WAITS);
-			watch(hintFeed, hintFeed, QUARANTINE, 10_000, 1_000, outage, StoreWatcher.OutageRole.WAITS);
+			watch(feed, hintFeed, RULES, () -> WatchFleet.this.rulesWaitMillis, 250, outage,
+					StoreWatcher.OutageRole.PROBES);
+			watch(feed, hintFeed, REPLICAS, () -> 3_000, 500, outage, StoreWatcher.OutageRole.WAITS);
+			watch(hintFeed, hintFeed, QUARANTINE, () -> 10_000, 1_000, outage, StoreWatcher.OutageRole.WAITS);
 			schedule(1_000, () -> listVms(hintFeed, 1_000));
 			tick();
 		}
@@ -269,13 +277,13 @@
 			});
 		}
 
-		private void watch(ChangeFeed feed, ChangeFeed hintFeed, String kind, long waitMillis, long batchMillis,
+		private void watch(ChangeFeed feed, ChangeFeed hintFeed, String kind, LongSupplier waitMillis, long batchMillis,
 				StoreOutage outage, StoreWatcher.OutageRole role) {
 			Consumer<Timestamp> onResponse = kind.equals(RULES) ? this.freshness::recordConfirmation : (time) -> {
 			};
-			new StoreWatcher(this::schedule, this::clock, feed, hintFeed, kind, () -> waitMillis, batchMillis,
-					StoreWatcher.Listener.ofObjects((objects) -> objects.forEach((object) -> learn(kind, object)),
-							onResponse),
+			new StoreWatcher(
+					this::schedule, this::clock, feed, hintFeed, kind, waitMillis, batchMillis, StoreWatcher.Listener
+						.ofObjects((objects) -> objects.forEach((object) -> learn(kind, object)), onResponse),
 					outage, role)
 				.start();
 		}
--- a/router/src/test/java/org/burdocktray/process/serve/gateway/WatchFleetTests.java
+++ b/router/src/test/java/org/burdocktray/process/serve/gateway/WatchFleetTests.java
@@ -109,6 +109,7 @@
 	@Test
 	void followersStayFreshForAsLongAsTheBoundSays() {
 		WatchFleet fleet = started(95, ON, 5);
+		fleet.rulesWaitMillis = 660;
 		fleet.time.run(10_000);
 		for (int round = 0; round < 20; round++) {
 			fleet.time.run(137);
@@ -164,6 +165,27 @@
 		}
 	}
 
+	/**
+	 * Guards against a data centre that serves nobody since only its link to the store is
+	 * cut.
+	 */
+	@Test
+	void dataCentreCutOffFromTheStoreAsksAnother() {
+		WatchFleet fleet = started(95, ON, 8);
+		List<WatchFleet.Vm> cutOff = fleet.vms.stream()
+			.filter((vm) -> Integer.parseInt(vm.name.substring(3)) % 3 == 0)
+			.toList();
+		cutOff.forEach(WatchFleet.Vm::cutOffFromStore);
+		long before = fleet.store.calls;
+		fleet.time.run(10_000);
+		fleet.changeReplica();
+		fleet.withdrawKey();
+		fleet.time.run(10_000);
+		assertThat(cutOff).allMatch(WatchFleet.Vm::isUpToDate);
+		assertThat(fleet.store.calls - before).isLessThan(callsOf(started(95, OFF, 8), 20_000) / 5);
+		assertThat(fleet.violations).isEmpty();
+	}
+
 	@Test
 	void halfOfTheFleetMayBeOlder() {
 		WatchFleet fleet = new WatchFleet(48, ON, 6);
@@ -222,7 +244,7 @@
 		/** Changes are left out. */
 		DROPPED;
 
-		private int count;
+		private final SplittableRandom random = new SplittableRandom(1);
 
 		private WatchAnswer first = WatchAnswer.getDefaultInstance();
 
@@ -231,8 +253,7 @@
 				return answer;
 			}
 			if (this == REVISION) {
-				this.count++;
-				if (this.count % 2 == 0) {
+				if (this.random.nextBoolean()) {
 					return answer;
 				}
 				this.first = this.first.getContent().isEmpty() ? answer : this.first;
