--- a/router/src/main/java/org/burdocktray/process/watch/WatchSources.java
+++ b/router/src/main/java/org/burdocktray/process/watch/WatchSources.java
@@ -181,6 +181,7 @@
 			return tried.isEmpty() ? Optional.of(new Selection(WatchSource.STORE, 0)) : Optional.empty();
 		}
 		boolean isWatcher = isWatcher(nowNanos);
+		// The store may reject all watchers and serve this VM.
 		boolean isOwnCallDue = this.allSourcesLost && this.storeLostCallNanos.isPresent() && mayCallStore(nowNanos);
 		if ((isWatcher || isOwnCallDue) && !tried.contains(WatchSource.STORE) && this.storeFailures.isOver(nowNanos)) {
 			return Optional.of(new Selection(WatchSource.STORE, 0));
