--- a/router/src/main/java/org/burdocktray/connection/platform/ObjectChanges.java
+++ b/router/src/main/java/org/burdocktray/connection/platform/ObjectChanges.java
@@ -1,6 +1,7 @@
 package org.burdocktray.connection.platform;
 
 import java.util.List;
+import java.util.Optional;
 
 /**
  * Changes to the objects of a kind. Thread safety: immutable.
@@ -8,13 +9,23 @@
  * @param changes the changes in the order in which they were made
  * @param revision the revision of the store after the changes, from which to watch for
  * further changes
+ * @param confirmation when the state was confirmed, empty if that follows from the call
  */
-public record ObjectChanges(List<ObjectChange> changes, long revision) {
+public record ObjectChanges(List<ObjectChange> changes, long revision, Optional<Confirmation> confirmation) {
 
 	public ObjectChanges {
 		changes = List.copyOf(changes);
 	}
 
+	/**
+	 * Creates an answer of the store itself.
+	 * @param changes the changes
+	 * @param revision the revision of the store
+	 */
+	public ObjectChanges(List<ObjectChange> changes, long revision) {
+		this(changes, revision, Optional.empty());
+	}
+
 	/**
 	 * A change to an object. Thread safety: immutable.
 	 *
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayServer.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayServer.java
@@ -8,10 +8,12 @@
 import java.util.stream.Collectors;
 
 import io.vertx.core.Future;
+import io.vertx.core.Handler;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import io.vertx.core.file.FileSystemOptions;
+import io.vertx.core.http.HttpServerRequest;
 import org.burdocktray.connection.http.MergedAnswer;
 import org.burdocktray.connection.platform.StoredObject;
 import org.burdocktray.model.NetworkAddress;
@@ -36,7 +38,13 @@
 import org.burdocktray.process.limits.ReplicaLimits;
 import org.burdocktray.process.quarantine.Quarantine;
 import org.burdocktray.process.quarantine.QuarantineSettings;
+import org.burdocktray.process.serve.watch.WatchClient;
+import org.burdocktray.process.serve.watch.WatchEndpoint;
 import org.burdocktray.process.settings.GatewayOptions;
+import org.burdocktray.process.settings.GatewayOptions.WatchOptions;
+import org.burdocktray.process.watch.StoreSharing;
+import org.burdocktray.process.watch.WatchVm;
+import org.burdocktray.process.watch.WatchedKind;
 import org.burdocktray.request.hedge.HedgePolicy;
 import org.burdocktray.request.hedge.KnownLoadCapacity;
 import org.burdocktray.request.path.FlowPathChoice;
@@ -76,6 +84,12 @@
 	/** The share of the drain time limit for which changes of replicas are batched. */
 	private static final double REPLICAS_BATCH_SHARE = 0.25;
 
+	/** A drain must be known within the bound although a watcher may be lost. */
+	private static final long REPLICAS_WAITS_PER_DRAIN = 3;
+
+	/** Bounds the age of listings of VMs to about the interval of each VM. */
+	private static final long VM_LISTING_WAIT_MILLIS = 7_000;
+
 	private final GatewaySettings settings;
 
 	private final GatewayOptions options;
@@ -105,6 +119,11 @@
 
 	private final GracefulStop gracefulStop;
 
+	private final RelayKey relayKey;
+
+	/** Lets few VMs watch the store; empty if each VM watches it. */
+	private final Optional<StoreSharing> storeSharing;
+
 	private volatile boolean closing;
 
 	/**
@@ -134,7 +153,11 @@
 			.setInternalBlockingPoolSize(1)
 			.setFileSystemOptions(
 					new FileSystemOptions().setClassPathResolvingEnabled(false).setFileCachingEnabled(false)));
-		this.adapter = CountedStore.count(adapterFactory.create(this.vertx, settings), this.metrics);
+		GatewayAdapter counted = CountedStore.count(adapterFactory.create(this.vertx, settings), this.metrics);
+		this.relayKey = new RelayKey(this.vertx, counted.store());
+		this.storeSharing = options.watch().map((watch) -> shareStore(watch, counted));
+		this.adapter = this.storeSharing.map((sharing) -> counted.withFeeds(sharing.feed(), sharing.hintFeed()))
+			.orElse(counted);
 		this.gracefulStop = new GracefulStop(this.vertx, settings, this.requestsInProgress, this::close);
 	}
 
@@ -202,7 +225,6 @@
 		CrashDetector crashes = new CrashDetector(this.quarantine, probe,
 				new SilenceWatch(this.vertx, probe, System::nanoTime), new RefusedReplicas(this.vertx), reach,
 				this.metrics);
-		RelayKey relayKey = new RelayKey(this.vertx, this.adapter.store());
 		RelayLimit relayLimit = new RelayLimit();
 		Optional<DemandMeter> demandMeter = needsDemand() ? Optional.of(new DemandMeter()) : Optional.empty();
 		Optional<DemandExchange> demand = demandMeter.map((meter) -> new DemandExchange(this.settings.dataCentre(),
@@ -219,7 +241,7 @@
 		GatewayContext context = new GatewayContext(this.vertx, this.eventLoopDelay, this.settings.dataCentre(),
 				this.adapter.headers(), this.rules, this.freshness, this.directory, loads,
 				this.options.balancing().isPresent() ? new StreamOutputs(enginePace) : new StreamOutputs(), contacts,
-				reach, relays, relayKey, limits, monitor, engineControl, connections,
+				reach, relays, this.relayKey, limits, monitor, engineControl, connections,
 				new PathSearch(this.settings.dataCentre(), loads, random), loadSpread, routes, replicaTimes, flowPaths,
 				retryBudget, demandMeter, hedging, crashes, random, this.metrics);
 		BodyMemory bodyMemory = BodyMemory.ofHeap();
@@ -228,7 +250,7 @@
 		PlacementLease placementLease = new PlacementLease(this.adapter.store(), this.settings.vmName());
 		PlacementLoop placementLoop = new PlacementLoop(this.rules, this.directory, engineControl, placementLease,
 				(service) -> routes.filter((fleetRoutes) -> fleetRoutes.isActive(service)).isPresent(), this.metrics);
-		RelayReceiver relayReceiver = new RelayReceiver(relayKey, relayLimit, reach, datagrams, requestHandler,
+		RelayReceiver relayReceiver = new RelayReceiver(this.relayKey, relayLimit, reach, datagrams, requestHandler,
 				this::isReady, this.metrics);
 		LoadReportBroadcaster loadBroadcaster = new LoadReportBroadcaster(datagrams,
 				(vm, id, startedAtMillis, report) -> this.directory.findById(id)
@@ -274,9 +296,10 @@
 			loadBroadcaster.add(engine, report);
 			report.peek((received) -> crashes.recordSignOfLife());
 		});
-		FleetRegistry fleetRegistry = new FleetRegistry(this.vertx, this.adapter.store(),
+		FleetRegistry fleetRegistry = new FleetRegistry(this.vertx, this.adapter.store(), this.adapter.hintFeed(),
 				new FleetRegistry.RegisteredVm(this.settings.vmName(), this.settings.dataCentre(),
-						Optional.of(this.settings.peerAddress())),
+						Optional.of(this.settings.peerAddress()), this.settings.size().cores(),
+						this.settings.size().linkBitsPerSecond()),
 				(vms) -> {
 					List<String> vmNames = vms.stream().map(FleetRegistry.RegisteredVm::name).toList();
 					retryBudget.setVmCount(vms.size());
@@ -287,6 +310,7 @@
 						.filter((vm) -> vm.dataCentre().equals(this.settings.dataCentre()))
 						.toList();
 					relays.setVms(vms);
+					this.storeSharing.ifPresent((sharing) -> sharing.setVms(watchVms(vms)));
 					demand.ifPresent((exchange) -> exchange.setVms(vms.stream()
 						.filter((vm) -> vm.address().isPresent())
 						.collect(Collectors.toMap((vm) -> vm.address().get(), FleetRegistry.RegisteredVm::dataCentre,
@@ -298,7 +322,7 @@
 		demand.ifPresent((exchange) -> exchangeDemand(exchange, datagrams));
 		startWatchers();
 		fleetRegistry.start();
-		relayKey.start();
+		this.relayKey.start();
 		quarantineSync.start();
 		this.vertx.setPeriodic(LOAD_BROADCAST_MILLIS, (timer) -> loadBroadcaster.flush());
 		this.vertx.setPeriodic(CONTACT_COUNT_MILLIS,
@@ -320,13 +344,46 @@
 				runTick("placement", () -> placementLoop.tick(tickNanos));
 			}
 			runTick("monitor", () -> monitor.tick(usableEngines(), tickNanos));
+			this.storeSharing
+				.ifPresent((sharing) -> runTick("watch", () -> sharing.tick(this.relayKey.value().isPresent())));
 			runTick("requests", () -> this.requestsInProgress.tick(tickNanos));
 			this.metrics.setInProgress(this.requestsInProgress.count(), bodyMemory.heldBytes());
 		});
 		GatewayListeners listeners = new GatewayListeners(this.vertx, this.settings, this.metrics, this::isReady);
 		return datagrams.start()
 			.compose((listening) -> listeners.listen(requestHandler::handle))
-			.onSuccess((listening) -> listeners.listenToRelays(relayReceiver::handle));
+			.onSuccess((listening) -> listeners.listenToRelays(peerHandler(relayReceiver)));
+	}
+
+	private StoreSharing shareStore(WatchOptions watch, GatewayAdapter direct) {
+		GatewaySettings.Bounds bounds = this.settings.bounds();
+		long replicasWaitMillis = Math.min(bounds.contactMillis(), bounds.drainMillis() / REPLICAS_WAITS_PER_DRAIN);
+		StoreSharing.Kinds kinds = new StoreSharing.Kinds(
+				List.of(new WatchedKind(direct.objects().rulesKind(), this.freshness.sharedWaitMillis(), true),
+						new WatchedKind(direct.objects().replicasKind(), replicasWaitMillis, false)),
+				List.of(new WatchedKind(QuarantineSync.KIND, QuarantineSync.WATCH_WAIT_MILLIS, false),
+						new WatchedKind(FleetRegistry.KIND, VM_LISTING_WAIT_MILLIS, false)));
+		StoreSharing.Platform platform = new StoreSharing.Platform(direct.feed(), direct.hintFeed(),
+				new WatchClient(this.vertx, this.relayKey::value), Timestamp::now,
+				(delayMillis, action) -> this.vertx.setTimer(delayMillis, (timer) -> action.run()),
+				new SplittableRandom());
+		return new StoreSharing(watch, new StoreSharing.Own(this.settings.vmName(), this.settings.dataCentre()), kinds,
+				platform, this.metrics);
+	}
+
+	private static List<WatchVm> watchVms(List<FleetRegistry.RegisteredVm> vms) {
+		return vms.stream()
+			.filter((vm) -> vm.address().isPresent())
+			.map((vm) -> new WatchVm(vm.name(), vm.dataCentre(), vm.address().get(),
+					WatchVm.capacityOf(vm.cores(), vm.linkBitsPerSecond())))
+			.toList();
+	}
+
+	private Handler<HttpServerRequest> peerHandler(RelayReceiver relayReceiver) {
+		Optional<WatchEndpoint> watch = this.storeSharing
+			.map((sharing) -> new WatchEndpoint(this.relayKey::matches, sharing.answers()));
+		return (request) -> watch.filter((endpoint) -> endpoint.accepts(request))
+			.ifPresentOrElse((endpoint) -> endpoint.handle(request), () -> relayReceiver.handle(request));
 	}
 
 	private Optional<HedgePolicy> createHedging(FleetRetryBudget retryBudget, ReplicaLoads loads) {
