--- a/soak/src/main/java/org/burdocktray/soak/GatewayProcess.java
+++ b/soak/src/main/java/org/burdocktray/soak/GatewayProcess.java
@@ -28,7 +28,9 @@
 
 	private final Path directory;
 
-	private final Path jar;
+	private final List<String> command;
+
+	private final Path workingDirectory;
 
 	private final int callerPort = FreePorts.take();
 
@@ -45,9 +47,24 @@
 	private int startCount;
 
 	GatewayProcess(String name, Path directory, Path jar, String storeAddress) throws IOException {
+		this(name, directory, command(jar), Path.of("."), storeAddress);
+	}
+
+	/**
+	 * Starts a gateway.
+	 * @param name the name of the VM
+	 * @param directory the directory for its settings and its logs
+	 * @param command the command that starts it, with the options of the Java virtual
+	 * machine
+	 * @param workingDirectory the directory in which the command runs
+	 * @param storeAddress the address of the store
+	 */
+	GatewayProcess(String name, Path directory, List<String> command, Path workingDirectory, String storeAddress)
+			throws IOException {
 		this.name = name;
 		this.directory = directory;
-		this.jar = jar;
+		this.command = command;
+		this.workingDirectory = workingDirectory;
 		Files.writeString(settingsFile(), settings(storeAddress));
 		start();
 	}
@@ -68,15 +85,9 @@
 		this.startCount++;
 		this.paused = false;
 		this.stopping = false;
-		Path log = this.directory.resolve(this.name + "-" + this.startCount + ".log");
-		List<String> command = new ArrayList<>(List.of("java"));
-		command.addAll(JVM_OPTIONS);
-		Path archive = Path.of(this.jar.toString().replace(".jar", ".jsa"));
-		if (Files.exists(archive)) {
-			command.add("-XX:SharedArchiveFile=" + archive);
-		}
-		command.addAll(List.of("-jar", this.jar.toString(), "gateway"));
-		ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true).redirectOutput(log.toFile());
+		ProcessBuilder builder = new ProcessBuilder(this.command).directory(this.workingDirectory.toFile())
+			.redirectErrorStream(true)
+			.redirectOutput(logFile().toFile());
 		builder.environment().put("BURDOCKTRAY_NODE_FILE", settingsFile().toString());
 		this.process = builder.start();
 	}
@@ -164,6 +175,29 @@
 		}
 	}
 
+	/**
+	 * Returns the file to which the gateway logs since its last start.
+	 * @return the path of the file
+	 */
+	Path logFile() {
+		return this.directory.resolve(this.name + "-" + this.startCount + ".log");
+	}
+
+	long pid() {
+		return this.process.pid();
+	}
+
+	private static List<String> command(Path jar) {
+		List<String> command = new ArrayList<>(List.of("java"));
+		command.addAll(JVM_OPTIONS);
+		Path archive = Path.of(jar.toString().replace(".jar", ".jsa"));
+		if (Files.exists(archive)) {
+			command.add("-XX:SharedArchiveFile=" + archive);
+		}
+		command.addAll(List.of("-jar", jar.toString(), "gateway"));
+		return List.copyOf(command);
+	}
+
 	private Path settingsFile() {
 		return this.directory.resolve(this.name + ".json");
 	}
