Start measurement ends when a gateway does, and counts 160 streams

A gateway that could not start left the measurement hanging, since the stand-ins' threads kept it alive; it now ends with status 1. The processor time of 160 streams after the idle time shows whether a saving at the start is paid for under load.

--- a/soak/src/main/java/org/burdocktray/soak/StartCost.java
+++ b/soak/src/main/java/org/burdocktray/soak/StartCost.java
@@ -9,6 +9,7 @@
 import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -34,6 +35,10 @@
 
 	private static final long IDLE_MILLIS = 10_000;
 
+	private static final int STREAM_ROUNDS = 10;
+
+	private static final int STREAMS_PER_ROUND = 16;
+
 	private static final int OK = 200;
 
 	private static final Pattern RUN_LINE = Pattern.compile("(?m)^run = \"(.*)\"$");
@@ -53,29 +58,45 @@
 	/**
 	 * Prints the medians of each build, and the ratios to the first build.
 	 * @param arguments the working trees of the builds, whose jars are built
-	 * @throws IOException when a process can't be started
 	 * @throws InterruptedException when the run is interrupted
 	 */
-	public static void main(String[] arguments) throws IOException, InterruptedException {
+	public static void main(String[] arguments) throws InterruptedException {
 		System.setProperty("jdk.httpclient.allowRestrictedHeaders", "host");
 		int starts = Integer.getInteger("starts", DEFAULT_STARTS);
-		new StartCost(Arrays.stream(arguments).map(Path::of).toList(), Integer.getInteger("engines", DEFAULT_ENGINES))
-			.run(starts, System.out);
-		System.exit(0);
+		int status = 1;
+		try {
+			new StartCost(Arrays.stream(arguments).map(Path::of).toList(),
+					Integer.getInteger("engines", DEFAULT_ENGINES))
+				.run(starts, System.out);
+			status = 0;
+		}
+		catch (IOException ex) {
+			System.err.println("start-cost: " + ex.getMessage());
+		}
+		finally {
+			// The stand-ins' threads would keep the process alive.
+			System.exit(status);
+		}
 	}
 
 	private void run(int starts, PrintStream out) throws IOException, InterruptedException {
 		// The engines get their layers in the first start, which is not counted.
 		for (int start = 0; start <= starts; start++) {
 			List<GatewayProcess> gateways = new ArrayList<>();
-			for (int index = 0; index < this.builds.size(); index++) {
-				gateways.add(this.builds.get((index + start) % this.builds.size()).start(start > 0));
-			}
-			if (start > 0) {
-				measureIdle(gateways, start);
+			try {
+				for (int index = 0; index < this.builds.size(); index++) {
+					Build build = this.builds.get((index + start) % this.builds.size());
+					gateways.add(build.launch());
+					build.awaitFirstStream(gateways.get(index), start > 0);
+				}
+				if (start > 0) {
+					measureIdle(gateways, start);
+				}
 			}
-			for (GatewayProcess gateway : gateways) {
-				gateway.close();
+			finally {
+				for (GatewayProcess gateway : gateways) {
+					gateway.close();
+				}
 			}
 		}
 		out.printf("%-34s", "medians of " + starts + " starts");
@@ -99,6 +120,13 @@
 			GatewayProcess gateway = gateways.get(index);
 			Build build = this.builds.get((index + start) % this.builds.size());
 			build.record(Phase.IDLE, gateway.cpuTime().toMillis() - before.get(index));
+		}
+		for (int index = 0; index < gateways.size(); index++) {
+			GatewayProcess gateway = gateways.get(index);
+			Build build = this.builds.get((index + start) % this.builds.size());
+			long beforeMillis = gateway.cpuTime().toMillis();
+			build.runStreams(gateway);
+			build.record(Phase.STREAMS, gateway.cpuTime().toMillis() - beforeMillis);
 			build.record(Phase.MEMORY, peakMemoryKilobytes(gateway.pid()));
 		}
 	}
@@ -112,7 +140,8 @@
 	private enum Phase {
 
 		LISTENS("until it listens, ms"), HAS_RULES("until it has rules, ms"),
-		FIRST_STREAM("until its first stream, ms"), IDLE("idle for 10 s, ms"), MEMORY("peak resident memory, kB");
+		FIRST_STREAM("until its first stream, ms"), IDLE("idle for 10 s, ms"),
+		STREAMS("next 160 streams of 40 events, ms"), MEMORY("peak resident memory, kB");
 
 		private final String title;
 
@@ -144,9 +173,11 @@
 			}
 		}
 
-		GatewayProcess start(boolean isCounted) throws IOException, InterruptedException {
-			GatewayProcess gateway = new GatewayProcess("vm-0", this.logs, command(), this.directory,
-					this.platform.store.address());
+		GatewayProcess launch() throws IOException {
+			return new GatewayProcess("vm-0", this.logs, command(), this.directory, this.platform.store.address());
+		}
+
+		void awaitFirstStream(GatewayProcess gateway, boolean isCounted) throws IOException, InterruptedException {
 			long listens = awaitLine(gateway, "Gateway listens");
 			long hasRules = awaitLine(gateway, "Rules in force");
 			while (this.callers.send(gateway.callerAddress(), Call.Kind.DRAFT, SoakPlatform.KEY)
@@ -160,7 +191,16 @@
 				record(Phase.HAS_RULES, hasRules);
 				record(Phase.FIRST_STREAM, gateway.cpuTime().toMillis());
 			}
-			return gateway;
+		}
+
+		void runStreams(GatewayProcess gateway) {
+			for (int round = 0; round < STREAM_ROUNDS; round++) {
+				List<CompletableFuture<Call>> calls = new ArrayList<>();
+				for (int stream = 0; stream < STREAMS_PER_ROUND; stream++) {
+					calls.add(this.callers.send(gateway.callerAddress(), Call.Kind.DRAFT, SoakPlatform.KEY));
+				}
+				calls.forEach(CompletableFuture::join);
+			}
 		}
 
 		private static long awaitLine(GatewayProcess gateway, String line) throws IOException, InterruptedException {
