Start measurement prints each start and runs the streams of all builds at once

With 160 streams for one build after the other a run of six builds took over a quarter of an hour and printed nothing until its end. Now 32 streams go to each build, to all at once.

--- a/soak/src/main/java/org/burdocktray/soak/StartCost.java
+++ b/soak/src/main/java/org/burdocktray/soak/StartCost.java
@@ -35,7 +35,7 @@
 
 	private static final long IDLE_MILLIS = 10_000;
 
-	private static final int STREAM_ROUNDS = 10;
+	private static final int STREAM_ROUNDS = 2;
 
 	private static final int STREAMS_PER_ROUND = 16;
 
@@ -49,6 +49,8 @@
 
 	private final List<Build> builds = new ArrayList<>();
 
+	private final Callers callers = new Callers();
+
 	private StartCost(List<Path> directories, int engines) throws IOException {
 		for (Path directory : directories) {
 			this.builds.add(new Build(directory, engines));
@@ -87,10 +89,11 @@
 				for (int index = 0; index < this.builds.size(); index++) {
 					Build build = this.builds.get((index + start) % this.builds.size());
 					gateways.add(build.launch());
-					build.awaitFirstStream(gateways.get(index), start > 0);
+					build.awaitFirstStream(gateways.get(index), this.callers, start > 0);
 				}
 				if (start > 0) {
 					measureIdle(gateways, start);
+					printStart(start, out);
 				}
 			}
 			finally {
@@ -112,6 +115,15 @@
 		}
 	}
 
+	// A run that is ended early leaves what it has measured.
+	private void printStart(int start, PrintStream out) {
+		out.printf("start %d:", start);
+		for (Phase phase : Phase.values()) {
+			out.printf(" %s", this.builds.stream().map((build) -> build.values.get(phase).get(start - 1)).toList());
+		}
+		out.println();
+	}
+
 	private void measureIdle(List<GatewayProcess> gateways, int start) throws IOException, InterruptedException {
 		TimeUnit.MILLISECONDS.sleep(SETTLING_MILLIS);
 		List<Long> before = gateways.stream().map((gateway) -> gateway.cpuTime().toMillis()).toList();
@@ -121,16 +133,28 @@
 			Build build = this.builds.get((index + start) % this.builds.size());
 			build.record(Phase.IDLE, gateway.cpuTime().toMillis() - before.get(index));
 		}
+		before = gateways.stream().map((gateway) -> gateway.cpuTime().toMillis()).toList();
+		runStreams(gateways);
 		for (int index = 0; index < gateways.size(); index++) {
 			GatewayProcess gateway = gateways.get(index);
 			Build build = this.builds.get((index + start) % this.builds.size());
-			long beforeMillis = gateway.cpuTime().toMillis();
-			build.runStreams(gateway);
-			build.record(Phase.STREAMS, gateway.cpuTime().toMillis() - beforeMillis);
+			build.record(Phase.STREAMS, gateway.cpuTime().toMillis() - before.get(index));
 			build.record(Phase.MEMORY, peakMemoryKilobytes(gateway.pid()));
 		}
 	}
 
+	private void runStreams(List<GatewayProcess> gateways) {
+		for (int round = 0; round < STREAM_ROUNDS; round++) {
+			List<CompletableFuture<Call>> calls = new ArrayList<>();
+			for (GatewayProcess gateway : gateways) {
+				for (int stream = 0; stream < STREAMS_PER_ROUND; stream++) {
+					calls.add(this.callers.send(gateway.callerAddress(), Call.Kind.DRAFT, SoakPlatform.KEY));
+				}
+			}
+			calls.forEach(CompletableFuture::join);
+		}
+	}
+
 	private static long peakMemoryKilobytes(long pid) throws IOException {
 		Matcher matcher = PEAK_MEMORY.matcher(Files.readString(Path.of("/proc", String.valueOf(pid), "status")));
 		return matcher.find() ? Long.parseLong(matcher.group(1)) : 0;
@@ -141,7 +165,7 @@
 
 		LISTENS("until it listens, ms"), HAS_RULES("until it has rules, ms"),
 		FIRST_STREAM("until its first stream, ms"), IDLE("idle for 10 s, ms"),
-		STREAMS("next 160 streams of 40 events, ms"), MEMORY("peak resident memory, kB");
+		STREAMS("next 32 streams of 40 events, ms"), MEMORY("peak resident memory, kB");
 
 		private final String title;
 
@@ -162,8 +186,6 @@
 
 		private final SoakPlatform platform = new SoakPlatform();
 
-		private final Callers callers = new Callers();
-
 		private final Map<Phase, List<Long>> values = new EnumMap<>(Phase.class);
 
 		Build(Path directory, int engines) throws IOException {
@@ -177,12 +199,11 @@
 			return new GatewayProcess("vm-0", this.logs, command(), this.directory, this.platform.store.address());
 		}
 
-		void awaitFirstStream(GatewayProcess gateway, boolean isCounted) throws IOException, InterruptedException {
+		void awaitFirstStream(GatewayProcess gateway, Callers callers, boolean isCounted)
+				throws IOException, InterruptedException {
 			long listens = awaitLine(gateway, "Gateway listens");
 			long hasRules = awaitLine(gateway, "Rules in force");
-			while (this.callers.send(gateway.callerAddress(), Call.Kind.DRAFT, SoakPlatform.KEY)
-				.join()
-				.status() != OK) {
+			while (callers.send(gateway.callerAddress(), Call.Kind.DRAFT, SoakPlatform.KEY).join().status() != OK) {
 				this.platform.publishEngineEntries();
 				TimeUnit.MILLISECONDS.sleep(RETRY_MILLIS);
 			}
@@ -193,16 +214,6 @@
 			}
 		}
 
-		void runStreams(GatewayProcess gateway) {
-			for (int round = 0; round < STREAM_ROUNDS; round++) {
-				List<CompletableFuture<Call>> calls = new ArrayList<>();
-				for (int stream = 0; stream < STREAMS_PER_ROUND; stream++) {
-					calls.add(this.callers.send(gateway.callerAddress(), Call.Kind.DRAFT, SoakPlatform.KEY));
-				}
-				calls.forEach(CompletableFuture::join);
-			}
-		}
-
 		private static long awaitLine(GatewayProcess gateway, String line) throws IOException, InterruptedException {
 			while (!Files.readString(gateway.logFile()).contains(line)) {
 				if (!gateway.isAlive()) {
