--- a/router/src/main/java/org/burdocktray/process/serve/gateway/EngineMonitor.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/EngineMonitor.java
@@ -91,10 +91,11 @@
 	 * @param nowNanos the monotonic time
 	 */
 	void tick(List<Replica> engines, long nowNanos) {
-		this.pollScheduler.due(engines, nowNanos)
-			.stream()
-			.filter(this.limits::hasRoom)
-			.forEach((engine) -> requestReport(engine).subscribe());
+		for (Replica engine : this.pollScheduler.due(engines, nowNanos)) {
+			if (this.limits.hasRoom(engine)) {
+				requestReport(engine).subscribe();
+			}
+		}
 	}
 
 	/**
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayServer.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayServer.java
@@ -2,6 +2,7 @@
 
 import java.util.Collection;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
@@ -99,6 +100,11 @@
 
 	private volatile boolean closing;
 
+	/** The snapshot of the directory from which {@link #lastUsableEngines} was made. */
+	private Map<String, List<Replica>> lastUsable = Map.of();
+
+	private List<Replica> lastUsableEngines = List.of();
+
 	/**
 	 * Creates a gateway without optional features that does not listen yet.
 	 * @param settings its settings
@@ -370,13 +376,18 @@
 			}));
 	}
 
+	// The directory makes a new snapshot for each change.
 	private List<Replica> usableEngines() {
-		return this.directory.usable()
-			.values()
-			.stream()
-			.flatMap(Collection::stream)
-			.filter((replica) -> replica.layers().isPresent())
-			.toList();
+		Map<String, List<Replica>> usable = this.directory.usable();
+		if (usable != this.lastUsable) {
+			this.lastUsable = usable;
+			this.lastUsableEngines = usable.values()
+				.stream()
+				.flatMap(Collection::stream)
+				.filter((replica) -> replica.layers().isPresent())
+				.toList();
+		}
+		return this.lastUsableEngines;
 	}
 
 	private boolean isReady() {
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/RequestsInProgress.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/RequestsInProgress.java
@@ -73,6 +73,9 @@
 	 * @param nowNanos the monotonic time
 	 */
 	void dispatchWaiting(long nowNanos) {
+		if (this.exchanges.isEmpty()) {
+			return;
+		}
 		this.exchanges.stream()
 			.filter(ForwardExchange::isWaiting)
 			.sorted(Comparator.comparing(ForwardExchange::waitingRequest, WaitingRequest.order(nowNanos)))
@@ -96,6 +99,9 @@
 	}
 
 	private void forEachExchange(Consumer<ForwardExchange> action) {
+		if (this.exchanges.isEmpty()) {
+			return;
+		}
 		List.copyOf(this.exchanges).forEach((exchange) -> guard(exchange, action));
 	}
 
