Balancing: a placement by flow serves no less than one by holders

Ranges were chosen as if all lost engines returned, and restored after a change of the model. Engines of a smaller kind than the lost ones got no layers for 60 s.

--- a/router/src/main/java/org/burdocktray/process/placement/FlowPlacement.java
+++ b/router/src/main/java/org/burdocktray/process/placement/FlowPlacement.java
@@ -23,8 +23,9 @@
  * has restarted gets back what it held, since the others of its group are expected as
  * well. Another one is given at once the layers that add most to the flow for each layer
  * loaded, whether or not an engine that held them is expected back. What adds nothing to
- * the flow is left to {@link LayerPlacement}. Invariants: no engine gets more layers than
- * fit into its memory; engines that hold layers keep them, but for what
+ * the flow is left to {@link LayerPlacement}, whose changes are taken as a whole if the
+ * engines present serve more with them. Invariants: no engine gets more layers than fit
+ * into its memory; engines that hold layers keep them, but for what
  * {@link LayerPlacement} moves; the result is deterministic, and its order is that in
  * which orders should be sent. Thread safety: immutable.
  */
@@ -76,27 +77,56 @@
 	 * layers are missing
 	 */
 	public Map<String, PlacementChange> computeChanges(List<Replica> engines, PlacementContext context) {
-		State state = new State(engines, context.departed().stream().filter(this::isSupported).toList());
-		if (!state.placed.isEmpty() || !context.departed().isEmpty()) {
-			restore(state);
-			assignByFlow(state, context.isSettled());
+		PlacementContext valid = new PlacementContext(
+				context.departed().stream().filter((engine) -> isSupported(engine) && isValid(engine)).toList(),
+				context.isSettled(), context.canMoveEngines());
+		Map<String, PlacementChange> byHolders = computeByHolders(engines, valid);
+		State state = new State(engines, valid.departed());
+		if (state.placed.isEmpty() && context.departed().isEmpty()) {
+			return byHolders;
 		}
-		List<Replica> present = new ArrayList<>(state.placed);
-		present.addAll(state.unplaced);
-		PlacementContext rest = new PlacementContext(state.missing, context.isSettled(), context.canMoveEngines());
-		boolean waitsForGroup = state.placed.isEmpty() && !context.departed().isEmpty();
+		Map<String, PlacementChange> byFlow = computeByFlow(state, valid);
+		// Ranges that fit lost engines serve nothing if these do not return.
+		boolean isWorse = rate(engines, byHolders) > rate(engines, byFlow) + MIN_GAIN_PER_SECOND;
+		return isWorse ? byHolders : byFlow;
+	}
+
+	private Map<String, PlacementChange> computeByFlow(State state, PlacementContext context) {
+		restore(state);
+		assignByFlow(state, context.isSettled());
+		Map<String, PlacementChange> result = new LinkedHashMap<>(state.changes);
+		// The first engines of a group are worth nothing by themselves.
+		boolean waitsForGroup = state.placed.isEmpty() && state.unplaced.stream().noneMatch(context.isSettled());
 		if (!waitsForGroup) {
-			LayerPlacement.computeChanges(present, this.profile, rest)
-				.forEach((id, range) -> state.changes.putIfAbsent(id, new PlacementChange(range, Reason.HOLDERS, 0)));
+			List<Replica> present = new ArrayList<>(state.placed);
+			present.addAll(state.unplaced);
+			PlacementContext rest = new PlacementContext(state.missing, context.isSettled(), context.canMoveEngines());
+			computeByHolders(present, rest).forEach(result::putIfAbsent);
+		}
+		return result;
+	}
+
+	private Map<String, PlacementChange> computeByHolders(List<Replica> engines, PlacementContext context) {
+		Map<String, PlacementChange> result = new LinkedHashMap<>();
+		LayerPlacement.computeChanges(engines, this.profile, context)
+			.forEach((id, range) -> result.put(id, new PlacementChange(range, Reason.HOLDERS, 0)));
+		return result;
+	}
+
+	private double rate(List<Replica> engines, Map<String, PlacementChange> changes) {
+		List<Replica> changed = new ArrayList<>();
+		for (Replica engine : engines) {
+			PlacementChange change = changes.get(engine.id());
+			changed.add((change != null) ? engine.withLayers(Optional.of(change.layers())) : engine);
 		}
-		return state.changes;
+		return this.capacity.requestsPerSecond(changed);
 	}
 
 	private void restore(State state) {
 		for (Replica engine : List.copyOf(state.unplaced)) {
 			state.missing.stream()
 				.filter((departed) -> departed.id().equals(engine.id())
-						&& departed.acceleratorKind().equals(engine.acceleratorKind()) && isValid(departed))
+						&& departed.acceleratorKind().equals(engine.acceleratorKind()))
 				.findFirst()
 				.ifPresent((departed) -> {
 					state.missing.remove(departed);
--- a/router/src/test/java/org/burdocktray/process/placement/FlowPlacementTests.java
+++ b/router/src/test/java/org/burdocktray/process/placement/FlowPlacementTests.java
@@ -135,6 +135,53 @@
 		}
 	}
 
+	/**
+	 * Guards against ranges chosen as if all lost engines returned: nothing was served
+	 * when only a part of them came back under new ids.
+	 */
+	@Test
+	void partOfLostDataCentreServesWhatItCan() {
+		List<Replica> all = placedFleet();
+		for (int count : List.of(9, 12, 16)) {
+			List<Replica> present = new ArrayList<>();
+			all.subList(0, count).forEach((engine) -> present.add(renamed(engine, "new-" + engine.id())));
+			assertServesAsMuchAsByHolders(PLACEMENT, CAPACITY, present, all);
+		}
+	}
+
+	/** Guards against old ranges for engines whose model has more layers by now. */
+	@Test
+	void restartedEnginesOfChangedModelAreDividedAnew() {
+		EngineProfile larger = new EngineProfile("large", 96, 1_750, 918_000, 1, 0.01, 0.01, 100_000, 190, 800, 200,
+				200, LARGE.kinds(), 3, 512);
+		FlowCapacity capacity = new FlowCapacity(larger, new StreamTargets(500, 250));
+		List<Replica> all = placedFleet();
+		List<Replica> present = all.stream().map((engine) -> engine.withLayers(Optional.empty())).toList();
+		assertServesAsMuchAsByHolders(new FlowPlacement(capacity), capacity, present, all);
+	}
+
+	/** Guards against a wait of 60 s for engines that have the memory of lost ones. */
+	@Test
+	void successorsOfSmallerKindArePlacedAtOnce() {
+		List<Replica> all = List.of(engine("a", "fast", 0, 40), engine("b", "fast", 40, 80));
+		List<Replica> present = new ArrayList<>();
+		for (int index = 0; index < 24; index++) {
+			present.add(TestReplicas.emptyEngine("s" + index, "ghent", "slow"));
+		}
+		assertServesAsMuchAsByHolders(PLACEMENT, CAPACITY, present, all);
+		List<Replica> tooFew = present.subList(0, 2);
+		assertThat(PLACEMENT.computeChanges(tooFew, new PlacementContext(all, (engine) -> true, false))).isNotEmpty();
+	}
+
+	private static void assertServesAsMuchAsByHolders(FlowPlacement placement, FlowCapacity capacity,
+			List<Replica> present, List<Replica> lost) {
+		List<Replica> byHolders = new ArrayList<>();
+		Map<String, LayerRange> ranges = LayerPlacement.computeChanges(present, capacity.profile(), unsettled(lost));
+		present.forEach((engine) -> byHolders.add(engine.withLayers(Optional.ofNullable(ranges.get(engine.id())))));
+		double rate = capacity.requestsPerSecond(apply(present, placement.computeChanges(present, unsettled(lost))));
+		assertThat(rate).isPositive().isGreaterThanOrEqualTo(capacity.requestsPerSecond(byHolders));
+	}
+
 	private static List<Replica> placedFleet() {
 		List<Replica> empty = new ArrayList<>();
 		for (int index = 0; index < 33; index++) {
