Balancing: one decision places at most four engines by flow

Each engine placed by flow takes some milliseconds, and many empty engines held up the event loop. The rest is placed by the next decisions; the comparison with LayerPlacement takes the rest as placed by the number of holders.

--- a/router/src/main/java/org/burdocktray/process/placement/FlowPlacement.java
+++ b/router/src/main/java/org/burdocktray/process/placement/FlowPlacement.java
@@ -56,6 +56,11 @@
 	/** Each considered range costs several solutions of the flow. */
 	private static final int MAX_HELD_RANGES = 16;
 
+	/**
+	 * Engines that one decision places by flow, which takes some milliseconds for each.
+	 */
+	private static final int MAX_PLACED_BY_FLOW = 4;
+
 	private final EngineProfile profile;
 
 	private final FlowCapacity capacity;
@@ -73,8 +78,8 @@
 	 * Computes the layers of the engines that have to load other layers.
 	 * @param engines the engines of one data centre that are not draining
 	 * @param context the engines that left recently, and which changes are allowed
-	 * @return the changes by engine id, the most urgent first; engines that keep their
-	 * layers are missing
+	 * @return the changes by engine id, the most urgent first; missing are engines that
+	 * keep their layers, and those left to the next decision, when these changes are made
 	 */
 	public Map<String, PlacementChange> computeChanges(List<Replica> engines, PlacementContext context) {
 		PlacementContext valid = new PlacementContext(
@@ -85,15 +90,17 @@
 		if (state.placed.isEmpty() && context.departed().isEmpty()) {
 			return byHolders;
 		}
-		Map<String, PlacementChange> byFlow = computeByFlow(state, valid);
+		restore(state);
+		boolean isComplete = assignByFlow(state, context.isSettled());
+		Map<String, PlacementChange> byFlow = completeByHolders(state, valid);
 		// Ranges that fit lost engines serve nothing if these do not return.
-		boolean isWorse = rate(engines, byHolders) > rate(engines, byFlow) + MIN_GAIN_PER_SECOND;
-		return isWorse ? byHolders : byFlow;
+		if (rate(engines, byHolders) > rate(engines, byFlow) + MIN_GAIN_PER_SECOND) {
+			return byHolders;
+		}
+		return isComplete ? byFlow : state.changes;
 	}
 
-	private Map<String, PlacementChange> computeByFlow(State state, PlacementContext context) {
-		restore(state);
-		assignByFlow(state, context.isSettled());
+	private Map<String, PlacementChange> completeByHolders(State state, PlacementContext context) {
 		Map<String, PlacementChange> result = new LinkedHashMap<>(state.changes);
 		// The first engines of a group are worth nothing by themselves.
 		boolean waitsForGroup = state.placed.isEmpty() && state.unplaced.stream().noneMatch(context.isSettled());
@@ -135,8 +142,12 @@
 		}
 	}
 
-	private void assignByFlow(State state, Predicate<Replica> isSettled) {
-		while (!state.unplaced.isEmpty()) {
+	// Returns false if engines are left to the next decision.
+	private boolean assignByFlow(State state, Predicate<Replica> isSettled) {
+		for (int count = 0; !state.unplaced.isEmpty(); count++) {
+			if (count == MAX_PLACED_BY_FLOW) {
+				return false;
+			}
 			Option best = null;
 			double base = this.capacity.requestsPerSecond(state.placed);
 			double expectedBase = expected(state, Optional.empty(), Optional.empty());
@@ -155,7 +166,7 @@
 				}
 			}
 			if (best == null) {
-				return;
+				return true;
 			}
 			LayerRange range = best.range();
 			state.missing.stream()
@@ -164,6 +175,7 @@
 				.ifPresent(state.missing::remove);
 			state.place(best.engine(), new PlacementChange(range, Reason.FLOW, best.gain()));
 		}
+		return true;
 	}
 
 	private Option assess(Replica engine, LayerRange range, State state, double base, double expectedBase) {
--- a/router/src/test/java/org/burdocktray/process/placement/FlowPlacementTests.java
+++ b/router/src/test/java/org/burdocktray/process/placement/FlowPlacementTests.java
@@ -5,12 +5,14 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.stream.Collectors;
 
 import org.burdocktray.process.balance.FlowCapacity;
 import org.burdocktray.process.balance.StreamTargets;
 import org.burdocktray.process.directory.LayerRange;
 import org.burdocktray.process.directory.Replica;
 import org.burdocktray.process.directory.TestReplicas;
+import org.burdocktray.process.placement.PlacementChange.Reason;
 import org.burdocktray.version.rules.AcceleratorKind;
 import org.burdocktray.version.rules.EngineProfile;
 import org.junit.jupiter.api.Test;
@@ -173,6 +175,41 @@
 		assertThat(PLACEMENT.computeChanges(tooFew, new PlacementContext(all, (engine) -> true, false))).isNotEmpty();
 	}
 
+	/**
+	 * Guards against a decision on many empty engines that holds up the event loop, and
+	 * against engines that get layers without regard to the flow since they are left to
+	 * the next decision.
+	 */
+	@Test
+	void oneDecisionPlacesFewEnginesByFlowAndTheNextOnesTheRest() {
+		List<Replica> all = placedFleet();
+		List<Replica> lost = all.stream().filter((engine) -> isKind(engine, "medium")).limit(6).toList();
+		List<Replica> present = new ArrayList<>(all);
+		present.removeAll(lost);
+		lost.forEach((engine) -> present.add(renamed(engine, "new-" + engine.id())));
+		List<Replica> byHolders = apply(present,
+				LayerPlacement.computeChanges(present, LARGE, unsettled(lost))
+					.entrySet()
+					.stream()
+					.collect(Collectors.toMap(Map.Entry::getKey,
+							(entry) -> new PlacementChange(entry.getValue(), Reason.HOLDERS, 0))));
+		Map<String, PlacementChange> first = PLACEMENT.computeChanges(present, unsettled(lost));
+		assertThat(first).hasSize(4);
+		assertThat(first.values()).allMatch((change) -> change.reason() == Reason.FLOW);
+		List<Replica> missing = new ArrayList<>(lost);
+		for (PlacementChange change : first.values()) {
+			missing.stream()
+				.filter((engine) -> engine.layers().equals(Optional.of(change.layers())))
+				.findFirst()
+				.ifPresent(missing::remove);
+		}
+		List<Replica> then = apply(present, first);
+		Map<String, PlacementChange> second = PLACEMENT.computeChanges(then, unsettled(missing));
+		assertThat(second).hasSize(2);
+		assertThat(CAPACITY.requestsPerSecond(apply(then, second)))
+			.isGreaterThanOrEqualTo(CAPACITY.requestsPerSecond(byHolders));
+	}
+
 	private static void assertServesAsMuchAsByHolders(FlowPlacement placement, FlowCapacity capacity,
 			List<Replica> present, List<Replica> lost) {
 		List<Replica> byHolders = new ArrayList<>();
