--- a/router/src/main/java/org/burdocktray/process/balance/EnginePace.java
+++ b/router/src/main/java/org/burdocktray/process/balance/EnginePace.java
@@ -42,7 +42,11 @@
 	public void onPasses(List<Replica> path, double nanosPerPass, long nowNanos) {
 		List<String> ids = path.stream().map(Replica::id).toList();
 		PathPace pace = this.paths.computeIfAbsent(ids, (key) -> new PathPace());
+		boolean isMature = pace.measurements >= MIN_MEASUREMENTS;
 		double slowdown = pace.add(nanosPerPass, nowNanos);
+		if (!isMature) {
+			return;
+		}
 		for (String id : ids) {
 			EngineSlowdown known = this.engines.get(id);
 			boolean isLapsed = known == null || nowNanos - known.measuredNanos() > HOLD_NANOS;
@@ -95,9 +99,10 @@
 
 		private long measuredNanos;
 
-		// Returns by which factor the interval exceeds the mean before it.
+		// Returns by which factor the interval exceeds the mean before it. There is no
+		// usual pace to compare with until there are MIN_MEASUREMENTS.
 		double add(double nanosPerPass, long nowNanos) {
-			double slowdown = (this.measurements >= MIN_MEASUREMENTS) ? nanosPerPass / this.meanNanos : 1;
+			double slowdown = nanosPerPass / this.meanNanos;
 			double seconds = (nowNanos - this.measuredNanos) / NANOS_PER_SECOND;
 			double weight = (this.measurements < MIN_MEASUREMENTS) ? 1.0 / (this.measurements + 1)
 					: 1 - Math.exp(-seconds / MEMORY_SECONDS);
--- a/router/src/test/java/org/burdocktray/process/balance/EnginePaceTests.java
+++ b/router/src/test/java/org/burdocktray/process/balance/EnginePaceTests.java
@@ -52,6 +52,21 @@
 		assertThat(slowdown(this.slow)).isEqualTo(1);
 	}
 
+	/** Guards against a slow engine that counts as sound once a new path uses it. */
+	@Test
+	void newPathThroughSlowEngineDoesNotEndTheVerdict() {
+		run(3_000, 20, 20);
+		run(1_000, 60, 20);
+		Replica other = TestReplicas.engine("other", "ghent", "fast", 0, 5);
+		StreamOutputs.OpenStream added = this.outputs.open(List.of(other, this.slow),
+				TimeUnit.MILLISECONDS.toNanos(this.nowMillis));
+		for (int pass = 0; pass < 10; pass++) {
+			run(60, 60, 20);
+			added.recordOutput(TimeUnit.MILLISECONDS.toNanos(this.nowMillis));
+			assertThat(slowdown(this.slow)).isBetween(2.0, 3.5);
+		}
+	}
+
 	/** Guards against verdicts from the tokens of one pass, which come together. */
 	@Test
 	void tokensOfOnePassCountOnce() {
