--- a/router/src/main/java/org/burdocktray/process/serve/gateway/TargetSelector.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/TargetSelector.java
@@ -251,15 +251,10 @@
 
 	private Optional<LayerPath> drawPath(EngineProfile profile, PathDemand demand, List<Replica> engines,
 			Predicate<Replica> mayBeFirst) {
-		if (this.context.flowPaths().isEmpty()) {
-			return Optional.empty();
-		}
-		Map<String, Replica> usable = new HashMap<>();
-		engines.forEach((engine) -> usable.put(engine.id(), engine));
 		return this.context.flowPaths()
-			.get()
-			.choose(new FlowPathChoice.Request(this.service.name(), profile, this.targets, demand),
-					(engine) -> engine.equals(usable.get(engine.id())), mayBeFirst, System.nanoTime());
+			.flatMap((paths) -> paths.choose(
+					new FlowPathChoice.Request(this.service.name(), profile, this.targets, demand), engines, mayBeFirst,
+					System.nanoTime()));
 	}
 
 	private List<Replica> withoutSilent(List<Replica> engines) {
--- a/router/src/main/java/org/burdocktray/request/path/FlowPathChoice.java
+++ b/router/src/main/java/org/burdocktray/request/path/FlowPathChoice.java
@@ -1,7 +1,10 @@
 package org.burdocktray.request.path;
 
 import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
@@ -64,6 +67,24 @@
 		this.random = random;
 	}
 
+	/**
+	 * Chooses a path through some engines.
+	 * @param request what is chosen for
+	 * @param usable the engines through which a path may pass, as they are listed
+	 * @param mayBeFirst whether the request may be sent to an engine
+	 * @param nowNanos the current time of the monotonic clock
+	 * @return the path; empty if balancing is not in effect, or no drawn path is usable
+	 */
+	public Optional<LayerPath> choose(Request request, Collection<Replica> usable, Predicate<Replica> mayBeFirst,
+			long nowNanos) {
+		if (!this.routes.isActive(request.service())) {
+			return Optional.empty();
+		}
+		Map<String, Replica> byId = new HashMap<>();
+		usable.forEach((engine) -> byId.put(engine.id(), engine));
+		return choose(request, (engine) -> engine.equals(byId.get(engine.id())), mayBeFirst, nowNanos);
+	}
+
 	/**
 	 * Chooses a path.
 	 * @param request what is chosen for
--- a/router/src/test/java/org/burdocktray/request/path/FlowPathChoiceTests.java
+++ b/router/src/test/java/org/burdocktray/request/path/FlowPathChoiceTests.java
@@ -1,7 +1,9 @@
 package org.burdocktray.request.path;
 
+import java.util.AbstractList;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -40,6 +42,7 @@
 import org.burdocktray.version.rules.RoutingRules;
 import org.burdocktray.version.rules.ServiceRule;
 import org.burdocktray.version.rules.WeightedService;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -88,6 +91,31 @@
 	 */
 	private static final double MIN_SERVED = 0.92;
 
+	/** Guards against work for each request while balancing is not in effect. */
+	@Test
+	void doesNotLookAtEnginesWhileNotInEffect() {
+		SplittableRandom random = new SplittableRandom(1);
+		ReplicaLoads loads = new ReplicaLoads();
+		FleetRoutes routes = new FleetRoutes(new DataCentre("ghent"), OPTIONS, loads::slowdownFactor,
+				new ReplicaTimes(), (nowNanos) -> List.of(), null);
+		FlowPathChoice choice = new FlowPathChoice(routes, loads, new LoadSpread(loads, random), new EnginePace(),
+				random);
+		Collection<Replica> untouched = new AbstractList<>() {
+			@Override
+			public Replica get(int index) {
+				throw new AssertionError("engine read");
+			}
+
+			@Override
+			public int size() {
+				throw new AssertionError("size read");
+			}
+		};
+		assertThat(choice.choose(new FlowPathChoice.Request("s", PROFILE, TARGETS, DEMAND), untouched, (engine) -> true,
+				0))
+			.isEmpty();
+	}
+
 	@ParameterizedTest
 	@CsvSource({ "3, 9, 0.5", "9, 33, 0.7", "9, 33, 1.2", "30, 98, 1.2", "95, 98, 1.5" })
 	void servesWaveOfDemandWithinTargets(int vmCount, int engineCount, double utilisation) {
