Balancing: a plain replica that hangs or resets loses share

Only complete responses were recorded, so that the estimate of a replica without any decayed to the mean of the service. A lost response counts as a failure now, as does a request without a response for most of its timeout. A caller that leaves earlier and a VM that is cut off do not count.

--- a/router/src/main/java/org/burdocktray/process/serve/gateway/Attempt.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/Attempt.java
@@ -341,19 +341,34 @@
 
 	private void completeResponse(HttpClientResponse response, Buffer body) {
 		if (finish()) {
-			recordResponseTime(response.statusCode());
+			recordPlainResult(response.statusCode() >= FIRST_SERVER_ERROR);
 			this.listener.onResponse(response, body);
 		}
 	}
 
-	private void recordResponseTime(int status) {
+	/**
+	 * Records that the replica has not responded within the time that it was given.
+	 */
+	void recordUnresponsive() {
+		if (!this.ended) {
+			recordLoss();
+		}
+	}
+
+	// While this VM reaches no replica, losses say nothing about a single one.
+	private void recordLoss() {
+		if (this.sent && !this.context.reach().isCutOff()) {
+			recordPlainResult(true);
+		}
+	}
+
+	private void recordPlainResult(boolean isFailure) {
 		if (this.context.routes().isEmpty() || this.target.isRelay() || this.target.path().isPresent()) {
 			return;
 		}
 		long nowNanos = System.nanoTime();
 		this.context.replicaTimes()
-			.record(this.target.replica(), (nowNanos - this.sentNanos) / NANOS_PER_MILLI, status >= FIRST_SERVER_ERROR,
-					nowNanos);
+			.record(this.target.replica(), (nowNanos - this.sentNanos) / NANOS_PER_MILLI, isFailure, nowNanos);
 	}
 
 	private void failInvalidResponse(String cause) {
@@ -370,6 +385,9 @@
 
 	private void fail(AttemptOutcome outcome, String cause, Optional<NetworkAddress> faultAddress) {
 		if (finish()) {
+			if (outcome == AttemptOutcome.LOST) {
+				recordLoss();
+			}
 			this.listener.onFailure(outcome, cause, faultAddress);
 		}
 	}
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/ForwardExchange.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/ForwardExchange.java
@@ -526,6 +526,7 @@
 		if (this.health.recordFailedAttempt(silent.target().replica(), AttemptOutcome.LOST, Optional.empty())) {
 			this.targetSelector.exclude(silent.target().replica());
 		}
+		silent.recordUnresponsive();
 		silent.cancel();
 		this.runGuard.end(silent);
 		continueWith(successor);
@@ -643,6 +644,7 @@
 			.filter((running) -> System.nanoTime() - running.sentNanos() >= unresponsiveNanos)
 			.ifPresent((running) -> {
 				this.health.recordResponse(running.target().replica(), true);
+				running.recordUnresponsive();
 				this.runGuard.recordLoss(running, running.target().replicas());
 			});
 	}
