--- a/router/src/main/java/org/burdocktray/process/balance/EngineFlow.java
+++ b/router/src/main/java/org/burdocktray/process/balance/EngineFlow.java
@@ -266,8 +266,7 @@
 		}
 
 		// The mean step factor of the paths through each engine, weighted by the flow
-		// that
-		// was solved last; the lowest one for engines without flow.
+		// that was solved last; the lowest one for engines without flow.
 		private double[] meanPathFactors(double[] lowest) {
 			double[] before = new double[this.layers + 1];
 			double[] after = new double[this.layers + 1];
--- a/router/src/main/java/org/burdocktray/process/placement/FlowPlacement.java
+++ b/router/src/main/java/org/burdocktray/process/placement/FlowPlacement.java
@@ -209,9 +209,8 @@
 		return this.capacity.requestsPerSecond(engines);
 	}
 
-	// The ranges of lost engines and the layers that no engine holds, or else the ranges
-	// of
-	// the slowest engines, each shortened to what fits.
+	// The ranges of lost engines and the layers that no engine holds, or else the
+	// ranges of the slowest engines, each shortened to what fits.
 	private Set<LayerRange> candidates(Replica engine, State state) {
 		int maxSize = this.profile.layersThatFit(kind(engine), MIN_REQUESTS * this.profile.typicalRequestTokens());
 		Set<LayerRange> result = new LinkedHashSet<>();
--- a/router/src/main/java/org/burdocktray/request/path/FlowPathChoice.java
+++ b/router/src/main/java/org/burdocktray/request/path/FlowPathChoice.java
@@ -110,9 +110,8 @@
 		return Optional.ofNullable(soonest(early.late, any.late)).map(Drawn::path);
 	}
 
-	// A path with a slow engine loses share in proportion. It may be all that has room,
-	// so
-	// it is left out in the first round only.
+	// A path with a slow engine loses share in proportion. It may be all that has
+	// room, so it is left out in the first round only.
 	private boolean keepsShare(List<Replica> path, long nowNanos) {
 		double slowdown = 1;
 		for (Replica engine : path) {
