--- a/router/src/main/java/org/burdocktray/process/placement/FlowPlacement.java
+++ b/router/src/main/java/org/burdocktray/process/placement/FlowPlacement.java
@@ -23,8 +23,9 @@
  * has restarted gets back what it held, since the others of its group are expected as
  * well. Another one is given at once the layers that add most to the flow for each layer
  * loaded, whether or not an engine that held them is expected back. What adds nothing to
- * the flow is left to {@link LayerPlacement}. Invariants: no engine gets more layers than
- * fit into its memory; engines that hold layers keep them, but for what
+ * the flow is left to {@link LayerPlacement}, whose changes are taken as a whole if the
+ * engines present serve more with them. Invariants: no engine gets more layers than fit
+ * into its memory; engines that hold layers keep them, but for what
  * {@link LayerPlacement} moves; the result is deterministic, and its order is that in
  * which orders should be sent. Thread safety: immutable.
  */
@@ -55,6 +56,11 @@
 	/** Each considered range costs several solutions of the flow. */
 	private static final int MAX_HELD_RANGES = 16;
 
+	/**
+	 * Engines that one decision places by flow, which takes some milliseconds for each.
+	 */
+	private static final int MAX_PLACED_BY_FLOW = 4;
+
 	private final EngineProfile profile;
 
 	private final FlowCapacity capacity;
@@ -72,31 +78,62 @@
 	 * Computes the layers of the engines that have to load other layers.
 	 * @param engines the engines of one data centre that are not draining
 	 * @param context the engines that left recently, and which changes are allowed
-	 * @return the changes by engine id, the most urgent first; engines that keep their
-	 * layers are missing
+	 * @return the changes by engine id, the most urgent first; missing are engines that
+	 * keep their layers, and those left to the next decision, when these changes are made
 	 */
 	public Map<String, PlacementChange> computeChanges(List<Replica> engines, PlacementContext context) {
-		State state = new State(engines, context.departed().stream().filter(this::isSupported).toList());
-		if (!state.placed.isEmpty() || !context.departed().isEmpty()) {
-			restore(state);
-			assignByFlow(state, context.isSettled());
+		PlacementContext valid = new PlacementContext(
+				context.departed().stream().filter((engine) -> isSupported(engine) && isValid(engine)).toList(),
+				context.isSettled(), context.canMoveEngines());
+		Map<String, PlacementChange> byHolders = computeByHolders(engines, valid);
+		State state = new State(engines, valid.departed());
+		if (state.placed.isEmpty() && context.departed().isEmpty()) {
+			return byHolders;
+		}
+		restore(state);
+		boolean isComplete = assignByFlow(state, context.isSettled());
+		Map<String, PlacementChange> byFlow = completeByHolders(state, valid);
+		// Ranges that fit lost engines serve nothing if these do not return.
+		if (rate(engines, byHolders) > rate(engines, byFlow) + MIN_GAIN_PER_SECOND) {
+			return byHolders;
 		}
-		List<Replica> present = new ArrayList<>(state.placed);
-		present.addAll(state.unplaced);
-		PlacementContext rest = new PlacementContext(state.missing, context.isSettled(), context.canMoveEngines());
-		boolean waitsForGroup = state.placed.isEmpty() && !context.departed().isEmpty();
+		return isComplete ? byFlow : state.changes;
+	}
+
+	private Map<String, PlacementChange> completeByHolders(State state, PlacementContext context) {
+		Map<String, PlacementChange> result = new LinkedHashMap<>(state.changes);
+		// The first engines of a group are worth nothing by themselves.
+		boolean waitsForGroup = state.placed.isEmpty() && state.unplaced.stream().noneMatch(context.isSettled());
 		if (!waitsForGroup) {
-			LayerPlacement.computeChanges(present, this.profile, rest)
-				.forEach((id, range) -> state.changes.putIfAbsent(id, new PlacementChange(range, Reason.HOLDERS, 0)));
+			List<Replica> present = new ArrayList<>(state.placed);
+			present.addAll(state.unplaced);
+			PlacementContext rest = new PlacementContext(state.missing, context.isSettled(), context.canMoveEngines());
+			computeByHolders(present, rest).forEach(result::putIfAbsent);
+		}
+		return result;
+	}
+
+	private Map<String, PlacementChange> computeByHolders(List<Replica> engines, PlacementContext context) {
+		Map<String, PlacementChange> result = new LinkedHashMap<>();
+		LayerPlacement.computeChanges(engines, this.profile, context)
+			.forEach((id, range) -> result.put(id, new PlacementChange(range, Reason.HOLDERS, 0)));
+		return result;
+	}
+
+	private double rate(List<Replica> engines, Map<String, PlacementChange> changes) {
+		List<Replica> changed = new ArrayList<>();
+		for (Replica engine : engines) {
+			PlacementChange change = changes.get(engine.id());
+			changed.add((change != null) ? engine.withLayers(Optional.of(change.layers())) : engine);
 		}
-		return state.changes;
+		return this.capacity.requestsPerSecond(changed);
 	}
 
 	private void restore(State state) {
 		for (Replica engine : List.copyOf(state.unplaced)) {
 			state.missing.stream()
 				.filter((departed) -> departed.id().equals(engine.id())
-						&& departed.acceleratorKind().equals(engine.acceleratorKind()) && isValid(departed))
+						&& departed.acceleratorKind().equals(engine.acceleratorKind()))
 				.findFirst()
 				.ifPresent((departed) -> {
 					state.missing.remove(departed);
@@ -105,8 +142,12 @@
 		}
 	}
 
-	private void assignByFlow(State state, Predicate<Replica> isSettled) {
-		while (!state.unplaced.isEmpty()) {
+	// Returns false if engines are left to the next decision.
+	private boolean assignByFlow(State state, Predicate<Replica> isSettled) {
+		for (int count = 0; !state.unplaced.isEmpty(); count++) {
+			if (count == MAX_PLACED_BY_FLOW) {
+				return false;
+			}
 			Option best = null;
 			double base = this.capacity.requestsPerSecond(state.placed);
 			double expectedBase = expected(state, Optional.empty(), Optional.empty());
@@ -125,7 +166,7 @@
 				}
 			}
 			if (best == null) {
-				return;
+				return true;
 			}
 			LayerRange range = best.range();
 			state.missing.stream()
@@ -134,6 +175,7 @@
 				.ifPresent(state.missing::remove);
 			state.place(best.engine(), new PlacementChange(range, Reason.FLOW, best.gain()));
 		}
+		return true;
 	}
 
 	private Option assess(Replica engine, LayerRange range, State state, double base, double expectedBase) {
@@ -167,9 +209,8 @@
 		return this.capacity.requestsPerSecond(engines);
 	}
 
-	// The ranges of lost engines and the layers that no engine holds, or else the ranges
-	// of
-	// the slowest engines, each shortened to what fits.
+	// The ranges of lost engines and the layers that no engine holds, or else the
+	// ranges of the slowest engines, each shortened to what fits.
 	private Set<LayerRange> candidates(Replica engine, State state) {
 		int maxSize = this.profile.layersThatFit(kind(engine), MIN_REQUESTS * this.profile.typicalRequestTokens());
 		Set<LayerRange> result = new LinkedHashSet<>();
