Prefer a remote watcher with the store to local ones without it

VMs whose local watchers had lost the store polled without a pause, since each call began at them and ended at a remote watcher that answers at once. Watchers that have lost the store are asked last, and a call that failed elsewhere goes on with a request that waits. A watcher in its backoff lets a request wait while its log is recent.

--- a/router/src/main/java/org/burdocktray/process/watch/FollowerAnswers.java
+++ b/router/src/main/java/org/burdocktray/process/watch/FollowerAnswers.java
@@ -94,7 +94,12 @@
 		this.sources.recordAsked(nowNanos);
 		if (needsListing(log, request)) {
 			if (!this.sources.mayCallStore(nowNanos)) {
-				respond(request, response, Status.STATUS_STORE_UNAVAILABLE);
+				if (request.getAtOnce() || isTooOld(log, request)) {
+					respond(request, response, Status.STATUS_STORE_UNAVAILABLE);
+				}
+				else {
+					await(request, response);
+				}
 				return;
 			}
 			if (request.getAtOnce()) {
@@ -122,8 +127,8 @@
 		if (log.isStoreLost()) {
 			return false;
 		}
-		boolean isTooOld = log.ageMillis(this.clock.get()) > maxAgeMillis(request);
-		return isTooOld || (request.getListing() && (!log.isComplete() || log.revision() < request.getAfterRevision()));
+		return isTooOld(log, request)
+				|| (request.getListing() && (!log.isComplete() || log.revision() < request.getAfterRevision()));
 	}
 
 	private void await(WatchRequest request, Consumer<WatchAnswer> response) {
@@ -141,14 +146,18 @@
 		if (log.isStoreLost()) {
 			return Status.STATUS_STORE_UNAVAILABLE;
 		}
-		boolean isTooOld = log.ageMillis(this.clock.get()) > maxAgeMillis(request);
-		if (isTooOld || log.revision() < request.getAfterRevision() || (request.getListing() && !log.isComplete())) {
+		if (isTooOld(log, request) || log.revision() < request.getAfterRevision()
+				|| (request.getListing() && !log.isComplete())) {
 			return Status.STATUS_BEHIND;
 		}
 		boolean isServed = request.getListing() || log.hasChangesAfter(request.getAfterRevision());
 		return isServed ? Status.STATUS_OK : Status.STATUS_HISTORY_GONE;
 	}
 
+	private boolean isTooOld(ChangeLog log, WatchRequest request) {
+		return log.ageMillis(this.clock.get()) > maxAgeMillis(request);
+	}
+
 	private static long maxAgeMillis(WatchRequest request) {
 		return Integer.toUnsignedLong(request.getMaxAgeMillis());
 	}
--- a/router/src/main/java/org/burdocktray/process/watch/SharedFeed.java
+++ b/router/src/main/java/org/burdocktray/process/watch/SharedFeed.java
@@ -167,16 +167,18 @@
 		}
 		boolean atOnce = isChange || call.tried.size() > 1;
 		long pauseMillis = atOnce ? 0 : call.pauseMillis(this.kinds.get(call.kind));
+		long waitMillis = atOnce ? NO_WAIT : this.kinds.get(call.kind).waitMillis();
 		if (pauseMillis > 0) {
-			this.timers.schedule(pauseMillis, () -> ask(call, source, false));
+			this.timers.schedule(pauseMillis, () -> ask(call, source, waitMillis));
 			return;
 		}
-		ask(call, source, atOnce);
+		ask(call, source, waitMillis);
 	}
 
-	private void ask(Call<?> call, WatchSource source, boolean atOnce) {
+	private void ask(Call<?> call, WatchSource source, long kindWaitMillis) {
 		WatchedKind kind = this.kinds.get(call.kind);
-		long waitMillis = atOnce ? NO_WAIT : kind.waitMillis() + ANSWER_MARGIN_MILLIS;
+		boolean atOnce = kindWaitMillis == NO_WAIT;
+		long waitMillis = atOnce ? NO_WAIT : kindWaitMillis + ANSWER_MARGIN_MILLIS;
 		WatchRequest.Builder request = WatchRequest.newBuilder()
 			.setRequestId(this.random.nextLong())
 			.setKind(call.kind)
@@ -195,7 +197,7 @@
 		Optional<WatchAnswer> answer = received.filter((found) -> found.getRequestId() == request.getRequestId());
 		WatchAnswer.Status status = answer.map(WatchAnswer::getStatus).orElse(WatchAnswer.Status.STATUS_UNKNOWN);
 		switch (status) {
-			case STATUS_OK -> handleContent(call, source, sentAt, answer.get());
+			case STATUS_OK -> handleContent(call, source, request.getAtOnce(), sentAt, answer.get());
 			case STATUS_HISTORY_GONE -> {
 				recordCall(call, source, "gap");
 				this.sources.recordAnswer(source, nowNanos());
@@ -209,7 +211,7 @@
 			case STATUS_BEHIND -> {
 				recordCall(call, source, "behind");
 				if (request.getAtOnce()) {
-					ask(call, source, false);
+					ask(call, source, this.kinds.get(call.kind).waitMillis());
 					return;
 				}
 				this.sources.recordBehind(source, nowNanos());
@@ -225,7 +227,8 @@
 		}
 	}
 
-	private <T> void handleContent(Call<T> call, WatchSource source, Timestamp sentAt, WatchAnswer answer) {
+	private <T> void handleContent(Call<T> call, WatchSource source, boolean isAtOnce, Timestamp sentAt,
+			WatchAnswer answer) {
 		boolean isStepBack = answer.getRevision() < call.minRevision();
 		Optional<List<ObjectChange>> content = isStepBack ? Optional.empty() : WatchCodec.decode(answer.getContent());
 		if (content.isEmpty() || answer.getAgeMillis() < 0) {
@@ -235,6 +238,12 @@
 		recordCall(call, source, "ok");
 		logSource(call, source);
 		this.sources.recordAnswer(source, nowNanos());
+		// A call that failed elsewhere would otherwise be repeated without a pause.
+		long remainingMillis = call.remainingMillis(this.kinds.get(call.kind));
+		if (isAtOnce && call.tried.size() > 1 && remainingMillis > 0 && call.isQuiet(content.get())) {
+			ask(call, source, remainingMillis);
+			return;
+		}
 		if (!this.sources.isWatcher(nowNanos())) {
 			this.answers.clear(call.kind);
 		}
@@ -303,6 +312,24 @@
 			this.emitter.onSuccess(Either.right(result));
 		}
 
+		/**
+		 * Returns the part of the wait that has not passed since the call began.
+		 * @param kind the kind of the objects
+		 * @return milliseconds, not positive if the wait has passed
+		 */
+		long remainingMillis(WatchedKind kind) {
+			return kind.waitMillis() - SharedFeed.this.clock.get().millisSince(this.startedAt);
+		}
+
+		/**
+		 * Returns whether an answer brings nothing new.
+		 * @param content the content of the answer
+		 * @return whether the call may go on
+		 */
+		boolean isQuiet(List<ObjectChange> content) {
+			return false;
+		}
+
 		long minRevision() {
 			return SharedFeed.this.revisions.getOrDefault(this.kind, 0L);
 		}
@@ -438,6 +465,11 @@
 			request.setAfterRevision(this.afterRevision);
 		}
 
+		@Override
+		boolean isQuiet(List<ObjectChange> content) {
+			return content.isEmpty();
+		}
+
 		@Override
 		long pauseMillis(WatchedKind kind) {
 			return kind.pauseMillis(this.waitMillis);
--- a/router/src/main/java/org/burdocktray/process/watch/WatchSources.java
+++ b/router/src/main/java/org/burdocktray/process/watch/WatchSources.java
@@ -214,37 +214,36 @@
 			return Optional.empty();
 		}
 		long triedLocally = triedVms.stream().filter((vm) -> vm.dataCentre().equals(this.localDataCentre)).count();
+		boolean isRemoteTried = triedLocally < triedVms.size();
+		List<WatchVm> candidates = new ArrayList<>();
 		if (triedLocally < MAX_LOCAL_WATCHERS_TRIED) {
-			Optional<WatchSource> local = preferred(this.localDataCentre, triedVms, nowNanos);
-			if (local.isPresent()) {
-				return local;
-			}
+			candidates.addAll(untried(this.localDataCentre, triedVms, nowNanos));
 		}
-		if (triedLocally < triedVms.size()) {
-			return Optional.empty();
+		if (!isRemoteTried) {
+			List<DataCentre> remote = this.rankings.keySet()
+				.stream()
+				.filter((dataCentre) -> !dataCentre.equals(this.localDataCentre))
+				.toList();
+			RendezvousHash.ranked(this.ownName, remote, DataCentre::name)
+				.forEach((dataCentre) -> candidates.addAll(untried(dataCentre, triedVms, nowNanos)));
 		}
-		List<DataCentre> remote = this.rankings.keySet()
-			.stream()
-			.filter((dataCentre) -> !dataCentre.equals(this.localDataCentre))
-			.toList();
-		return RendezvousHash.ranked(this.ownName, remote, DataCentre::name)
-			.stream()
-			.flatMap((dataCentre) -> preferred(dataCentre, triedVms, nowNanos).stream())
-			.findFirst();
+		// A watcher of another data centre that has the store goes before a local one
+		// that
+		// has lost it.
+		return candidates.stream()
+			.filter((vm) -> !isDemoted(vm, nowNanos))
+			.findFirst()
+			.or(() -> candidates.stream().findFirst())
+			.map(WatchSource::of);
 	}
 
 	// Each VM prefers another watcher; when one is lost, its followers spread over the
 	// others.
-	private Optional<WatchSource> preferred(DataCentre dataCentre, Set<WatchVm> tried, long nowNanos) {
+	private List<WatchVm> untried(DataCentre dataCentre, Set<WatchVm> tried, long nowNanos) {
 		List<WatchVm> open = watchersOf(dataCentre, nowNanos).stream()
 			.filter((vm) -> !isOwn(vm) && !tried.contains(vm))
 			.toList();
-		List<WatchVm> ranked = RendezvousHash.ranked(this.ownName, open, WatchVm::name);
-		return ranked.stream()
-			.filter((vm) -> !isDemoted(vm, nowNanos))
-			.findFirst()
-			.or(() -> ranked.stream().findFirst())
-			.map(WatchSource::of);
+		return RendezvousHash.ranked(this.ownName, open, WatchVm::name);
 	}
 
 	// The first VMs of the ranking that have not failed of late.
--- a/router/src/test/java/org/burdocktray/process/serve/gateway/WatchFleet.java
+++ b/router/src/test/java/org/burdocktray/process/serve/gateway/WatchFleet.java
@@ -182,6 +182,9 @@
 
 		boolean killed;
 
+		/** Requests to other VMs. */
+		long requests;
+
 		private boolean storeCutOff;
 
 		private boolean peersCutOff;
@@ -352,6 +355,7 @@
 			Single.<Optional<WatchAnswer>>create((emitter) -> {
 				schedule(timeoutMillis, () -> emitter.onSuccess(Optional.empty()));
 				WatchFleet.this.messageBytes += request.getSerializedSize() + HEAD_BYTES;
+				this.requests++;
 				if (this.peersCutOff || receiver.peersCutOff) {
 					return;
 				}
--- a/router/src/test/java/org/burdocktray/process/serve/gateway/WatchFleetTests.java
+++ b/router/src/test/java/org/burdocktray/process/serve/gateway/WatchFleetTests.java
@@ -186,6 +186,27 @@
 		assertThat(fleet.violations).isEmpty();
 	}
 
+	/**
+	 * Guards against VMs that poll without a pause, since each of their calls begins at
+	 * watchers without the store and ends at one that answers at once.
+	 */
+	@Test
+	void vmsOfADataCentreWithoutTheStoreDoNotPollInALoop() {
+		WatchFleet fleet = started(95, ON, 9);
+		List<WatchFleet.Vm> cutOff = fleet.vms.stream()
+			.filter((vm) -> Integer.parseInt(vm.name.substring(3)) % 3 == 0)
+			.toList();
+		cutOff.forEach((vm) -> fleet.store.rejectedVms.add(vm.name));
+		fleet.store.endRejectedWatches();
+		fleet.time.run(5_000);
+		long before = cutOff.stream().mapToLong((vm) -> vm.requests).sum();
+		fleet.time.run(10_000);
+		long requests = cutOff.stream().mapToLong((vm) -> vm.requests).sum() - before;
+		// Two waits a second, and the watchers without the store once in two seconds.
+		assertThat(requests / cutOff.size()).isLessThan(60);
+		assertThat(fleet.violations).isEmpty();
+	}
+
 	@Test
 	void halfOfTheFleetMayBeOlder() {
 		WatchFleet fleet = new WatchFleet(48, ON, 6);
