Replace the log of a watcher when the store was restored

A linearizable listing that was sent after the last confirmation and has a lower revision was ignored for ever, so the age of the log grew.

--- a/router/src/main/java/org/burdocktray/process/watch/ChangeLog.java
+++ b/router/src/main/java/org/burdocktray/process/watch/ChangeLog.java
@@ -17,9 +17,10 @@
 
 /**
  * What this VM has from the store itself of one kind of objects: the objects, the recent
- * changes, and since when they are confirmed. Invariants: the revision never decreases;
- * the changes kept are all changes between the oldest revision kept and the present one;
- * they are bounded in number and size. Thread safety: none, confined to one event loop.
+ * changes, and since when they are confirmed. Invariants: the revision decreases only
+ * when the store was restored from a copy; the changes kept are all changes between the
+ * oldest revision kept and the present one; they are bounded in number and size. Thread
+ * safety: none, confined to one event loop.
  */
 final class ChangeLog {
 
@@ -27,6 +28,8 @@
 
 	private static final long MAX_CHARACTERS = 2 << 20;
 
+	private final boolean linearizable;
+
 	private final Deque<Batch> batches = new ArrayDeque<>();
 
 	private Map<String, StoredObject> objects = new HashMap<>();
@@ -46,6 +49,15 @@
 
 	private long keptCharacters;
 
+	/**
+	 * Creates a log without objects.
+	 * @param linearizable whether an answer never shows a state before the one that held
+	 * when it was asked for
+	 */
+	ChangeLog(boolean linearizable) {
+		this.linearizable = linearizable;
+	}
+
 	/**
 	 * Records a listing of the store.
 	 * @param listing all objects
@@ -54,7 +66,14 @@
 	void recordListing(ObjectListing listing, Timestamp confirmedTime) {
 		this.storeLost = false;
 		if (isKnown() && listing.revision() < this.revision) {
-			return;
+			// A linearizable listing that was sent later shows that the store was
+			// restored
+			// from a copy.
+			boolean isRestored = this.linearizable && confirmedTime.isAfter(this.confirmedAt.get());
+			if (!isRestored) {
+				return;
+			}
+			clear();
 		}
 		Map<String, StoredObject> listed = new HashMap<>();
 		listing.objects().forEach((object) -> listed.put(object.key(), object));
--- a/router/src/main/java/org/burdocktray/process/watch/FollowerAnswers.java
+++ b/router/src/main/java/org/burdocktray/process/watch/FollowerAnswers.java
@@ -69,9 +69,10 @@
 	 * @param lister lists the objects of a kind from the store, and records them here
 	 * @param listener counts the answers
 	 */
-	FollowerAnswers(List<WatchedKind> kinds, WatchSources sources, Supplier<Timestamp> clock, Timers timers,
+	FollowerAnswers(StoreSharing.Kinds kinds, WatchSources sources, Supplier<Timestamp> clock, Timers timers,
 			Consumer<String> lister, WatchListener listener) {
-		kinds.forEach((kind) -> this.logs.put(kind.name(), new ChangeLog()));
+		kinds.confirmed().forEach((kind) -> this.logs.put(kind.name(), new ChangeLog(true)));
+		kinds.hints().forEach((kind) -> this.logs.put(kind.name(), new ChangeLog(false)));
 		this.sources = sources;
 		this.clock = clock;
 		this.timers = timers;
@@ -209,7 +210,13 @@
 	 */
 	void recordListing(String kind, ObjectListing listing, Timestamp confirmedAt) {
 		this.listings.remove(kind);
-		this.logs.get(kind).recordListing(listing, confirmedAt);
+		ChangeLog log = this.logs.get(kind);
+		long knownRevision = log.revision();
+		log.recordListing(listing, confirmedAt);
+		if (log.revision() < knownRevision) {
+			// A restored store uses the revisions of the cached contents again.
+			this.contents.clear();
+		}
 		resolve(kind);
 	}
 
--- a/router/src/main/java/org/burdocktray/process/watch/StoreSharing.java
+++ b/router/src/main/java/org/burdocktray/process/watch/StoreSharing.java
@@ -1,6 +1,5 @@
 package org.burdocktray.process.watch;
 
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
 import java.util.function.Supplier;
@@ -54,10 +53,8 @@
 		this.listener = listener;
 		this.hintStore = platform.hintStore();
 		this.sources = new WatchSources(options, own.name(), own.dataCentre(), platform.random());
-		List<WatchedKind> all = new ArrayList<>(kinds.confirmed());
-		all.addAll(kinds.hints());
-		this.answers = new FollowerAnswers(all, this.sources, platform.clock(), platform.timers(), this::listForOthers,
-				listener);
+		this.answers = new FollowerAnswers(kinds, this.sources, platform.clock(), platform.timers(),
+				this::listForOthers, listener);
 		this.feed = new SharedFeed(platform.store(), kinds.confirmed(), own.dataCentre(), this.sources, this.answers,
 				platform.calls(), platform.clock(), platform.timers(), platform.random(), listener);
 		this.hintFeed = new SharedFeed(platform.hintStore(), kinds.hints(), own.dataCentre(), this.sources,
--- a/router/src/test/java/org/burdocktray/process/watch/ChangeLogTests.java
+++ b/router/src/test/java/org/burdocktray/process/watch/ChangeLogTests.java
@@ -19,7 +19,7 @@
 
 	private static final Timestamp START = new Timestamp(1_000_000_000L, 50_000);
 
-	private final ChangeLog log = new ChangeLog();
+	private final ChangeLog log = new ChangeLog(true);
 
 	@Test
 	void listingAfterAnOutageBecomesChanges() {
@@ -40,6 +40,28 @@
 		assertThat(this.log.revision()).isEqualTo(4);
 	}
 
+	/** Guards against watchers that stay without a confirmation after a restore. */
+	@Test
+	void laterListingOfARestoredStoreReplacesTheLog() {
+		this.log.recordListing(new ObjectListing(List.of(object("a", 1), object("b", 8)), 8), START);
+		Timestamp later = new Timestamp(START.monotonicNanos() + 700_000_000L, START.epochMillis() + 700);
+		this.log.recordListing(new ObjectListing(List.of(object("a", 1)), 3), later);
+		assertThat(this.log.objects()).containsExactly(object("a", 1));
+		assertThat(this.log.revision()).isEqualTo(3);
+		assertThat(this.log.ageMillis(later)).isZero();
+		assertThat(this.log.hasChangesAfter(2)).isFalse();
+	}
+
+	/** Guards against objects of a listing that may be old. */
+	@Test
+	void laterListingThatMayBeOldBringsNothingBack() {
+		ChangeLog hints = new ChangeLog(false);
+		hints.recordListing(new ObjectListing(List.of(object("b", 8)), 8), START);
+		Timestamp later = new Timestamp(START.monotonicNanos() + 700_000_000L, START.epochMillis() + 700);
+		hints.recordListing(new ObjectListing(List.of(object("a", 1)), 3), later);
+		assertThat(hints.objects()).containsExactly(object("b", 8));
+	}
+
 	@Test
 	void changesThatAreKnownAreNotRepeated() {
 		this.log.recordListing(new ObjectListing(List.of(object("a", 6)), 6), START);
