--- a/router/src/main/java/org/burdocktray/process/serve/gateway/FleetRegistry.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/FleetRegistry.java
@@ -4,6 +4,8 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 
+import io.reactivex.rxjava3.core.Single;
+import io.vavr.control.Either;
 import io.vertx.core.Vertx;
 import io.vertx.core.json.DecodeException;
 import io.vertx.core.json.JsonObject;
@@ -71,19 +73,41 @@
 			.put(CORES, this.ownVm.cores())
 			.put(LINK, this.ownVm.linkBitsPerSecond())
 			.encode();
-		this.store.create(KEY_PREFIX + this.ownVm.name(), value).subscribe((result) -> {
-			boolean isRegistered = result.isRight() || result.getLeft() == StoreError.CONFLICT;
-			if (!isRegistered) {
-				LOGGER.warnf("VM registration failed, retrying: error=%s", result.getLeft());
-			}
-			this.vertx.setTimer(INITIAL_INTERVAL_MILLIS, (timer) -> {
-				if (isRegistered) {
-					list();
-				}
-				else {
-					start();
-				}
+		String key = KEY_PREFIX + this.ownVm.name();
+		this.store.create(key, value)
+			.flatMap((created) -> isConflict(created) ? replace(key, value) : Single.just(created))
+			.subscribe((result) -> {
+				result
+					.peekLeft((error) -> LOGGER.warnf("VM registration failed, retrying: vm=%s error=%s", key, error));
+				this.vertx.setTimer(INITIAL_INTERVAL_MILLIS, (timer) -> {
+					if (result.isRight()) {
+						list();
+					}
+					else {
+						start();
+					}
+				});
 			});
+	}
+
+	private static boolean isConflict(Either<StoreError, StoredObject> result) {
+		return result.isLeft() && result.getLeft() == StoreError.CONFLICT;
+	}
+
+	// The entry of an earlier start may have another address, data centre or size.
+	private Single<Either<StoreError, StoredObject>> replace(String key, String value) {
+		return this.store.read(key).flatMap((read) -> {
+			if (read.isLeft()) {
+				return Single.just(Either.left(read.getLeft()));
+			}
+			Optional<StoredObject> known = read.get();
+			if (known.isEmpty()) {
+				return Single.just(Either.left(StoreError.NOT_FOUND));
+			}
+			if (known.get().value().equals(value)) {
+				return Single.just(Either.right(known.get()));
+			}
+			return this.store.update(key, known.get().version(), value);
 		});
 	}
 
--- a/router/src/test/java/org/burdocktray/process/serve/gateway/FleetRegistryTests.java
+++ b/router/src/test/java/org/burdocktray/process/serve/gateway/FleetRegistryTests.java
@@ -61,10 +61,25 @@
 			.contains(new RegisteredVm("foreign", new DataCentre(""), Optional.empty()));
 	}
 
+	/** Guards against VMs that restart elsewhere and stay registered as they were. */
+	@Test
+	void entryOfAnEarlierStartIsReplaced() throws Exception {
+		FakeStore store = new FakeStore("{}");
+		store.objects
+			.add(new StoredObject("burdocktray-vms/vm-0", 7, "{\"dataCentre\":\"old\",\"address\":\"10.0.0.9:7340\"}"));
+		assertThat(listWith(store)).contains(new RegisteredVm("vm-0", new DataCentre("ghent"), Optional.of(ADDRESS)));
+		assertThat(store.updates).isEqualTo(1);
+		listWith(store);
+		assertThat(store.updates).as("an entry that is right is not written").isEqualTo(1);
+	}
+
 	private List<RegisteredVm> listWith(String foreignValue) throws Exception {
+		return listWith(new FakeStore(foreignValue));
+	}
+
+	private List<RegisteredVm> listWith(FakeStore store) throws Exception {
 		CompletableFuture<List<RegisteredVm>> listed = new CompletableFuture<>();
 		RegisteredVm self = new RegisteredVm("vm-0", new DataCentre("ghent"), Optional.of(ADDRESS));
-		FakeStore store = new FakeStore(foreignValue);
 		FleetRegistry registry = new FleetRegistry(this.vertx, store, store, self, listed::complete);
 		this.vertx.getOrCreateContext().runOnContext((now) -> registry.start());
 		return listed.get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
@@ -74,13 +89,15 @@
 
 		private final List<StoredObject> objects = new ArrayList<>();
 
+		private int updates;
+
 		private FakeStore(String foreignValue) {
 			this.objects.add(new StoredObject("burdocktray-vms/foreign", 1, foreignValue));
 		}
 
 		@Override
 		public Single<Either<StoreError, Optional<StoredObject>>> read(String key) {
-			throw new UnsupportedOperationException();
+			return Single.just(Either.right(find(key)));
 		}
 
 		@Override
@@ -104,6 +121,9 @@
 
 		@Override
 		public Single<Either<StoreError, StoredObject>> create(String key, String value) {
+			if (find(key).isPresent()) {
+				return Single.just(Either.left(StoreError.CONFLICT));
+			}
 			StoredObject created = new StoredObject(key, 2, value);
 			this.objects.add(created);
 			return Single.just(Either.right(created));
@@ -111,7 +131,15 @@
 
 		@Override
 		public Single<Either<StoreError, StoredObject>> update(String key, long expectedVersion, String value) {
-			throw new UnsupportedOperationException();
+			this.updates++;
+			StoredObject updated = new StoredObject(key, expectedVersion + 1, value);
+			this.objects.replaceAll(
+					(object) -> (object.key().equals(key) && object.version() == expectedVersion) ? updated : object);
+			return Single.just(Either.right(updated));
+		}
+
+		private Optional<StoredObject> find(String key) {
+			return this.objects.stream().filter((object) -> object.key().equals(key)).findFirst();
 		}
 
 		@Override
