--- a/router/src/main/java/org/burdocktray/process/balance/FleetRoutes.java
+++ b/router/src/main/java/org/burdocktray/process/balance/FleetRoutes.java
@@ -63,7 +63,7 @@
 	 * @param slowdownFactor the factor by which an engine is slower than its kind
 	 * @param times the response times of plain replicas
 	 * @param demand the demand of the data centres
-	 * @param listener hears of changes
+	 * @param listener is notified of changes
 	 */
 	public FleetRoutes(DataCentre localDataCentre, BalancingOptions options, ToDoubleFunction<Replica> slowdownFactor,
 			ReplicaTimes times, FleetDemand demand, Listener listener) {
--- a/router/src/main/java/org/burdocktray/process/demand/FleetDemand.java
+++ b/router/src/main/java/org/burdocktray/process/demand/FleetDemand.java
@@ -3,8 +3,8 @@
 import java.util.List;
 
 /**
- * Knows the demand of the data centres as far as this VM hears of it. Thread safety:
- * implementations are confined to one event loop.
+ * Knows the demand of the data centres as far as this VM is notified of it. Thread
+ * safety: implementations are confined to one event loop.
  */
 public interface FleetDemand {
 
--- a/router/src/main/java/org/burdocktray/process/directory/StreamOutputs.java
+++ b/router/src/main/java/org/burdocktray/process/directory/StreamOutputs.java
@@ -28,7 +28,7 @@
 
 	private final PassListener passListener;
 
-	/** Creates outputs without streams, whose passes nobody hears of. */
+	/** Creates outputs without streams, whose passes are reported to no listener. */
 	public StreamOutputs() {
 		this((path, nanosPerPass, nowNanos) -> {
 		});
@@ -36,7 +36,7 @@
 
 	/**
 	 * Creates outputs without streams.
-	 * @param passListener hears of the passes of streams
+	 * @param passListener is notified of the passes of streams
 	 */
 	public StreamOutputs(PassListener passListener) {
 		this.passListener = passListener;
