Count a fallback to the store once

An answer of the store in an outage of the watchers grew the backoff twice, and calls of several kinds that ended together grew it once each.

--- a/router/src/main/java/org/burdocktray/process/watch/WatchSources.java
+++ b/router/src/main/java/org/burdocktray/process/watch/WatchSources.java
@@ -34,7 +34,10 @@
 
 	private static final long MIN_WATCHER_BACKOFF_MILLIS = 1_000;
 
-	private static final long MAX_WATCHER_BACKOFF_MILLIS = 60_000;
+	/**
+	 * VMs that have stopped stay registered; most of them are to be left out at a time.
+	 */
+	private static final long MAX_WATCHER_BACKOFF_MILLIS = 600_000;
 
 	private static final long MIN_SEARCH_BACKOFF_MILLIS = 1_000;
 
@@ -49,15 +52,16 @@
 	private static final long SPREAD_MILLIS_PER_VM = 5;
 
 	/**
-	 * The part of the mean interval that one VM adds between calls to a store that is
-	 * unavailable for its watchers. The calls of all VMs together do not grow with the
-	 * fleet.
+	 * The part that one VM adds to the delays of calls to a store that is unavailable for
+	 * the watchers: to the spread of the first call, up to its maximum, and to the
+	 * backoff after it. The later calls of all VMs together do not grow with the fleet.
 	 */
 	private static final long OUTAGE_MILLIS_PER_VM = 50;
 
 	/**
-	 * A store that rejects all watchers of a data centre may serve others; they find out
-	 * within the time in which changes must take effect.
+	 * The maximum spread of the first call in an outage. A store that rejects all
+	 * watchers of a data centre may serve others; they find out within the time in which
+	 * changes must take effect.
 	 */
 	private static final long MAX_OUTAGE_SPREAD_MILLIS = 1_000;
 
@@ -310,11 +314,12 @@
 	}
 
 	/**
-	 * Records that the store has answered a call in place of watchers.
+	 * Records that the store has answered a call in place of watchers. The backoff grows
+	 * once for all calls that end before it has passed.
 	 * @param nowNanos the current time of the monotonic clock
 	 */
 	void recordFallback(long nowNanos) {
-		if (!isWatcher(nowNanos)) {
+		if (!isWatcher(nowNanos) && this.watcherSearches.isOver(nowNanos)) {
 			this.watcherSearches.add(nowNanos, MIN_SEARCH_BACKOFF_MILLIS, MAX_SEARCH_BACKOFF_MILLIS, this.random);
 		}
 	}
