--- a/router/src/main/java/org/burdocktray/process/watch/FollowerAnswers.java
+++ b/router/src/main/java/org/burdocktray/process/watch/FollowerAnswers.java
@@ -69,9 +69,10 @@
 	 * @param lister lists the objects of a kind from the store, and records them here
 	 * @param listener counts the answers
 	 */
-	FollowerAnswers(List<WatchedKind> kinds, WatchSources sources, Supplier<Timestamp> clock, Timers timers,
+	FollowerAnswers(StoreSharing.Kinds kinds, WatchSources sources, Supplier<Timestamp> clock, Timers timers,
 			Consumer<String> lister, WatchListener listener) {
-		kinds.forEach((kind) -> this.logs.put(kind.name(), new ChangeLog()));
+		kinds.confirmed().forEach((kind) -> this.logs.put(kind.name(), new ChangeLog(true)));
+		kinds.hints().forEach((kind) -> this.logs.put(kind.name(), new ChangeLog(false)));
 		this.sources = sources;
 		this.clock = clock;
 		this.timers = timers;
@@ -94,7 +95,12 @@
 		this.sources.recordAsked(nowNanos);
 		if (needsListing(log, request)) {
 			if (!this.sources.mayCallStore(nowNanos)) {
-				respond(request, response, Status.STATUS_STORE_UNAVAILABLE);
+				if (request.getAtOnce() || isTooOld(log, request)) {
+					respond(request, response, Status.STATUS_STORE_UNAVAILABLE);
+				}
+				else {
+					await(request, response);
+				}
 				return;
 			}
 			if (request.getAtOnce()) {
@@ -122,8 +128,8 @@
 		if (log.isStoreLost()) {
 			return false;
 		}
-		boolean isTooOld = log.ageMillis(this.clock.get()) > maxAgeMillis(request);
-		return isTooOld || (request.getListing() && (!log.isComplete() || log.revision() < request.getAfterRevision()));
+		return isTooOld(log, request)
+				|| (request.getListing() && (!log.isComplete() || log.revision() < request.getAfterRevision()));
 	}
 
 	private void await(WatchRequest request, Consumer<WatchAnswer> response) {
@@ -141,14 +147,18 @@
 		if (log.isStoreLost()) {
 			return Status.STATUS_STORE_UNAVAILABLE;
 		}
-		boolean isTooOld = log.ageMillis(this.clock.get()) > maxAgeMillis(request);
-		if (isTooOld || log.revision() < request.getAfterRevision() || (request.getListing() && !log.isComplete())) {
+		if (isTooOld(log, request) || log.revision() < request.getAfterRevision()
+				|| (request.getListing() && !log.isComplete())) {
 			return Status.STATUS_BEHIND;
 		}
 		boolean isServed = request.getListing() || log.hasChangesAfter(request.getAfterRevision());
 		return isServed ? Status.STATUS_OK : Status.STATUS_HISTORY_GONE;
 	}
 
+	private boolean isTooOld(ChangeLog log, WatchRequest request) {
+		return log.ageMillis(this.clock.get()) > maxAgeMillis(request);
+	}
+
 	private static long maxAgeMillis(WatchRequest request) {
 		return Integer.toUnsignedLong(request.getMaxAgeMillis());
 	}
@@ -200,7 +210,13 @@
 	 */
 	void recordListing(String kind, ObjectListing listing, Timestamp confirmedAt) {
 		this.listings.remove(kind);
-		this.logs.get(kind).recordListing(listing, confirmedAt);
+		ChangeLog log = this.logs.get(kind);
+		long knownRevision = log.revision();
+		log.recordListing(listing, confirmedAt);
+		if (log.revision() < knownRevision) {
+			// A restored store uses the revisions of the cached contents again.
+			this.contents.clear();
+		}
 		resolve(kind);
 	}
 
--- a/router/src/main/java/org/burdocktray/process/watch/WatchSources.java
+++ b/router/src/main/java/org/burdocktray/process/watch/WatchSources.java
@@ -34,7 +34,10 @@
 
 	private static final long MIN_WATCHER_BACKOFF_MILLIS = 1_000;
 
-	private static final long MAX_WATCHER_BACKOFF_MILLIS = 60_000;
+	/**
+	 * VMs that have stopped stay registered; most of them are to be left out at a time.
+	 */
+	private static final long MAX_WATCHER_BACKOFF_MILLIS = 600_000;
 
 	private static final long MIN_SEARCH_BACKOFF_MILLIS = 1_000;
 
@@ -49,15 +52,16 @@
 	private static final long SPREAD_MILLIS_PER_VM = 5;
 
 	/**
-	 * The part of the mean interval that one VM adds between calls to a store that is
-	 * unavailable for its watchers. The calls of all VMs together do not grow with the
-	 * fleet.
+	 * The part that one VM adds to the delays of calls to a store that is unavailable for
+	 * the watchers: to the spread of the first call, up to its maximum, and to the
+	 * backoff after it. The later calls of all VMs together do not grow with the fleet.
 	 */
 	private static final long OUTAGE_MILLIS_PER_VM = 50;
 
 	/**
-	 * A store that rejects all watchers of a data centre may serve others; they find out
-	 * within the time in which changes must take effect.
+	 * The maximum spread of the first call in an outage. A store that rejects all
+	 * watchers of a data centre may serve others; they find out within the time in which
+	 * changes must take effect.
 	 */
 	private static final long MAX_OUTAGE_SPREAD_MILLIS = 1_000;
 
@@ -214,37 +218,36 @@
 			return Optional.empty();
 		}
 		long triedLocally = triedVms.stream().filter((vm) -> vm.dataCentre().equals(this.localDataCentre)).count();
+		boolean isRemoteTried = triedLocally < triedVms.size();
+		List<WatchVm> candidates = new ArrayList<>();
 		if (triedLocally < MAX_LOCAL_WATCHERS_TRIED) {
-			Optional<WatchSource> local = preferred(this.localDataCentre, triedVms, nowNanos);
-			if (local.isPresent()) {
-				return local;
-			}
+			candidates.addAll(untried(this.localDataCentre, triedVms, nowNanos));
 		}
-		if (triedLocally < triedVms.size()) {
-			return Optional.empty();
+		if (!isRemoteTried) {
+			List<DataCentre> remote = this.rankings.keySet()
+				.stream()
+				.filter((dataCentre) -> !dataCentre.equals(this.localDataCentre))
+				.toList();
+			RendezvousHash.ranked(this.ownName, remote, DataCentre::name)
+				.forEach((dataCentre) -> candidates.addAll(untried(dataCentre, triedVms, nowNanos)));
 		}
-		List<DataCentre> remote = this.rankings.keySet()
-			.stream()
-			.filter((dataCentre) -> !dataCentre.equals(this.localDataCentre))
-			.toList();
-		return RendezvousHash.ranked(this.ownName, remote, DataCentre::name)
-			.stream()
-			.flatMap((dataCentre) -> preferred(dataCentre, triedVms, nowNanos).stream())
-			.findFirst();
+		// A watcher of another data centre that has the store goes before a local one
+		// that
+		// has lost it.
+		return candidates.stream()
+			.filter((vm) -> !isDemoted(vm, nowNanos))
+			.findFirst()
+			.or(() -> candidates.stream().findFirst())
+			.map(WatchSource::of);
 	}
 
 	// Each VM prefers another watcher; when one is lost, its followers spread over the
 	// others.
-	private Optional<WatchSource> preferred(DataCentre dataCentre, Set<WatchVm> tried, long nowNanos) {
+	private List<WatchVm> untried(DataCentre dataCentre, Set<WatchVm> tried, long nowNanos) {
 		List<WatchVm> open = watchersOf(dataCentre, nowNanos).stream()
 			.filter((vm) -> !isOwn(vm) && !tried.contains(vm))
 			.toList();
-		List<WatchVm> ranked = RendezvousHash.ranked(this.ownName, open, WatchVm::name);
-		return ranked.stream()
-			.filter((vm) -> !isDemoted(vm, nowNanos))
-			.findFirst()
-			.or(() -> ranked.stream().findFirst())
-			.map(WatchSource::of);
+		return RendezvousHash.ranked(this.ownName, open, WatchVm::name);
 	}
 
 	// The first VMs of the ranking that have not failed of late.
@@ -311,11 +314,12 @@
 	}
 
 	/**
-	 * Records that the store has answered a call in place of watchers.
+	 * Records that the store has answered a call in place of watchers. The backoff grows
+	 * once for all calls that end before it has passed.
 	 * @param nowNanos the current time of the monotonic clock
 	 */
 	void recordFallback(long nowNanos) {
-		if (!isWatcher(nowNanos)) {
+		if (!isWatcher(nowNanos) && this.watcherSearches.isOver(nowNanos)) {
 			this.watcherSearches.add(nowNanos, MIN_SEARCH_BACKOFF_MILLIS, MAX_SEARCH_BACKOFF_MILLIS, this.random);
 		}
 	}
