Gateway sheds load by priority where the options say so

Cause: requests that cannot be served in time were rejected after up to 0.8 of their callers' timeout, and engines did not know priorities. Change: with the section "overload", a request is rejected before its body is read, with a Retry-After of at most a third of its caller's time. While load is shed, the wait for capacity ends when the target cannot be met, new requests queue behind waiting ones, and memory is reserved for the lengths that responses really have. Engines get X-Burdocktray-Request-Priority. Metrics, log lines and the cause for "explain" are added. Without the section nothing changes.

--- a/router/src/main/java/org/burdocktray/process/explain/EndCause.java
+++ b/router/src/main/java/org/burdocktray/process/explain/EndCause.java
@@ -16,6 +16,9 @@
 	NO_CAPACITY("no replica can take the request",
 			"No replica of the service, or no complete path of engines, had free capacity while the request could wait."),
 
+	SHED("load is shed",
+			"The demand of the fleet exceeded what it serves in time, and requests of this priority were admitted by a share only."),
+
 	LIMITED("replicas take no more requests now",
 			"Each replica that could take the request names a limit, of which this VM's share was used up for now."),
 
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/AdmittedRequest.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/AdmittedRequest.java
@@ -2,8 +2,11 @@
 
 import java.util.Optional;
 
+import org.burdocktray.process.overload.ServicePriorities;
 import org.burdocktray.process.quarantine.RequestIdentity;
+import org.burdocktray.request.overload.Arrival;
 import org.burdocktray.version.rules.OrganisationRule;
+import org.burdocktray.version.rules.RequestKind;
 import org.burdocktray.version.rules.RouteRule;
 import org.burdocktray.version.rules.ServiceRule;
 
@@ -25,8 +28,6 @@
 		Optional<OrganisationRule> organisation, ForwardedRequest request, RequestIdentity identity,
 		Optional<RelayHeaders.RelayedRequest> relayed) {
 
-	private static final int ORGANISATION_PRIORITY_FACTOR = 1_000;
-
 	/**
 	 * Returns the priority of the request. The priority of its organisation takes
 	 * precedence over that of its route.
@@ -36,6 +37,31 @@
 		return priority(this.route, this.organisation);
 	}
 
+	/**
+	 * Returns what decides about the admission of a request.
+	 * @param head the fields read from its headers
+	 * @param route its route
+	 * @param service the service that runs it
+	 * @param organisation the caller's organisation, empty on public routes
+	 * @return the values for the shedding of load
+	 */
+	static Arrival arrival(RequestHead head, RouteRule route, ServiceRule service,
+			Optional<OrganisationRule> organisation) {
+		boolean isStream = route.kind() == RequestKind.STREAMING;
+		long routeMillis = isStream ? Math.min(route.timeoutMillis(), route.callerTimeoutMillis())
+				: route.timeoutMillis();
+		int outputTokens = Math.min(head.maxOutputTokens().orElse(0),
+				head.expectedOutputTokens().orElse(Integer.MAX_VALUE));
+		return new Arrival(head.requestId(), route, service, organisation.map(OrganisationRule::name).orElse(""),
+				priority(route, organisation), isStream && route.resumable() && head.lastEventId().isPresent(),
+				head.promptTokens().orElse(0), outputTokens,
+				Math.min(routeMillis, head.deadlineMillis().orElse(routeMillis)));
+	}
+
+	Arrival arrival() {
+		return arrival(this.head, this.route, this.service, this.organisation);
+	}
+
 	/**
 	 * Returns the priority of requests of a route and organisation.
 	 * @param route the route
@@ -43,7 +69,7 @@
 	 * @return the priority; the lowest value is served first
 	 */
 	static int priority(RouteRule route, Optional<OrganisationRule> organisation) {
-		return organisation.map(OrganisationRule::priority).orElse(0) * ORGANISATION_PRIORITY_FACTOR + route.priority();
+		return ServicePriorities.priority(route, organisation);
 	}
 
 }
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/Attempt.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/Attempt.java
@@ -1,6 +1,7 @@
 package org.burdocktray.process.serve.gateway;
 
 import java.util.Optional;
+import java.util.OptionalInt;
 
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientRequest;
@@ -200,8 +201,11 @@
 				.ifPresent((key) -> RelayHeaders.write(key, this.request.relay(), clientRequest.headers()));
 			return;
 		}
+		OptionalInt priority = this.request.priority()
+			.map((rank) -> OptionalInt.of(rank.value(this.request.lastEventId().isPresent())))
+			.orElse(OptionalInt.empty());
 		ForwardHead forwardHead = new ForwardHead(this.target.replica(), remainingMillis, this.request.organisation(),
-				this.target.path(), this.request.lastEventId());
+				this.target.path(), this.request.lastEventId(), priority);
 		this.context.headers().writeForwardedRequest(this.request.headers(), forwardHead, clientRequest.headers());
 	}
 
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/ForwardExchange.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/ForwardExchange.java
@@ -15,6 +15,7 @@
 import org.burdocktray.request.forward.ForwardState;
 import org.burdocktray.request.forward.ResponseTiming;
 import org.burdocktray.request.forward.WaitingRequest;
+import org.burdocktray.request.overload.RequestTracker;
 import org.burdocktray.version.rules.RequestKind;
 
 /**
@@ -81,6 +82,8 @@
 
 	private final FinalResponse finalResponse;
 
+	private final Optional<RequestTracker> tracker;
+
 	private final ResponseTiming timing = new ResponseTiming(System.nanoTime());
 
 	private Optional<Attempt> attempt = Optional.empty();
@@ -102,12 +105,15 @@
 		this.state = new ForwardState(admitted.route(),
 				admitted.relayed().map(RelayHeaders.RelayedRequest::runs).orElse(0));
 		this.targetSelector = new TargetSelector(context, admitted);
+		this.tracker = context.overload()
+			.filter((control) -> admitted.relayed().isEmpty())
+			.flatMap((control) -> control.track(admitted.arrival(), this.timing.startNanos()));
 		this.health = new ReplicaHealth(context);
 		this.streamRecovery = new StreamRecovery(context, admitted, this.targetSelector, this);
 		this.runGuard = new RunGuard(context.crashes(), admitted);
 		this.preparation = new RunPreparation(context, admitted.service().name(), this.runGuard, this.health);
 		this.dispatch = new RequestDispatch(context, admitted, this.targetSelector, this.preparation,
-				this.timing.startNanos(), this);
+				this.timing.startNanos(), this.tracker, this);
 		this.handover = new RunHandover(context, admitted, this.state, this.targetSelector, this.preparation,
 				this.runGuard, this.health, this);
 		this.stream = new StreamDelivery(context.metrics(), callerResponse, this.timing);
@@ -156,6 +162,17 @@
 		return this.state.isRetry();
 	}
 
+	@Override
+	public boolean mustWaitForOthers() {
+		String service = serviceName();
+		return this.context.overload().filter((control) -> control.isClosed(service)).isPresent()
+				&& this.requestsInProgress.hasWaitingBefore(this, System.nanoTime());
+	}
+
+	String serviceName() {
+		return this.admitted.service().name();
+	}
+
 	@Override
 	public long waitingSinceNanos() {
 		return isResponseStarted() ? this.streamRecovery.progressNanos() : this.timing.startNanos();
@@ -278,6 +295,7 @@
 
 	private void deliver(HttpClientResponse head, Buffer body, Attempt answered) {
 		finish();
+		this.tracker.ifPresent((request) -> request.recordFirstEvent(System.nanoTime()));
 		this.finalResponse.deliver(head, body, answered.target().replica(), answered.answerOrigin());
 	}
 
@@ -303,6 +321,7 @@
 		endSilence();
 		this.runGuard.recordOutput(currentAttempt(), System.nanoTime());
 		if (isFirst) {
+			this.tracker.ifPresent((request) -> request.recordFirstEvent(System.nanoTime()));
 			currentAttempt().target().replicas().forEach(this.context.loads()::recordSuccess);
 			this.state.recordResponseStart();
 		}
@@ -326,6 +345,7 @@
 		Attempt answered = currentAttempt();
 		this.runGuard.recordResponse(answered, this.stream.head().statusCode());
 		finish();
+		this.tracker.ifPresent((request) -> this.stream.eventCount().ifPresent(request::recordStreamEnd));
 		this.finalResponse.completeStream(this.stream.head(), replica, answered.answerOrigin());
 	}
 
@@ -353,6 +373,9 @@
 			giveUpUnlessTargetIsGone(failed, outcome, cause);
 			return;
 		}
+		if (outcome == AttemptOutcome.REJECTED) {
+			this.tracker.ifPresent((request) -> request.recordReplicaRejection(System.nanoTime()));
+		}
 		if (outcome == AttemptOutcome.REJECTED && target.path().isEmpty()) {
 			this.targetSelector.exclude(target.replica());
 		}
@@ -386,6 +409,7 @@
 	 * @param nowNanos the monotonic time
 	 */
 	void checkProgress(long nowNanos) {
+		this.tracker.ifPresent((request) -> request.check(nowNanos));
 		startSuccessorIfSilent((running) -> running.target().isRelay() && this.callerResponse.isStarted(),
 				SILENT_RELAY_NANOS);
 		if (this.handover.isInProgress()) {
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/ForwardedRequest.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/ForwardedRequest.java
@@ -5,6 +5,7 @@
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpMethod;
+import org.burdocktray.request.overload.EnginePriority;
 
 /**
  * The request that an attempt sends. Thread safety: immutable, except for the headers,
@@ -21,10 +22,11 @@
  * @param lastEventId the id of the event after which a resumed stream continues
  * @param deadlineNanos the monotonic time at which the caller or the route stops waiting
  * @param relay what a VM has to know that relays the request
+ * @param priority the priority at the engines, empty where load is not shed by priority
  */
 record ForwardedRequest(Optional<String> requestId, HttpMethod method, String uri, MultiMap headers, Buffer body,
 		Optional<String> organisation, boolean repeatable, boolean streaming, Optional<String> lastEventId,
-		long deadlineNanos, RelayHeaders.RelayedRequest relay) {
+		long deadlineNanos, RelayHeaders.RelayedRequest relay, Optional<EnginePriority> priority) {
 
 	private static final long NANOS_PER_MILLI = 1_000_000;
 
@@ -40,7 +42,7 @@
 	 */
 	ForwardedRequest resumingAfter(Optional<String> eventId, int runs) {
 		return new ForwardedRequest(this.requestId, this.method, this.uri, this.headers, this.body, this.organisation,
-				this.repeatable, this.streaming, eventId, this.deadlineNanos, this.relay.withRuns(runs));
+				this.repeatable, this.streaming, eventId, this.deadlineNanos, this.relay.withRuns(runs), this.priority);
 	}
 
 }
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayContext.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayContext.java
@@ -12,6 +12,7 @@
 import org.burdocktray.process.directory.StreamOutputs;
 import org.burdocktray.process.freshness.RulesFreshness;
 import org.burdocktray.process.limits.FleetRetryBudget;
+import org.burdocktray.request.overload.OverloadControl;
 import org.burdocktray.request.path.LoadSpread;
 import org.burdocktray.request.path.PathSearch;
 import org.burdocktray.version.rules.RulesGate;
@@ -41,6 +42,7 @@
  * @param loadSpread turns requests to other engines before the best ones are full
  * @param retryBudget limits retries
  * @param demand measures the requests that arrive, if a feature needs it
+ * @param overload sheds load by priority, if the feature is on
  * @param crashes finds out which requests crash replicas
  * @param random the source of randomness
  * @param metrics the metrics of the process
@@ -50,6 +52,6 @@
 		StreamOutputs outputs, ReplicaContacts contacts, ReachMonitor reach, RelayVms relays, RelayKey relayKey,
 		LimitedReplicas limits, EngineMonitor monitor, EngineControl engineControl, ReplicaConnections connections,
 		PathSearch pathSearch, LoadSpread loadSpread, FleetRetryBudget retryBudget, Optional<DemandMeter> demand,
-		CrashDetector crashes, RandomGenerator random, GatewayMetrics metrics) {
+		Optional<OverloadControl> overload, CrashDetector crashes, RandomGenerator random, GatewayMetrics metrics) {
 
 }
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayMetrics.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayMetrics.java
@@ -4,12 +4,15 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.core.metrics.Gauge;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import org.burdocktray.process.overload.AdmissionThreshold;
 
 /**
  * The metrics of a gateway. Label values come from bounded sets. Thread safety: can be
@@ -24,6 +27,10 @@
 
 	private static final double[] DELAY_BUCKET_BOUNDS_SECONDS = { 0.01, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10 };
 
+	private static final double[] RATIO_BUCKET_BOUNDS = { 0.25, 0.5, 0.8, 1.25, 2, 4, 8 };
+
+	private static final int MAX_SHED_ORGANISATIONS = 32;
+
 	private final PrometheusRegistry registry = new PrometheusRegistry();
 
 	private final Counter requests = Counter.builder()
@@ -132,6 +139,51 @@
 		.labelNames("asked_by", "heard")
 		.register(this.registry);
 
+	private final Gauge admissionThreshold = Gauge.builder()
+		.name("burdocktray_gateway_admission_threshold")
+		.help("The most urgent priority of which requests are rejected for load, by service; -1 while none are")
+		.labelNames("service")
+		.register(this.registry);
+
+	private final Gauge demandRatio = Gauge.builder()
+		.name("burdocktray_gateway_demand_ratio")
+		.help("The demand of the fleet as a part of its estimated capacity, by service")
+		.labelNames("service")
+		.register(this.registry);
+
+	private final Gauge availableCapacityRatio = Gauge.builder()
+		.name("burdocktray_gateway_available_capacity_ratio")
+		.help("The part of the fleet's estimated capacity that no demand needs, by service")
+		.labelNames("service")
+		.register(this.registry);
+
+	private final Gauge lateRatio = Gauge.builder()
+		.name("burdocktray_gateway_late_ratio")
+		.help("The share of admitted requests that the fleet serves late, by service")
+		.labelNames("service")
+		.register(this.registry);
+
+	private final Counter shedRequests = Counter.builder()
+		.name("burdocktray_gateway_shed_requests_total")
+		.help("Requests rejected for load, by service, rank of their priority, and whether they had waited")
+		.labelNames("service", "rank", "waited")
+		.register(this.registry);
+
+	private final Counter shedByOrganisation = Counter.builder()
+		.name("burdocktray_gateway_shed_by_organisation_total")
+		.help("Requests rejected for load by organisation; those beyond the first 32 count as other")
+		.labelNames("organisation")
+		.register(this.registry);
+
+	private final Histogram estimateRatio = Histogram.builder()
+		.name("burdocktray_gateway_first_event_estimate_ratio")
+		.help("The real time of first events divided by the estimated one")
+		.classicOnly()
+		.classicUpperBounds(RATIO_BUCKET_BOUNDS)
+		.register(this.registry);
+
+	private final Set<String> shedOrganisations = ConcurrentHashMap.newKeySet();
+
 	private final Gauge rulesVersion = Gauge.builder()
 		.name("burdocktray_gateway_rules_version")
 		.help("The version of the rules in force")
@@ -231,6 +283,32 @@
 		this.rulesVersion.set(version);
 	}
 
+	/**
+	 * Sets how much of the demand for a service is admitted.
+	 * @param service the service
+	 * @param threshold its threshold
+	 * @param availableShare the part of the estimated capacity that no demand needs
+	 */
+	void setAdmission(String service, AdmissionThreshold threshold, double availableShare) {
+		this.admissionThreshold.labelValues(service).set(threshold.shares().threshold().orElse(-1));
+		this.demandRatio.labelValues(service).set(threshold.demand());
+		this.availableCapacityRatio.labelValues(service).set(availableShare);
+		this.lateRatio.labelValues(service).set(threshold.lateShare());
+	}
+
+	void recordShedRequest(String service, String organisation, int rank, boolean hasWaited) {
+		this.shedRequests.labelValues(service, Integer.toString(rank), hasWaited ? "yes" : "no").inc();
+		if (this.shedOrganisations.size() < MAX_SHED_ORGANISATIONS) {
+			this.shedOrganisations.add(organisation);
+		}
+		this.shedByOrganisation.labelValues(this.shedOrganisations.contains(organisation) ? organisation : "other")
+			.inc();
+	}
+
+	void recordEstimateRatio(double ratio) {
+		this.estimateRatio.observe(ratio);
+	}
+
 	String scrape() {
 		ByteArrayOutputStream out = new ByteArrayOutputStream();
 		try {
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayRequestHandler.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayRequestHandler.java
@@ -13,6 +13,8 @@
 import org.burdocktray.process.freshness.RulesPollInterval;
 import org.burdocktray.process.quarantine.Fingerprint;
 import org.burdocktray.process.quarantine.RequestIdentity;
+import org.burdocktray.request.overload.AdmissionDecision;
+import org.burdocktray.request.overload.Arrival;
 import org.burdocktray.request.service.RequestDigest;
 import org.burdocktray.version.rules.OrganisationRule;
 import org.burdocktray.version.rules.RequestKind;
@@ -133,7 +135,11 @@
 		}
 		Optional<OrganisationRule> callerOrganisation = organisation;
 		if (relayed.isEmpty()) {
-			recordDemand(head, route.get(), service.get(), organisation);
+			Arrival arrival = AdmittedRequest.arrival(head, route.get(), service.get(), organisation);
+			recordDemand(arrival);
+			if (isShed(arrival, head, response)) {
+				return;
+			}
 		}
 		readBody(request, head, response, rules.get(), (body) -> {
 			RelayHeaders.RelayedRequest relay = new RelayHeaders.RelayedRequest(rules.get().version(),
@@ -148,16 +154,21 @@
 		});
 	}
 
-	private void recordDemand(RequestHead head, RouteRule route, ServiceRule service,
-			Optional<OrganisationRule> organisation) {
-		this.context.demand().ifPresent((meter) -> {
-			int priority = AdmittedRequest.priority(route, organisation);
-			int promptTokens = head.promptTokens().orElse(0);
-			int outputTokens = Math.min(head.maxOutputTokens().orElse(0),
-					head.expectedOutputTokens().orElse(Integer.MAX_VALUE));
-			meter.recordArrival(new DemandClass(service.name(), priority),
-					organisation.map(OrganisationRule::name).orElse(""), promptTokens, outputTokens, System.nanoTime());
-		});
+	private void recordDemand(Arrival arrival) {
+		this.context.demand()
+			.ifPresent((meter) -> meter.recordArrival(new DemandClass(arrival.service().name(), arrival.priority()),
+					arrival.organisation(), arrival.promptTokens(), arrival.outputTokens(), System.nanoTime()));
+	}
+
+	// The rest of the request is read and dropped, so its connection stays usable.
+	private boolean isShed(Arrival arrival, RequestHead head, CallerResponse response) {
+		Optional<AdmissionDecision> decision = this.context.overload()
+			.map((control) -> control.decide(arrival, System.nanoTime()));
+		if (decision.isPresent() && decision.get() instanceof AdmissionDecision.Rejected rejected) {
+			reject(head, response, SERVICE_UNAVAILABLE, rejected.cause(), rejected.retryAfterSeconds().orElse(0));
+			return true;
+		}
+		return false;
 	}
 
 	// A stream that goes on must do so at the service where it began.
@@ -190,7 +201,10 @@
 		return new ForwardedRequest(head.requestId(), request.method(), request.uri(), request.headers(), body,
 				callerOrganisation.map(OrganisationRule::name), route.isRepeatable(),
 				route.kind() == RequestKind.STREAMING, head.lastEventId(),
-				arrivedNanos + TimeUnit.MILLISECONDS.toNanos(timeoutMillis), relay);
+				arrivedNanos + TimeUnit.MILLISECONDS.toNanos(timeoutMillis), relay,
+				this.context.overload()
+					.flatMap((control) -> control.enginePriority(relay.service(),
+							AdmittedRequest.priority(route, callerOrganisation))));
 	}
 
 	private static Fingerprint fingerprint(ForwardedRequest request) {
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayServer.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayServer.java
@@ -3,6 +3,7 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
@@ -29,9 +30,13 @@
 import org.burdocktray.process.limits.FleetRetryBudget;
 import org.burdocktray.process.limits.RelayLimit;
 import org.burdocktray.process.limits.ReplicaLimits;
+import org.burdocktray.process.overload.AdmissionThreshold;
 import org.burdocktray.process.quarantine.Quarantine;
 import org.burdocktray.process.quarantine.QuarantineSettings;
 import org.burdocktray.process.settings.GatewayOptions;
+import org.burdocktray.request.overload.Arrival;
+import org.burdocktray.request.overload.OverloadControl;
+import org.burdocktray.request.overload.OverloadListener;
 import org.burdocktray.request.path.LoadSpread;
 import org.burdocktray.request.path.PathSearch;
 import org.burdocktray.version.rules.RulesGate;
@@ -51,6 +56,8 @@
 
 	private static final long DEMAND_EXCHANGE_MILLIS = 100;
 
+	private static final long OVERLOAD_UPDATE_MILLIS = 250;
+
 	private static final long CONTACT_COUNT_MILLIS = 1_000;
 
 	/**
@@ -199,11 +206,14 @@
 		Optional<DemandMeter> demandMeter = needsDemand() ? Optional.of(new DemandMeter()) : Optional.empty();
 		Optional<DemandExchange> demand = demandMeter.map((meter) -> new DemandExchange(this.settings.dataCentre(),
 				this.settings.peerAddress(), meter, nowNanos));
+		Optional<OverloadControl> overload = this.options.overload()
+			.map((features) -> new OverloadControl(features, demandMeter.orElseThrow(), demand.orElseThrow(),
+					this.directory, loads, random, createOverloadListener()));
 		GatewayContext context = new GatewayContext(this.vertx, this.eventLoopDelay, this.settings.dataCentre(),
 				this.adapter.headers(), this.rules, this.freshness, this.directory, loads, new StreamOutputs(),
 				contacts, reach, relays, relayKey, limits, monitor, engineControl, connections,
 				new PathSearch(this.settings.dataCentre(), loads, random), new LoadSpread(loads, random), retryBudget,
-				demandMeter, crashes, random, this.metrics);
+				demandMeter, overload, crashes, random, this.metrics);
 		GatewayRequestHandler requestHandler = new GatewayRequestHandler(context, this.requestsInProgress,
 				this.rulesPollInterval, this.gracefulStop::isStopping, this.gracefulStop::isRejecting);
 		PlacementLease placementLease = new PlacementLease(this.adapter.store(), this.settings.vmName());
@@ -275,6 +285,8 @@
 					loadBroadcaster.setPeers(localVms.stream().flatMap((vm) -> vm.address().stream()).toList());
 				});
 		demand.ifPresent((exchange) -> exchangeDemand(exchange, datagrams));
+		overload.ifPresent((control) -> this.vertx.setPeriodic(OVERLOAD_UPDATE_MILLIS, (timer) -> runTick("overload",
+				() -> this.rules.current().ifPresent((current) -> control.update(current, System.nanoTime())))));
 		startWatchers();
 		fleetRegistry.start();
 		relayKey.start();
@@ -306,6 +318,37 @@
 			.onSuccess((listening) -> listeners.listenToRelays(relayReceiver::handle));
 	}
 
+	private OverloadListener createOverloadListener() {
+		return new OverloadListener() {
+			@Override
+			public void onThresholdChange(String service, AdmissionThreshold threshold) {
+				OptionalInt priority = threshold.shares().threshold();
+				LOGGER.infof(
+						"Admission threshold changed: service=%s threshold=%s share=%.2f limit=%.2f demand=%.2f "
+								+ "late=%.2f",
+						service, priority.isPresent() ? priority.getAsInt() : "none",
+						priority.isPresent() ? threshold.shares().share(priority.getAsInt()) : 1.0, threshold.limit(),
+						threshold.demand(), threshold.lateShare());
+			}
+
+			@Override
+			public void onUpdate(String service, AdmissionThreshold threshold, double availableShare) {
+				GatewayServer.this.metrics.setAdmission(service, threshold, availableShare);
+			}
+
+			@Override
+			public void onRejection(Arrival arrival, int rank, boolean hasWaited) {
+				GatewayServer.this.metrics.recordShedRequest(arrival.service().name(), arrival.organisation(), rank,
+						hasWaited);
+			}
+
+			@Override
+			public void onEstimateChecked(double ratio) {
+				GatewayServer.this.metrics.recordEstimateRatio(ratio);
+			}
+		};
+	}
+
 	private boolean needsDemand() {
 		return this.options.overload().isPresent() || this.options.balancing().isPresent();
 	}
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/RequestDispatch.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/RequestDispatch.java
@@ -1,6 +1,10 @@
 package org.burdocktray.process.serve.gateway;
 
+import java.util.Optional;
+import java.util.OptionalDouble;
+
 import org.burdocktray.process.quarantine.QuarantineDecision;
+import org.burdocktray.request.overload.RequestTracker;
 
 /**
  * Finds the target of the next run of one request, or lets the request wait for one, or
@@ -21,12 +25,16 @@
 
 	private final Owner owner;
 
+	private final Optional<RequestTracker> tracker;
+
 	private final boolean isRelayed;
 
 	private final long startNanos;
 
 	private boolean hasFailedAttempt;
 
+	private boolean hasBeenDispatched;
+
 	/**
 	 * Creates the dispatch of a request that has not been dispatched yet.
 	 * @param context the services of the process
@@ -34,14 +42,16 @@
 	 * @param targetSelector selects its targets
 	 * @param preparation secures what its runs need
 	 * @param startNanos the monotonic time at which the request came
+	 * @param tracker follows the request where load is shed
 	 * @param owner the request
 	 */
 	RequestDispatch(GatewayContext context, AdmittedRequest admitted, TargetSelector targetSelector,
-			RunPreparation preparation, long startNanos, Owner owner) {
+			RunPreparation preparation, long startNanos, Optional<RequestTracker> tracker, Owner owner) {
 		this.context = context;
 		this.targetSelector = targetSelector;
 		this.preparation = preparation;
-		this.wait = new RequestWait(admitted.route(), context.limits());
+		this.wait = new RequestWait(admitted.route(), context.limits(), tracker);
+		this.tracker = tracker;
 		this.isRelayed = admitted.relayed().isPresent();
 		this.startNanos = startNanos;
 		this.owner = owner;
@@ -62,6 +72,12 @@
 
 	void dispatch() {
 		this.wait.end();
+		boolean isFirst = !this.hasBeenDispatched;
+		this.hasBeenDispatched = true;
+		if (isFirst && this.owner.mustWaitForOthers()) {
+			this.wait.begin();
+			return;
+		}
 		if (this.hasFailedAttempt && this.targetSelector.isReachInDoubt()) {
 			this.wait.begin();
 			return;
@@ -99,6 +115,9 @@
 			waitOrGiveUp(cause, true);
 			return;
 		}
+		if (!this.context.reach().isCutOff()) {
+			this.tracker.ifPresent((request) -> request.recordBlocked(System.nanoTime()));
+		}
 		if (isRelayedInVain()) {
 			this.owner.giveBack();
 			return;
@@ -106,7 +125,7 @@
 		boolean isStarted = this.owner.isResponseStarted();
 		long nanosUntilRoom = isStarted ? 0 : this.targetSelector.nanosUntilRoom();
 		if (nanosUntilRoom == 0) {
-			waitOrGiveUp(cause, isStarted || this.targetSelector.canWait());
+			waitForCapacity(cause, isStarted || this.targetSelector.canWait());
 			return;
 		}
 		if (this.wait.beginForRoom(System.nanoTime() - this.startNanos, nanosUntilRoom)) {
@@ -135,6 +154,27 @@
 		this.wait.begin();
 	}
 
+	private void waitForCapacity(String cause, boolean isWorthWaiting) {
+		long waitedNanos = System.nanoTime() - this.owner.waitingSinceNanos();
+		if (isWorthWaiting && this.wait.mayGoOn(this.owner.isResponseStarted(), waitedNanos)) {
+			this.wait.begin();
+			return;
+		}
+		if (this.owner.isResponseStarted()) {
+			this.owner.giveUp(cause);
+			return;
+		}
+		long nowNanos = System.nanoTime();
+		OptionalDouble retryAfterSeconds = this.tracker.map((request) -> request.retryAfterSeconds(nowNanos))
+			.orElse(OptionalDouble.of(0));
+		this.tracker.ifPresent((request) -> request.recordGivenUp(nowNanos));
+		if (retryAfterSeconds.isPresent() && retryAfterSeconds.getAsDouble() == 0) {
+			this.owner.giveUp(cause);
+			return;
+		}
+		this.owner.giveUp(cause, retryAfterSeconds.orElse(0));
+	}
+
 	/**
 	 * The request that is dispatched.
 	 */
@@ -158,6 +198,12 @@
 		 */
 		boolean isNextRunRetry();
 
+		/**
+		 * Returns whether other requests that wait must be dispatched before this one.
+		 * @return false unless load is shed
+		 */
+		boolean mustWaitForOthers();
+
 		/**
 		 * Returns since when the caller has waited.
 		 * @return the monotonic time of its request or of the last part of the response
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/RequestWait.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/RequestWait.java
@@ -1,7 +1,10 @@
 package org.burdocktray.process.serve.gateway;
 
+import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 
+import org.burdocktray.request.overload.RequestTracker;
 import org.burdocktray.version.rules.RouteRule;
 
 /**
@@ -35,6 +38,8 @@
 
 	private final LimitedReplicas limits;
 
+	private final Optional<RequestTracker> tracker;
+
 	private boolean waiting;
 
 	private boolean waitingForRoom;
@@ -42,7 +47,8 @@
 	/** Whether the request has waited for a replica that limits its requests. */
 	private boolean hasWaitedForRoom;
 
-	RequestWait(RouteRule route, LimitedReplicas limits) {
+	RequestWait(RouteRule route, LimitedReplicas limits, Optional<RequestTracker> tracker) {
+		this.tracker = tracker;
 		this.route = route;
 		this.limits = limits;
 	}
@@ -90,7 +96,10 @@
 	 */
 	boolean mayGoOn(boolean isStarted, long waitedNanos) {
 		double share = isStarted ? RESUME_SHARE : INITIAL_SHARE;
-		return waitedNanos < share * TimeUnit.MILLISECONDS.toNanos(this.route.callerTimeoutMillis());
+		double maxNanos = share * TimeUnit.MILLISECONDS.toNanos(this.route.callerTimeoutMillis());
+		OptionalLong loadLimit = isStarted ? OptionalLong.empty()
+				: this.tracker.map(RequestTracker::maxWaitNanos).orElse(OptionalLong.empty());
+		return waitedNanos < (loadLimit.isPresent() ? Math.min(maxNanos, loadLimit.getAsLong()) : maxNanos);
 	}
 
 }
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/RequestsInProgress.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/RequestsInProgress.java
@@ -80,6 +80,20 @@
 			.forEach((exchange) -> guard(exchange, ForwardExchange::dispatchWaiting));
 	}
 
+	/**
+	 * Returns whether another request for the same service waits that goes first.
+	 * @param candidate the request
+	 * @param nowNanos the monotonic time
+	 * @return true if it would take the capacity that the other one waits for
+	 */
+	boolean hasWaitingBefore(ForwardExchange candidate, long nowNanos) {
+		Comparator<WaitingRequest> order = WaitingRequest.order(nowNanos);
+		return this.exchanges.stream()
+			.filter((other) -> other != candidate && other.isWaiting())
+			.filter((other) -> other.serviceName().equals(candidate.serviceName()))
+			.anyMatch((other) -> order.compare(other.waitingRequest(), candidate.waitingRequest()) < 0);
+	}
+
 	/** Ends all requests that have no final response yet. */
 	void stopAll() {
 		forEachExchange(ForwardExchange::stop);
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/StreamDelivery.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/StreamDelivery.java
@@ -1,6 +1,8 @@
 package org.burdocktray.process.serve.gateway;
 
 import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.regex.Pattern;
 
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientResponse;
@@ -14,6 +16,8 @@
  */
 final class StreamDelivery {
 
+	private static final Pattern EVENT_NUMBER = Pattern.compile("[0-9]{1,9}");
+
 	private final GatewayMetrics metrics;
 
 	private final CallerResponse callerResponse;
@@ -42,6 +46,16 @@
 		return this.framer.lastEventId();
 	}
 
+	/**
+	 * Returns the number of events of the whole response.
+	 * @return the number, which is the id of the last event; empty if ids are no numbers
+	 */
+	OptionalInt eventCount() {
+		return lastEventId().filter((id) -> EVENT_NUMBER.matcher(id).matches())
+			.map((id) -> OptionalInt.of(Integer.parseInt(id)))
+			.orElse(OptionalInt.empty());
+	}
+
 	/**
 	 * Prepares for the events of another run, which starts behind the last whole event.
 	 * @param nextHead the head of its stream, empty before it has come
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/TargetSelector.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/TargetSelector.java
@@ -37,6 +37,8 @@
 
 	private final RequestHead requestHead;
 
+	private final String route;
+
 	/** False for requests that another VM relays already. */
 	private final boolean mayBeRelayed;
 
@@ -49,6 +51,7 @@
 		this.context = context;
 		this.service = admitted.service();
 		this.requestHead = admitted.head();
+		this.route = admitted.route().name();
 		this.mayBeRelayed = admitted.relayed().isEmpty();
 	}
 
@@ -265,7 +268,10 @@
 		int maxTokens = this.requestHead.maxOutputTokens().orElse(profile.typicalOutputTokens());
 		int expectedTokens = Math.min(maxTokens,
 				this.requestHead.expectedOutputTokens().orElse(profile.typicalOutputTokens()));
-		return new PathDemand(promptTokens, expectedTokens, kvShare);
+		int reservedTokens = this.context.overload()
+			.map((control) -> control.reservedTokens(this.service.name(), this.route, expectedTokens, maxTokens))
+			.orElse(expectedTokens);
+		return new PathDemand(promptTokens, reservedTokens, kvShare);
 	}
 
 	private record ScoredReplica(Replica replica, double score) {
