--- a/router/src/main/java/org/burdocktray/request/overload/OrganisationFairness.java
+++ b/router/src/main/java/org/burdocktray/request/overload/OrganisationFairness.java
@@ -31,6 +31,8 @@
 	/** A lower count is that of an organisation that has not asked for long. */
 	private static final double MIN_COUNT = 1e-6;
 
+	private static final double MIN_PRICE = 0.5;
+
 	private static final int LEVEL_STEPS = 40;
 
 	/** The organisations that the report does not name; no organisation has this name. */
@@ -160,16 +162,25 @@
 				(missing) -> new Account(this.random.nextDouble(), nowNanos));
 		account.arrivals.add(1, nowNanos);
 		account.credit += share;
-		boolean isAdmitted = account.credit >= 1;
-		account.credit -= isAdmitted ? 1 : 0;
-		return isAdmitted;
+		if (account.credit < account.price && share < 1) {
+			return false;
+		}
+		account.credit = Math.max(0, account.credit - account.price);
+		// With a constant price, every second request would be rejected, for instance,
+		// and
+		// with it always the longer one of two that alternate.
+		account.price = this.random.nextDouble(MIN_PRICE, 2 - MIN_PRICE);
+		return true;
 	}
 
 	private static final class Account {
 
-		/** The admissions that the organisation is owed, less than one. */
+		/** The admissions that the organisation is owed. */
 		private double credit;
 
+		/** The credit for which the next request is admitted, 1 in the mean. */
+		private double price = 1;
+
 		private final DecayingRate arrivals;
 
 		private Account(double credit, long nowNanos) {
--- a/standins/src/main/java/org/burdocktray/standins/gateway/LayeredEngineStandIn.java
+++ b/standins/src/main/java/org/burdocktray/standins/gateway/LayeredEngineStandIn.java
@@ -45,6 +45,8 @@
 
 	private final Map<String, Integer> eventCounts = new ConcurrentHashMap<>();
 
+	private final Map<String, String> priorities = new ConcurrentHashMap<>();
+
 	private final AtomicInteger acceptedRequests = new AtomicInteger();
 
 	private volatile int fromLayer;
@@ -120,6 +122,16 @@
 		return this.acceptedRequests.get();
 	}
 
+	/**
+	 * Returns the priority with which this engine got a request as the first engine of
+	 * its path.
+	 * @param requestId the id of the request
+	 * @return the value of the last one, empty if it had none
+	 */
+	public Optional<String> priority(String requestId) {
+		return Optional.ofNullable(this.priorities.get(requestId));
+	}
+
 	/** Responds to requests that resume a stream with an error from now on. */
 	public void failResumedRequests() {
 		this.failingResumedRequests = true;
@@ -230,6 +242,8 @@
 		String requestId = context.request().getHeader("X-Burdocktray-Request-Id");
 		String lastEventId = context.request().getHeader("Last-Event-Id");
 		this.acceptedRequests.incrementAndGet();
+		Optional.ofNullable(context.request().getHeader("X-Burdocktray-Request-Priority"))
+			.ifPresent((priority) -> this.priorities.put(requestId, priority));
 		this.paths.put(requestId, path);
 		response.closeHandler((closed) -> this.paths.remove(requestId));
 		response.putHeader("X-Burdocktray-Request-Id", requestId)
