--- a/router/src/main/java/org/burdocktray/process/serve/gateway/AdmittedRequest.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/AdmittedRequest.java
@@ -50,8 +50,8 @@
 		boolean isStream = route.kind() == RequestKind.STREAMING;
 		long routeMillis = isStream ? Math.min(route.timeoutMillis(), route.callerTimeoutMillis())
 				: route.timeoutMillis();
-		int outputTokens = Math.min(head.maxOutputTokens().orElse(0),
-				head.expectedOutputTokens().orElse(Integer.MAX_VALUE));
+		int expectedTokens = head.expectedOutputTokens().orElse(head.maxOutputTokens().orElse(0));
+		int outputTokens = Math.min(head.maxOutputTokens().orElse(expectedTokens), expectedTokens);
 		return new Arrival(head.requestId(), route, service, organisation.map(OrganisationRule::name).orElse(""),
 				priority(route, organisation), isStream && route.resumable() && head.lastEventId().isPresent(),
 				head.promptTokens().orElse(0), outputTokens,
