--- a/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayServer.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayServer.java
@@ -3,6 +3,7 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
@@ -36,6 +37,7 @@
 import org.burdocktray.process.limits.FleetRetryBudget;
 import org.burdocktray.process.limits.RelayLimit;
 import org.burdocktray.process.limits.ReplicaLimits;
+import org.burdocktray.process.overload.AdmissionThreshold;
 import org.burdocktray.process.quarantine.Quarantine;
 import org.burdocktray.process.quarantine.QuarantineSettings;
 import org.burdocktray.process.serve.watch.WatchClient;
@@ -47,6 +49,9 @@
 import org.burdocktray.process.watch.WatchedKind;
 import org.burdocktray.request.hedge.HedgePolicy;
 import org.burdocktray.request.hedge.KnownLoadCapacity;
+import org.burdocktray.request.overload.Arrival;
+import org.burdocktray.request.overload.OverloadControl;
+import org.burdocktray.request.overload.OverloadListener;
 import org.burdocktray.request.path.FlowPathChoice;
 import org.burdocktray.request.path.LoadSpread;
 import org.burdocktray.request.path.PathSearch;
@@ -67,6 +72,8 @@
 
 	private static final long DEMAND_EXCHANGE_MILLIS = 100;
 
+	private static final long OVERLOAD_UPDATE_MILLIS = 250;
+
 	private static final long CONTACT_COUNT_MILLIS = 1_000;
 
 	/**
@@ -238,12 +245,15 @@
 		Optional<FlowPathChoice> flowPaths = routes
 			.map((fleetRoutes) -> new FlowPathChoice(fleetRoutes, loads, loadSpread, enginePace, random));
 		Optional<HedgePolicy> hedging = createHedging(retryBudget, loads);
+		Optional<OverloadControl> overload = this.options.overload()
+			.map((features) -> new OverloadControl(features, demandMeter.orElseThrow(), demand.orElseThrow(),
+					this.directory, loads, random, createOverloadListener()));
 		GatewayContext context = new GatewayContext(this.vertx, this.eventLoopDelay, this.settings.dataCentre(),
 				this.adapter.headers(), this.rules, this.freshness, this.directory, loads,
 				this.options.balancing().isPresent() ? new StreamOutputs(enginePace) : new StreamOutputs(), contacts,
 				reach, relays, this.relayKey, limits, monitor, engineControl, connections,
 				new PathSearch(this.settings.dataCentre(), loads, random), loadSpread, routes, replicaTimes, flowPaths,
-				retryBudget, demandMeter, hedging, crashes, random, this.metrics);
+				retryBudget, demandMeter, hedging, overload, crashes, random, this.metrics);
 		BodyMemory bodyMemory = BodyMemory.ofHeap();
 		GatewayRequestHandler requestHandler = new GatewayRequestHandler(context, this.requestsInProgress,
 				this.rulesPollInterval, bodyMemory, this.gracefulStop::isStopping, this.gracefulStop::isRejecting);
@@ -320,6 +330,8 @@
 					loadBroadcaster.setPeers(localVms.stream().flatMap((vm) -> vm.address().stream()).toList());
 				});
 		demand.ifPresent((exchange) -> exchangeDemand(exchange, datagrams));
+		overload.ifPresent((control) -> this.vertx.setPeriodic(OVERLOAD_UPDATE_MILLIS, (timer) -> runTick("overload",
+				() -> this.rules.current().ifPresent((current) -> control.update(current, System.nanoTime())))));
 		startWatchers();
 		fleetRegistry.start();
 		this.relayKey.start();
@@ -393,6 +405,37 @@
 					new KnownLoadCapacity(loads, this.requestsInProgress::isAnyWaiting)));
 	}
 
+	private OverloadListener createOverloadListener() {
+		return new OverloadListener() {
+			@Override
+			public void onThresholdChange(String service, AdmissionThreshold threshold) {
+				OptionalInt priority = threshold.shares().threshold();
+				LOGGER.infof(
+						"Admission threshold changed: service=%s threshold=%s share=%.2f limit=%.2f demand=%.2f "
+								+ "late=%.2f",
+						service, priority.isPresent() ? priority.getAsInt() : "none",
+						priority.isPresent() ? threshold.shares().share(priority.getAsInt()) : 1.0, threshold.limit(),
+						threshold.demand(), threshold.lateShare());
+			}
+
+			@Override
+			public void onUpdate(String service, AdmissionThreshold threshold, double availableShare) {
+				GatewayServer.this.metrics.setAdmission(service, threshold, availableShare);
+			}
+
+			@Override
+			public void onRejection(Arrival arrival, int rank, boolean hasWaited) {
+				GatewayServer.this.metrics.recordShedRequest(arrival.service().name(), arrival.organisation(), rank,
+						hasWaited);
+			}
+
+			@Override
+			public void onEstimateChecked(double ratio) {
+				GatewayServer.this.metrics.recordEstimateRatio(ratio);
+			}
+		};
+	}
+
 	private boolean needsDemand() {
 		return this.options.overload().isPresent() || this.options.balancing().isPresent();
 	}
