--- a/router/src/main/java/org/burdocktray/process/overload/AdmissionThreshold.java
+++ b/router/src/main/java/org/burdocktray/process/overload/AdmissionThreshold.java
@@ -196,6 +196,14 @@
 		return loads.values().stream().mapToDouble(value).sum();
 	}
 
+	/** Admits everything until the next update, because the capacity is not known. */
+	public void open() {
+		this.closed = false;
+		this.demand = 0;
+		this.lateShare = 0;
+		this.shares = AdmissionShares.all();
+	}
+
 	/**
 	 * Returns whether requests are rejected or may be.
 	 * @return false while everything is admitted
--- a/router/src/main/java/org/burdocktray/process/overload/CapacityEstimate.java
+++ b/router/src/main/java/org/burdocktray/process/overload/CapacityEstimate.java
@@ -88,6 +88,25 @@
 		return lowest;
 	}
 
+	/**
+	 * Returns the length of the longest request for which each layer has an engine.
+	 * @return tokens, 0 if the engines do not hold all layers
+	 */
+	public double maxRequestTokens() {
+		double[] tokens = new double[this.profile.layers()];
+		for (Engine engine : this.engines) {
+			double held = engine.kvTokenLayers() / engine.held().size();
+			for (int layer = engine.held().from(); layer < Math.min(tokens.length, engine.held().to()); layer++) {
+				tokens[layer] = Math.max(tokens[layer], held);
+			}
+		}
+		double lowest = Double.MAX_VALUE;
+		for (double held : tokens) {
+			lowest = Math.min(lowest, held);
+		}
+		return lowest;
+	}
+
 	// A path takes as many requests as fit into the cache and keep its passes short
 	// enough.
 	private double engineRate(Engine engine, double promptTokens, double outputTokens) {
--- a/router/src/main/java/org/burdocktray/request/overload/OverloadControl.java
+++ b/router/src/main/java/org/burdocktray/request/overload/OverloadControl.java
@@ -56,6 +56,9 @@
 	/** At the margin the threshold changes with each update. */
 	private static final long REPORT_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(2);
 
+	/** Mean sizes of fewer requests would be divided by almost nothing. */
+	private static final double MIN_REQUESTS_PER_SECOND = 0.1;
+
 	private static final double NANOS_PER_MILLI = 1e6;
 
 	private static final double NANOS_PER_SECOND = 1e9;
@@ -153,18 +156,24 @@
 			.map((profile) -> CapacityEstimate.of(usable, this.loads, profile, state.maxGapMillis, nowNanos));
 		int slots = usable.stream().mapToInt(Replica::slots).sum();
 		SortedMap<Integer, PriorityLoad> loadsByPriority = new TreeMap<>();
+		int classes = 0;
 		for (Map.Entry<DemandClass, ClassLoad> entry : fleet.classes().entrySet()) {
 			if (!entry.getKey().service().equals(service.name())) {
 				continue;
 			}
 			double capacity = capacityPerSecond(service, state, entry.getValue(), slots);
-			if (capacity <= 0) {
-				// Nothing is known of the capacity, or there is none.
-				return;
+			classes++;
+			if (capacity > 0) {
+				loadsByPriority.put(entry.getKey().priority(), PriorityLoad.of(entry.getValue(), capacity));
 			}
-			loadsByPriority.put(entry.getKey().priority(), PriorityLoad.of(entry.getValue(), capacity));
 		}
-		state.threshold.update(loadsByPriority, nowNanos);
+		if (classes > 0 && loadsByPriority.isEmpty()) {
+			// Without a known capacity the demand cannot be judged.
+			state.threshold.open();
+		}
+		else {
+			state.threshold.update(loadsByPriority, nowNanos);
+		}
 		loadsByPriority.keySet()
 			.forEach((priority) -> this.fairness.update(new DemandClass(service.name(), priority),
 					state.threshold.shares().share(priority), fleet, nowNanos));
@@ -176,12 +185,14 @@
 			return this.serviceTimes.requestsPerSecond(service.name(), slots);
 		}
 		EngineProfile profile = service.engine().orElseThrow();
-		double requests = load.requestsPerSecond();
+		double requests = Math.max(MIN_REQUESTS_PER_SECOND, load.requestsPerSecond());
 		double prompt = (load.promptTokensPerSecond() > 0) ? load.promptTokensPerSecond() / requests
 				: profile.typicalPromptTokens();
 		double output = (load.outputTokensPerSecond() > 0) ? load.outputTokensPerSecond() / requests
 				: profile.typicalOutputTokens();
-		return state.estimate.get().requestsPerSecond(prompt, output);
+		// Callers may declare more tokens than engines hold.
+		double scale = Math.min(1, state.estimate.get().maxRequestTokens() / Math.max(1, prompt + output));
+		return state.estimate.get().requestsPerSecond(scale * prompt, scale * output);
 	}
 
 	private void report(String service, ServiceState state, long nowNanos) {
--- a/router/src/test/java/org/burdocktray/request/overload/OverloadControlTests.java
+++ b/router/src/test/java/org/burdocktray/request/overload/OverloadControlTests.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -47,6 +48,8 @@
 
 	private final ReplicaDirectory directory = new ReplicaDirectory(0);
 
+	private final ReplicaLoads loads = new ReplicaLoads();
+
 	private DemandReport fleet = overload(1);
 
 	private long nowNanos = TimeUnit.SECONDS.toNanos(100);
@@ -89,6 +92,28 @@
 		assertThat(admittedOf(control, 1_000, arrival(ENGINES, 2, "a", false))).isGreaterThanOrEqualTo(450);
 	}
 
+	/** Guards against one class of requests that keeps the threshold from its updates. */
+	@Test
+	void classWithoutUsableMeanSizeDoesNotStopUpdates() {
+		for (ClassLoad odd : List.of(new ClassLoad(1, 2e9, 200, 0, 0, 0, 0), new ClassLoad(0, 500, 200, 0, 0, 0, 0))) {
+			this.fleet = overloadWith(odd);
+			assertThat(control(rules(ENGINES, 0, 1, 2)).isClosed("s")).isTrue();
+		}
+	}
+
+	/** Guards against a threshold that stays closed once nothing can be judged. */
+	@Test
+	void thresholdOpensWithoutUsableEngines() {
+		RoutingRules rules = rules(ENGINES, 0, 2);
+		OverloadControl control = control(rules);
+		recordOwnLateRequest(control);
+		assertThat(control.isClosed("s")).isTrue();
+		this.directory.invalidate("head");
+		control.update(rules, this.nowNanos);
+		assertThat(control.isClosed("s")).isFalse();
+		assertThat(admittedOf(control, 100, arrival(ENGINES, 2, "a", false))).isEqualTo(100);
+	}
+
 	/** Guards against sessions of which always the same requests are rejected. */
 	@Test
 	void requestsThatAlternateAreAdmittedEquallyOften() {
@@ -155,7 +180,7 @@
 		}
 		OverloadControl control = new OverloadControl(new OverloadOptions(Activation.AUTO, 0.05), this.meter,
 				(now) -> List.of(new DataCentreDemand(new DataCentre("ghent"), 3, this.fleet, now)), this.directory,
-				new ReplicaLoads(), new SplittableRandom(1), new Recorder());
+				this.loads, new SplittableRandom(1), new Recorder());
 		control.update(rules, this.nowNanos);
 		return control;
 	}
@@ -180,6 +205,12 @@
 				Map.of());
 	}
 
+	private static DemandReport overloadWith(ClassLoad load) {
+		Map<DemandClass, ClassLoad> classes = new HashMap<>(overload(1).classes());
+		classes.put(new DemandClass("s", 1), load);
+		return new DemandReport(classes, Map.of());
+	}
+
 	private static Arrival arrival(ServiceRule service, int priority, String id, boolean isInterrupted) {
 		int promptTokens = id.startsWith("long") ? 8_000 : 500;
 		return new Arrival(id.startsWith("r") ? Optional.of(id) : Optional.empty(), route(priority), service, "o",
