Overload: the limit grows fast again after a stall of all engines

It starts from the highest rate that began lately and grows by 20% a second up to a rate that the fleet has served before, while requests are rejected and few are late.

--- a/router/src/main/java/org/burdocktray/process/overload/AdmissionThreshold.java
+++ b/router/src/main/java/org/burdocktray/process/overload/AdmissionThreshold.java
@@ -60,6 +60,16 @@
 	/** How fast more is admitted to find out whether the fleet can serve it. */
 	private static final double GROWTH_PER_SECOND = 0.02;
 
+	/** The growth after a stall, up to the rate that the fleet was seen to begin. */
+	private static final double RECOVERY_PER_SECOND = 0.2;
+
+	private static final double KNOWN_RATE_SHARE = 0.9;
+
+	private static final double FEW_LATE_SHARE = 0.02;
+
+	/** How long the highest rate counts; stalls are shorter. */
+	private static final double HIGHEST_BEGUN_NANOS = TimeUnit.SECONDS.toNanos(30);
+
 	/** The time in which the limit covers most of the way to its new value. */
 	private static final double FOLLOW_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
@@ -83,6 +93,15 @@
 	/** What the fleet begins when it is full. */
 	private double fullRate;
 
+	/** The highest rate that has begun lately. */
+	private double highestBegun;
+
+	/** The rate up to which the fleet was not late before. */
+	private double knownRate;
+
+	/** Whether too much was late at the last update while closed. */
+	private boolean wasLate;
+
 	private double demand;
 
 	private double lateShare;
@@ -122,14 +141,18 @@
 		this.earlierDemand += way(elapsedNanos, TREND_NANOS) * (this.demand - this.earlierDemand);
 		this.lateShare = (outcomes > 0) ? late / outcomes : 0;
 		boolean isLate = this.lateShare > LATE_SHARE && late >= MIN_LATE_PER_SECOND;
+		this.highestBegun = Math.max(begun, this.highestBegun * (1 - way(elapsedNanos, HIGHEST_BEGUN_NANOS)));
 		if (this.closed) {
 			follow(begun, isLate, elapsedNanos);
+			this.wasLate = isLate;
 			openIfDemandIsLow(isLate, nowNanos);
 		}
 		else if (isLate && isOverloadLikely()) {
 			this.closed = true;
 			this.belowLimit = false;
-			this.fullRate = Math.max(MIN_LIMIT, begun);
+			this.knownRate = (this.highestBegun > 0) ? this.highestBegun : 1;
+			this.fullRate = Math.max(MIN_LIMIT, this.knownRate);
+			this.wasLate = true;
 			this.limit = Math.max(MIN_LIMIT, drainFactor() * this.fullRate);
 		}
 		this.updatedNanos = nowNanos;
@@ -144,6 +167,9 @@
 
 	private void follow(double begun, boolean isLate, double elapsedNanos) {
 		if (isLate) {
+			if (!this.wasLate) {
+				this.knownRate = this.fullRate;
+			}
 			// The fleet is full while it begins more than is admitted. It is not full as
 			// soon
 			// as queues are empty, which is noticed later.
@@ -151,7 +177,7 @@
 			this.fullRate += isFull ? way(elapsedNanos, TREND_NANOS) * (begun - this.fullRate) : 0;
 		}
 		else {
-			this.fullRate *= 1 + GROWTH_PER_SECOND * elapsedNanos / NANOS_PER_SECOND;
+			this.fullRate *= 1 + growthPerSecond() * elapsedNanos / NANOS_PER_SECOND;
 			this.fullRate += way(elapsedNanos, TREND_NANOS) * Math.max(0, begun - this.fullRate);
 		}
 		this.fullRate = Math.max(MIN_LIMIT, this.fullRate);
@@ -159,6 +185,15 @@
 		this.limit = Math.max(MIN_LIMIT, this.limit + way(elapsedNanos, FOLLOW_NANOS) * (target - this.limit));
 	}
 
+	// A rate that the fleet has served before needs no slow search. Growth from there on
+	// is slow, since late requests show only after seconds.
+	private double growthPerSecond() {
+		boolean isBelowKnownRate = this.fullRate < KNOWN_RATE_SHARE * this.knownRate;
+		boolean isRejecting = this.demand > this.limit;
+		return (isBelowKnownRate && isRejecting && this.lateShare <= FEW_LATE_SHARE) ? RECOVERY_PER_SECOND
+				: GROWTH_PER_SECOND;
+	}
+
 	// The demand is a mean of some seconds. While it falls, the same shares admit less
 	// than
 	// the limit; this shows in the trend, and later in what begins.
