--- a/router/src/main/java/org/burdocktray/process/overload/CapacityEstimate.java
+++ b/router/src/main/java/org/burdocktray/process/overload/CapacityEstimate.java
@@ -141,6 +141,7 @@
 	public Optional<ExpectedResponse> expectedResponse(int promptTokens, int outputTokens) {
 		int layers = this.profile.layers();
 		double[] firstEventMillis = new double[layers + 1];
+		double[] unqueuedMillis = new double[layers + 1];
 		double[] passMillis = new double[layers + 1];
 		for (int layer = layers - 1; layer >= 0; layer--) {
 			firstEventMillis[layer] = Double.MAX_VALUE;
@@ -161,6 +162,7 @@
 				double millis = firstEventMillis[next] + passes * stagePassMillis;
 				if (millis < firstEventMillis[layer]) {
 					firstEventMillis[layer] = millis;
+					unqueuedMillis[layer] = unqueuedMillis[next] + chunks(promptTokens) * stagePassMillis;
 					passMillis[layer] = passMillis[next] + stagePassMillis;
 				}
 			}
@@ -169,7 +171,7 @@
 			return Optional.empty();
 		}
 		boolean keepsGap = this.maxGapMillis <= 0 || passMillis[0] <= this.maxGapMillis;
-		return Optional.of(new ExpectedResponse(firstEventMillis[0], keepsGap));
+		return Optional.of(new ExpectedResponse(firstEventMillis[0], unqueuedMillis[0], keepsGap));
 	}
 
 	private double stepMillis(Engine engine) {
@@ -192,9 +194,10 @@
 	 * The expected response to a request. Thread safety: immutable.
 	 *
 	 * @param firstEventMillis the time from its sending to its first event
+	 * @param unqueuedMillis the part of it without the prompts that were sent before
 	 * @param keepsGap whether the pauses between its events are on time
 	 */
-	public record ExpectedResponse(double firstEventMillis, boolean keepsGap) {
+	public record ExpectedResponse(double firstEventMillis, double unqueuedMillis, boolean keepsGap) {
 
 	}
 
--- a/router/src/main/java/org/burdocktray/request/overload/OverloadControl.java
+++ b/router/src/main/java/org/burdocktray/request/overload/OverloadControl.java
@@ -269,7 +269,8 @@
 			.flatMap((estimate) -> estimate.expectedResponse(promptTokens, arrival.outputTokens()));
 		OptionalDouble expectedMillis = expected.map((response) -> OptionalDouble.of(response.firstEventMillis()))
 			.orElse(OptionalDouble.empty());
-		return Optional.of(new RequestTracker(this, arrival, expectedMillis, startNanos));
+		double unqueuedMillis = expected.map(ExpectedResponse::unqueuedMillis).orElse(0.0);
+		return Optional.of(new RequestTracker(this, arrival, expectedMillis, unqueuedMillis, startNanos));
 	}
 
 	/**
--- a/router/src/main/java/org/burdocktray/request/overload/RequestTracker.java
+++ b/router/src/main/java/org/burdocktray/request/overload/RequestTracker.java
@@ -31,14 +31,19 @@
 
 	private final OptionalDouble expectedMillis;
 
+	/** The expected time to the first event without the queue at the arrival. */
+	private final double unqueuedMillis;
+
 	private int rejections;
 
 	private boolean hasOutcome;
 
-	RequestTracker(OverloadControl control, Arrival arrival, OptionalDouble expectedMillis, long startNanos) {
+	RequestTracker(OverloadControl control, Arrival arrival, OptionalDouble expectedMillis, double unqueuedMillis,
+			long startNanos) {
 		this.control = control;
 		this.arrival = arrival;
 		this.expectedMillis = expectedMillis;
+		this.unqueuedMillis = unqueuedMillis;
 		this.startNanos = startNanos;
 	}
 
@@ -112,7 +117,7 @@
 		if (!this.control.isClosed(this.arrival.service().name())) {
 			return OptionalLong.empty();
 		}
-		double neededNanos = this.expectedMillis.orElse(0) * NANOS_PER_MILLI;
+		double neededNanos = this.unqueuedMillis * NANOS_PER_MILLI;
 		return OptionalLong.of((long) Math.max(BLOCKED_SHARE * targetNanos(), targetNanos() - neededNanos));
 	}
 
--- a/router/src/test/java/org/burdocktray/request/overload/OverloadControlTests.java
+++ b/router/src/test/java/org/burdocktray/request/overload/OverloadControlTests.java
@@ -173,6 +173,20 @@
 				TimeUnit.MILLISECONDS.toNanos(500));
 	}
 
+	/** Guards against a wait that is cut by the queue that it waits for. */
+	@Test
+	void queueAtArrivalDoesNotShortenTheWait() {
+		OverloadControl control = control(rules(ENGINES, 0, 2));
+		for (String id : List.of("head", "tail")) {
+			for (int request = 0; request < 400; request++) {
+				this.loads.recordSend(this.directory.findById(id).orElseThrow(), 1, this.nowNanos);
+			}
+		}
+		control.update(rules(ENGINES, 0, 2), this.nowNanos);
+		RequestTracker tracker = control.track(arrival(ENGINES, 2, "a", false), this.nowNanos).orElseThrow();
+		assertThat(tracker.maxWaitNanos().orElseThrow()).isGreaterThan(TimeUnit.MILLISECONDS.toNanos(350));
+	}
+
 	private OverloadControl control(RoutingRules rules) {
 		if (rules.service("s").orElseThrow().engine().isPresent()) {
 			this.directory.put(TestReplicas.engine("head", "ghent", "fast", 0, 5), this.nowNanos);
