Overload: the short wait and the response time count only where they say something

The bound of the wait applies to requests that wait for capacity before their first send, and not to resumed streams, which also go before new requests. Responses with an error give neither a response time nor an outcome.

--- a/router/src/main/java/org/burdocktray/process/serve/gateway/ForwardExchange.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/ForwardExchange.java
@@ -160,8 +160,13 @@
 	}
 
 	WaitingRequest waitingRequest() {
-		return new WaitingRequest(this.admitted.priority(), this.callerResponse.isStarted(), this.timing.startNanos(),
-				this.admitted.route().targetLatencyMillis() * NANOS_PER_MILLI);
+		return new WaitingRequest(this.admitted.priority(), this.callerResponse.isStarted() || isInterrupted(),
+				this.timing.startNanos(), this.admitted.route().targetLatencyMillis() * NANOS_PER_MILLI);
+	}
+
+	// Without the shedding of load, resumed streams wait like new requests.
+	private boolean isInterrupted() {
+		return this.context.overload().isPresent() && this.admitted.arrival().isInterrupted();
 	}
 
 	@Override
@@ -182,7 +187,7 @@
 	@Override
 	public boolean mustWaitForOthers() {
 		String service = serviceName();
-		return this.context.overload().filter((control) -> control.isClosed(service)).isPresent()
+		return !isInterrupted() && this.context.overload().filter((control) -> control.isClosed(service)).isPresent()
 				&& this.requestsInProgress.hasWaitingBefore(this, System.nanoTime());
 	}
 
@@ -211,6 +216,7 @@
 	@Override
 	public void send(Target target) {
 		this.state.recordSend();
+		this.tracker.ifPresent(RequestTracker::recordSend);
 		this.stream.startRun(Optional.empty());
 		this.streamRecovery.onAttemptStart(this.callerResponse.isStarted());
 		Attempt next = new Attempt(this.context, nextRequest(), target, this);
@@ -358,7 +364,7 @@
 
 	private void deliver(HttpClientResponse head, Buffer body, Attempt answered) {
 		finish();
-		this.tracker.ifPresent((request) -> request.recordFirstEvent(System.nanoTime()));
+		this.tracker.ifPresent((request) -> request.recordResponse(head.statusCode(), System.nanoTime()));
 		this.finalResponse.deliver(head, body, answered.target().replica(), answered.answerOrigin());
 	}
 
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/RequestDispatch.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/RequestDispatch.java
@@ -156,7 +156,7 @@
 
 	private void waitForCapacity(String cause, boolean isWorthWaiting) {
 		long waitedNanos = System.nanoTime() - this.owner.waitingSinceNanos();
-		if (isWorthWaiting && this.wait.mayGoOn(this.owner.isResponseStarted(), waitedNanos)) {
+		if (isWorthWaiting && this.wait.mayWaitForCapacity(this.owner.isResponseStarted(), waitedNanos)) {
 			this.wait.begin();
 			return;
 		}
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/RequestWait.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/RequestWait.java
@@ -89,7 +89,20 @@
 	}
 
 	/**
-	 * Returns whether the request may wait for free capacity any longer.
+	 * Returns whether the request may wait for free capacity any longer. While load is
+	 * shed, this depends on whether it can still be served in time.
+	 * @param isStarted whether the caller has part of the response
+	 * @param waitedNanos the time since the request came, or since the last part
+	 * @return false if its caller should know now
+	 */
+	boolean mayWaitForCapacity(boolean isStarted, long waitedNanos) {
+		OptionalLong loadLimit = isStarted ? OptionalLong.empty()
+				: this.tracker.map(RequestTracker::maxWaitNanos).orElse(OptionalLong.empty());
+		return mayGoOn(isStarted, waitedNanos) && (loadLimit.isEmpty() || waitedNanos < loadLimit.getAsLong());
+	}
+
+	/**
+	 * Returns whether the request may wait any longer, whatever it waits for.
 	 * @param isStarted whether the caller has part of the response
 	 * @param waitedNanos the time since the request came, or since the last part
 	 * @return false if its caller should know now
@@ -97,9 +110,7 @@
 	boolean mayGoOn(boolean isStarted, long waitedNanos) {
 		double share = isStarted ? RESUME_SHARE : INITIAL_SHARE;
 		double maxNanos = share * TimeUnit.MILLISECONDS.toNanos(this.route.callerTimeoutMillis());
-		OptionalLong loadLimit = isStarted ? OptionalLong.empty()
-				: this.tracker.map(RequestTracker::maxWaitNanos).orElse(OptionalLong.empty());
-		return waitedNanos < (loadLimit.isPresent() ? Math.min(maxNanos, loadLimit.getAsLong()) : maxNanos);
+		return waitedNanos < maxNanos;
 	}
 
 }
--- a/router/src/main/java/org/burdocktray/request/forward/WaitingRequest.java
+++ b/router/src/main/java/org/burdocktray/request/forward/WaitingRequest.java
@@ -7,7 +7,8 @@
  * for capacity. Thread safety: immutable.
  *
  * @param priority the priority class; lower values go first
- * @param isResponseStarted whether the caller has received a part of the response
+ * @param isResponseStarted whether the caller has received a part of the response, also
+ * before a resumed request
  * @param startNanos when the request arrived
  * @param targetLatencyNanos the target for the time from the arrival to the first event
  */
--- a/router/src/main/java/org/burdocktray/request/overload/RequestTracker.java
+++ b/router/src/main/java/org/burdocktray/request/overload/RequestTracker.java
@@ -14,6 +14,8 @@
 
 	private static final double NANOS_PER_MILLI = 1e6;
 
+	private static final int FIRST_ERROR = 400;
+
 	/** The share of the target after which a request without free capacity is late. */
 	private static final double BLOCKED_SHARE = 0.125;
 
@@ -36,8 +38,11 @@
 
 	private int rejections;
 
+	/** Whether the request has an outcome, or has ended without one. */
 	private boolean hasOutcome;
 
+	private boolean hasBeenSent;
+
 	RequestTracker(OverloadControl control, Arrival arrival, OptionalDouble expectedMillis, double unqueuedMillis,
 			long startNanos) {
 		this.control = control;
@@ -90,6 +95,26 @@
 		setOutcome(nowNanos - this.startNanos <= targetNanos(), nowNanos);
 	}
 
+	/** Records that the request is sent to a replica. */
+	public void recordSend() {
+		this.hasBeenSent = true;
+	}
+
+	/**
+	 * Records the complete response of a plain service. One with an error shows neither
+	 * how long the service takes nor whether it has capacity.
+	 * @param statusCode its status
+	 * @param nowNanos the current time of the monotonic clock
+	 */
+	public void recordResponse(int statusCode, long nowNanos) {
+		if (statusCode < FIRST_ERROR) {
+			recordFirstEvent(nowNanos);
+		}
+		else {
+			this.hasOutcome = true;
+		}
+	}
+
 	/**
 	 * Records the end of a complete stream.
 	 * @param tokens the length of the response
@@ -111,10 +136,11 @@
 	/**
 	 * Returns how long the request may wait for capacity from its arrival on.
 	 * @return the time after which it can no longer be served in time; empty while
-	 * requests are not rejected for load
+	 * requests are not rejected for load, for interrupted streams and after the first
+	 * send, when the work of an engine would be lost
 	 */
 	public OptionalLong maxWaitNanos() {
-		if (!this.control.isClosed(this.arrival.service().name())) {
+		if (this.hasBeenSent || this.arrival.isInterrupted() || !this.control.isClosed(this.arrival.service().name())) {
 			return OptionalLong.empty();
 		}
 		double neededNanos = this.unqueuedMillis * NANOS_PER_MILLI;
--- a/router/src/test/java/org/burdocktray/request/overload/OverloadControlTests.java
+++ b/router/src/test/java/org/burdocktray/request/overload/OverloadControlTests.java
@@ -187,6 +187,35 @@
 		assertThat(tracker.maxWaitNanos().orElseThrow()).isGreaterThan(TimeUnit.MILLISECONDS.toNanos(350));
 	}
 
+	/** Guards against an early end of requests that wait for more than capacity. */
+	@Test
+	void waitIsUnboundedForInterruptedStreamsAndAfterTheFirstSend() {
+		OverloadControl control = control(rules(ENGINES, 0, 2));
+		RequestTracker interrupted = control.track(arrival(ENGINES, 2, "a", true), this.nowNanos).orElseThrow();
+		assertThat(interrupted.maxWaitNanos()).isEmpty();
+		RequestTracker sent = control.track(arrival(ENGINES, 2, "a", false), this.nowNanos).orElseThrow();
+		assertThat(sent.maxWaitNanos()).isPresent();
+		sent.recordSend();
+		assertThat(sent.maxWaitNanos()).isEmpty();
+	}
+
+	/** Guards against fast failures that raise the measured capacity. */
+	@Test
+	void responsesWithErrorsGiveNeitherResponseTimeNorOutcome() {
+		this.directory.put(TestReplicas.replica("p", 1), this.nowNanos);
+		RoutingRules rules = rules(PLAIN, 0, 2);
+		OverloadControl control = control(rules);
+		for (int status : List.of(404, 503)) {
+			RequestTracker tracker = control.track(arrival(PLAIN, 0, "a", false), this.nowNanos).orElseThrow();
+			tracker.recordResponse(status, this.nowNanos + 1_000);
+			tracker.check(this.nowNanos + TimeUnit.SECONDS.toNanos(5));
+		}
+		control.update(rules, this.nowNanos);
+		assertThat(control.isClosed("s")).isFalse();
+		ClassLoad load = this.meter.report(this.nowNanos + 1_000).of(URGENT);
+		assertThat(load.onTimePerSecond() + load.latePerSecond() + load.begunPerSecond()).isZero();
+	}
+
 	private OverloadControl control(RoutingRules rules) {
 		if (rules.service("s").orElseThrow().engine().isPresent()) {
 			this.directory.put(TestReplicas.engine("head", "ghent", "fast", 0, 5), this.nowNanos);
