--- a/router/src/main/java/org/burdocktray/process/overload/AdmissionShares.java
+++ b/router/src/main/java/org/burdocktray/process/overload/AdmissionShares.java
@@ -28,9 +28,9 @@
 	}
 
 	/**
-	 * Gives out a limit by priority.
+	 * Allocates a limit by priority.
 	 * @param loads the loads by priority
-	 * @param limit the part of the estimated capacity that is given out
+	 * @param limit the part of the estimated capacity that is allocated
 	 * @param minShare the share of each priority that is admitted in any case
 	 * @return the shares
 	 */
@@ -61,6 +61,16 @@
 		return isBelowThreshold ? this.minShare : 1;
 	}
 
+	/**
+	 * Returns the share of the next more urgent priority with demand.
+	 * @param priority the priority
+	 * @return 0 to 1, 1 if there is none
+	 */
+	public double moreUrgentShare(int priority) {
+		SortedMap<Integer, Double> moreUrgent = this.shares.headMap(priority);
+		return moreUrgent.isEmpty() ? 1 : moreUrgent.get(moreUrgent.lastKey());
+	}
+
 	/**
 	 * Returns the most urgent priority of which requests are rejected.
 	 * @return the priority, empty if all are admitted
--- a/router/src/main/java/org/burdocktray/request/overload/OverloadControl.java
+++ b/router/src/main/java/org/burdocktray/request/overload/OverloadControl.java
@@ -219,19 +219,26 @@
 		double share = share(state, arrival, nowNanos);
 		DemandClass demandClass = demandClass(arrival);
 		ReturningRequests.Kind kind = arrival.requestId()
-			.map((id) -> this.returning.kind(id, nowNanos))
+			.map((id) -> this.returning.kind(arrival.organisation(), id, nowNanos))
 			.orElse(ReturningRequests.Kind.NEW);
 		if (share < 1 && kind == ReturningRequests.Kind.EARLY) {
 			return reject(arrival, share, OptionalDouble.empty(), nowNanos);
 		}
-		double ownShare = (kind == ReturningRequests.Kind.DUE) ? (1 + share) / 2 : share;
+		double ownShare = (kind == ReturningRequests.Kind.DUE) ? returningShare(state, arrival, share) : share;
 		if (this.fairness.admit(demandClass, arrival.organisation(), ownShare, nowNanos)) {
+			arrival.requestId().ifPresent((id) -> this.returning.remove(arrival.organisation(), id));
 			return new AdmissionDecision.Admitted();
 		}
 		OptionalDouble retryAfterSeconds = retryAfterSeconds(arrival, nowNanos, nowNanos);
 		return reject(arrival, share, retryAfterSeconds, nowNanos);
 	}
 
+	// Requests that return in time are preferred, but not to more urgent ones.
+	private static double returningShare(ServiceState state, Arrival arrival, double share) {
+		double moreUrgentShare = state.threshold.shares().moreUrgentShare(arrival.priority());
+		return Math.max(share, Math.min((1 + share) / 2, moreUrgentShare));
+	}
+
 	private double share(ServiceState state, Arrival arrival, long nowNanos) {
 		double share = state.threshold.shares().share(arrival.priority());
 		if (share >= 1) {
@@ -245,7 +252,8 @@
 	private AdmissionDecision reject(Arrival arrival, double share, OptionalDouble retryAfterSeconds, long nowNanos) {
 		this.meter.recordRejection(demandClass(arrival), nowNanos);
 		retryAfterSeconds.ifPresent((seconds) -> arrival.requestId()
-			.ifPresent((id) -> this.returning.record(id, nowNanos + (long) (NANOS_PER_SECOND * seconds), nowNanos)));
+			.ifPresent((id) -> this.returning.record(arrival.organisation(), id,
+					nowNanos + (long) (NANOS_PER_SECOND * seconds), nowNanos)));
 		this.listener.onRejection(arrival, rank(arrival), false);
 		return new AdmissionDecision.Rejected(
 				String.format(Locale.ROOT, "load is shed: priority=%d admittedShare=%.2f", arrival.priority(), share),
@@ -346,7 +354,7 @@
 		}
 		long waitedMillis = (long) ((nowNanos - startNanos) / NANOS_PER_MILLI);
 		boolean isRepeated = arrival.requestId()
-			.filter((id) -> this.returning.kind(id, nowNanos) != ReturningRequests.Kind.NEW)
+			.filter((id) -> this.returning.kind(arrival.organisation(), id, nowNanos) != ReturningRequests.Kind.NEW)
 			.isPresent();
 		RetryTime.RejectedRequest rejected = new RetryTime.RejectedRequest(arrival.callerTimeoutMillis() - waitedMillis,
 				rank(arrival), this.priorities.count(arrival.service().name()), isRepeated);
--- a/router/src/main/java/org/burdocktray/request/overload/ReturningRequests.java
+++ b/router/src/main/java/org/burdocktray/request/overload/ReturningRequests.java
@@ -18,32 +18,44 @@
 	/** Clocks and timers of callers may be early by this. */
 	private static final long TOLERANCE_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
 
-	private final Map<String, Rejection> rejections = new LinkedHashMap<>() {
+	private final Map<Key, Rejection> rejections = new LinkedHashMap<>() {
 		@Override
-		protected boolean removeEldestEntry(Map.Entry<String, Rejection> eldest) {
+		protected boolean removeEldestEntry(Map.Entry<Key, Rejection> eldest) {
 			return size() > MAX_REQUESTS;
 		}
 	};
 
 	/**
 	 * Records that a request was rejected.
+	 * @param organisation its organisation; ids of different ones may be equal
 	 * @param requestId its id
 	 * @param dueNanos the time from which on it may come again, by the monotonic clock
 	 * @param nowNanos the current time of the monotonic clock
 	 */
-	void record(String requestId, long dueNanos, long nowNanos) {
-		this.rejections.remove(requestId);
-		this.rejections.put(requestId, new Rejection(dueNanos, nowNanos));
+	void record(String organisation, String requestId, long dueNanos, long nowNanos) {
+		Key key = new Key(organisation, requestId);
+		this.rejections.remove(key);
+		this.rejections.put(key, new Rejection(dueNanos, nowNanos));
+	}
+
+	/**
+	 * Records that a request was admitted, so that its id gives no advantage again.
+	 * @param organisation its organisation
+	 * @param requestId its id
+	 */
+	void remove(String organisation, String requestId) {
+		this.rejections.remove(new Key(organisation, requestId));
 	}
 
 	/**
 	 * Returns what is known of a request that arrives.
+	 * @param organisation its organisation
 	 * @param requestId its id
 	 * @param nowNanos the current time of the monotonic clock
 	 * @return whether it is new here, returns in time or too soon
 	 */
-	Kind kind(String requestId, long nowNanos) {
-		Rejection known = this.rejections.get(requestId);
+	Kind kind(String organisation, String requestId, long nowNanos) {
+		Rejection known = this.rejections.get(new Key(organisation, requestId));
 		if (known == null || nowNanos - known.rejectedNanos() > MAX_AGE_NANOS) {
 			return Kind.NEW;
 		}
@@ -66,6 +78,10 @@
 
 	}
 
+	private record Key(String organisation, String requestId) {
+
+	}
+
 	private record Rejection(long dueNanos, long rejectedNanos) {
 
 	}
--- a/router/src/test/java/org/burdocktray/request/overload/OverloadControlTests.java
+++ b/router/src/test/java/org/burdocktray/request/overload/OverloadControlTests.java
@@ -216,6 +216,51 @@
 		assertThat(load.onTimePerSecond() + load.latePerSecond() + load.begunPerSecond()).isZero();
 	}
 
+	/** Guards against an organisation that is rejected for the ids of another one. */
+	@Test
+	void requestIdsOfOtherOrganisationsAreUnknown() {
+		this.fleet = overload(0.6);
+		OverloadControl control = control(rules(ENGINES, 0, 2));
+		recordOwnLateRequest(control);
+		int admitted = 0;
+		for (int request = 0; request < 400; request++) {
+			Arrival first = arrival(ENGINES, 2, "r" + request, false);
+			if (control.decide(first, this.nowNanos) instanceof AdmissionDecision.Rejected rejected
+					&& rejected.retryAfterSeconds().orElse(0) > 0.05) {
+				admitted += admittedOf(control, 1, arrivalOf("other", first));
+			}
+		}
+		assertThat(admitted).isPositive();
+	}
+
+	/** Guards against returning requests that are preferred to more urgent new ones. */
+	@Test
+	void returningRequestsAreAdmittedNoMoreOftenThanMoreUrgentOnes() {
+		this.fleet = overload(5);
+		OverloadControl control = control(rules(ENGINES, 0, 2));
+		recordOwnLateRequest(control);
+		// Callers of the least urgent priority are told to return only while the demand
+		// falls.
+		this.fleet = overload(4);
+		this.nowNanos += TimeUnit.MILLISECONDS.toNanos(200);
+		control.update(rules(ENGINES, 0, 2), this.nowNanos);
+		for (int request = 0; request < 1_000; request++) {
+			admittedOf(control, 1, arrival(ENGINES, 2, "r" + request, false));
+		}
+		this.nowNanos += TimeUnit.SECONDS.toNanos(5);
+		int returned = 0;
+		for (int request = 0; request < 1_000; request++) {
+			returned += admittedOf(control, 1, arrival(ENGINES, 2, "r" + request, false));
+		}
+		int urgent = admittedOf(control, 1_000, arrival(ENGINES, 0, "a", false));
+		assertThat(returned).isLessThanOrEqualTo(urgent + 30);
+	}
+
+	private static Arrival arrivalOf(String organisation, Arrival arrival) {
+		return new Arrival(arrival.requestId(), arrival.route(), arrival.service(), organisation, arrival.priority(),
+				arrival.isInterrupted(), arrival.promptTokens(), arrival.outputTokens(), arrival.callerTimeoutMillis());
+	}
+
 	private OverloadControl control(RoutingRules rules) {
 		if (rules.service("s").orElseThrow().engine().isPresent()) {
 			this.directory.put(TestReplicas.engine("head", "ghent", "fast", 0, 5), this.nowNanos);
--- a/router/src/test/java/org/burdocktray/request/overload/RejectedCallersTests.java
+++ b/router/src/test/java/org/burdocktray/request/overload/RejectedCallersTests.java
@@ -45,11 +45,22 @@
 	@Test
 	void callersThatReturnTooSoonAreKnown() {
 		ReturningRequests returning = new ReturningRequests();
-		returning.record("r1", millis(500), 0);
-		assertThat(returning.kind("r1", millis(100))).isEqualTo(ReturningRequests.Kind.EARLY);
-		assertThat(returning.kind("r1", millis(490))).isEqualTo(ReturningRequests.Kind.DUE);
-		assertThat(returning.kind("r2", millis(490))).isEqualTo(ReturningRequests.Kind.NEW);
-		assertThat(returning.kind("r1", millis(20_000))).isEqualTo(ReturningRequests.Kind.NEW);
+		returning.record("o", "r1", millis(500), 0);
+		assertThat(returning.kind("o", "r1", millis(100))).isEqualTo(ReturningRequests.Kind.EARLY);
+		assertThat(returning.kind("o", "r1", millis(490))).isEqualTo(ReturningRequests.Kind.DUE);
+		assertThat(returning.kind("o", "r2", millis(490))).isEqualTo(ReturningRequests.Kind.NEW);
+		returning.remove("other", "r1");
+		assertThat(returning.kind("o", "r1", millis(490))).isEqualTo(ReturningRequests.Kind.DUE);
+		assertThat(returning.kind("o", "r1", millis(20_000))).isEqualTo(ReturningRequests.Kind.NEW);
+	}
+
+	/** Guards against one rejection that gives its id an advantage many times. */
+	@Test
+	void admittedRequestsAreNew() {
+		ReturningRequests returning = new ReturningRequests();
+		returning.record("o", "r1", millis(500), 0);
+		returning.remove("o", "r1");
+		assertThat(returning.kind("o", "r1", millis(600))).isEqualTo(ReturningRequests.Kind.NEW);
 	}
 
 	/** Guards against a stream that waits behind new requests of its priority. */
