--- a/router/src/main/java/org/burdocktray/process/overload/AdmissionThreshold.java
+++ b/router/src/main/java/org/burdocktray/process/overload/AdmissionThreshold.java
@@ -22,7 +22,8 @@
 	private static final double LATE_SHARE = 0.1;
 
 	/**
-	 * The share of late requests that leaves no doubt, also if the estimate is far off.
+	 * The share of late requests that shows an overload also at a lower utilisation,
+	 * since the estimate may be too high.
 	 */
 	private static final double CERTAIN_LATE_SHARE = 0.3;
 
@@ -35,7 +36,7 @@
 	 */
 	private static final double MIN_UTILISATION = 0.7;
 
-	/** The same if there is no doubt that requests are late. */
+	/** The same above {@link #CERTAIN_LATE_SHARE}. */
 	private static final double CERTAIN_MIN_UTILISATION = 0.35;
 
 	/**
@@ -70,7 +71,7 @@
 	/** How long the highest rate counts; stalls are shorter. */
 	private static final double HIGHEST_BEGUN_NANOS = TimeUnit.SECONDS.toNanos(30);
 
-	/** The time in which the limit covers most of the way to its new value. */
+	/** The time constant with which the limit is smoothed. */
 	private static final double FOLLOW_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
 	private static final double TREND_NANOS = TimeUnit.SECONDS.toNanos(1);
@@ -138,10 +139,10 @@
 		double outcomes = late + sum(loads, PriorityLoad::onTimePerSecond);
 		double elapsedNanos = Math.max(0, nowNanos - this.updatedNanos);
 		this.demand = sum(loads, PriorityLoad::utilisation);
-		this.earlierDemand += way(elapsedNanos, TREND_NANOS) * (this.demand - this.earlierDemand);
+		this.earlierDemand += smoothing(elapsedNanos, TREND_NANOS) * (this.demand - this.earlierDemand);
 		this.lateShare = (outcomes > 0) ? late / outcomes : 0;
 		boolean isLate = this.lateShare > LATE_SHARE && late >= MIN_LATE_PER_SECOND;
-		this.highestBegun = Math.max(begun, this.highestBegun * (1 - way(elapsedNanos, HIGHEST_BEGUN_NANOS)));
+		this.highestBegun = Math.max(begun, this.highestBegun * (1 - smoothing(elapsedNanos, HIGHEST_BEGUN_NANOS)));
 		if (this.closed) {
 			follow(begun, isLate, elapsedNanos);
 			this.wasLate = isLate;
@@ -170,19 +171,18 @@
 			if (!this.wasLate) {
 				this.knownRate = this.fullRate;
 			}
-			// The fleet is full while it begins more than is admitted. It is not full as
-			// soon
-			// as queues are empty, which is noticed later.
+			// Once queues are empty, no more begins than is admitted, and the fleet is
+			// not full. Late requests are still reported for some seconds.
 			boolean isFull = begun > this.limit || begun < MIN_BEGUN_SHARE * this.limit;
-			this.fullRate += isFull ? way(elapsedNanos, TREND_NANOS) * (begun - this.fullRate) : 0;
+			this.fullRate += isFull ? smoothing(elapsedNanos, TREND_NANOS) * (begun - this.fullRate) : 0;
 		}
 		else {
 			this.fullRate *= 1 + growthPerSecond() * elapsedNanos / NANOS_PER_SECOND;
-			this.fullRate += way(elapsedNanos, TREND_NANOS) * Math.max(0, begun - this.fullRate);
+			this.fullRate += smoothing(elapsedNanos, TREND_NANOS) * Math.max(0, begun - this.fullRate);
 		}
 		this.fullRate = Math.max(MIN_LIMIT, this.fullRate);
 		double target = (isLate ? drainFactor() : STEADY_FACTOR) * this.fullRate;
-		this.limit = Math.max(MIN_LIMIT, this.limit + way(elapsedNanos, FOLLOW_NANOS) * (target - this.limit));
+		this.limit = Math.max(MIN_LIMIT, this.limit + smoothing(elapsedNanos, FOLLOW_NANOS) * (target - this.limit));
 	}
 
 	// A rate that the fleet has served before needs no slow search. Growth from there on
@@ -195,8 +195,7 @@
 	}
 
 	// The demand is a mean of some seconds. While it falls, the same shares admit less
-	// than
-	// the limit; this shows in the trend, and later in what begins.
+	// than the limit.
 	private double idleFactor(double begun) {
 		double expectedDemand = this.demand - DEMAND_LAG_SECONDS * Math.max(0, this.earlierDemand - this.demand);
 		double byTrend = isEasing() ? this.demand / Math.max(MIN_LIMIT, expectedDemand) : 1;
@@ -222,9 +221,9 @@
 		}
 	}
 
-	// Returns the part of the way to a new value that is covered in some time.
-	private static double way(double elapsedNanos, double mostOfWayNanos) {
-		return 1 - Math.exp(-elapsedNanos / mostOfWayNanos);
+	// Returns the part of a change that exponential smoothing takes in within some time.
+	private static double smoothing(double elapsedNanos, double smoothingNanos) {
+		return 1 - Math.exp(-elapsedNanos / smoothingNanos);
 	}
 
 	private static double sum(SortedMap<Integer, PriorityLoad> loads, ToDoubleFunction<PriorityLoad> value) {
--- a/router/src/main/java/org/burdocktray/request/overload/OrganisationFairness.java
+++ b/router/src/main/java/org/burdocktray/request/overload/OrganisationFairness.java
@@ -15,10 +15,10 @@
 import org.burdocktray.process.limits.DecayingRate;
 
 /**
- * Turns the admitted share of a priority into decisions on requests. The share is given
- * out by max-min fairness over the tokens of organisations: those that ask for less than
- * an equal part are served first, so one at ten times its part takes nothing from the
- * others. Requests of an organisation are admitted evenly, whatever their length.
+ * Turns the admitted share of a priority into decisions on requests. The share is
+ * allocated by max-min fairness over the tokens of organisations: those that ask for less
+ * than an equal part are served first, so one at ten times its part takes nothing from
+ * the others. Requests of an organisation are admitted evenly, whatever their length.
  * Invariant: the number of organisations is bounded; the longest unused are forgotten.
  * Thread safety: none, confined to one event loop.
  */
@@ -31,7 +31,7 @@
 	/** A lower count is that of an organisation that has not asked for long. */
 	private static final double MIN_COUNT = 1e-6;
 
-	private static final double MIN_PRICE = 0.5;
+	private static final double MIN_REQUIRED_CREDIT = 0.5;
 
 	private static final int LEVEL_STEPS = 40;
 
@@ -162,14 +162,13 @@
 				(missing) -> new Account(this.random.nextDouble(), nowNanos));
 		account.arrivals.add(1, nowNanos);
 		account.credit += share;
-		if (account.credit < account.price && share < 1) {
+		if (account.credit < account.requiredCredit && share < 1) {
 			return false;
 		}
-		account.credit = Math.max(0, account.credit - account.price);
-		// With a constant price, every second request would be rejected, for instance,
-		// and
-		// with it always the longer one of two that alternate.
-		account.price = this.random.nextDouble(MIN_PRICE, 2 - MIN_PRICE);
+		account.credit = Math.max(0, account.credit - account.requiredCredit);
+		// With a constant value, a share of one half would always reject the same one of
+		// two requests that alternate.
+		account.requiredCredit = this.random.nextDouble(MIN_REQUIRED_CREDIT, 2 - MIN_REQUIRED_CREDIT);
 		return true;
 	}
 
@@ -179,7 +178,7 @@
 		private double credit;
 
 		/** The credit for which the next request is admitted, 1 in the mean. */
-		private double price = 1;
+		private double requiredCredit = 1;
 
 		private final DecayingRate arrivals;
 
