--- a/router/src/main/java/org/burdocktray/process/serve/gateway/RequestWait.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/RequestWait.java
@@ -1,7 +1,10 @@
 package org.burdocktray.process.serve.gateway;
 
+import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 
+import org.burdocktray.request.overload.RequestTracker;
 import org.burdocktray.version.rules.RouteRule;
 
 /**
@@ -35,6 +38,8 @@
 
 	private final LimitedReplicas limits;
 
+	private final Optional<RequestTracker> tracker;
+
 	private boolean waiting;
 
 	private boolean waitingForRoom;
@@ -42,7 +47,8 @@
 	/** Whether the request has waited for a replica that limits its requests. */
 	private boolean hasWaitedForRoom;
 
-	RequestWait(RouteRule route, LimitedReplicas limits) {
+	RequestWait(RouteRule route, LimitedReplicas limits, Optional<RequestTracker> tracker) {
+		this.tracker = tracker;
 		this.route = route;
 		this.limits = limits;
 	}
@@ -83,14 +89,28 @@
 	}
 
 	/**
-	 * Returns whether the request may wait for free capacity any longer.
+	 * Returns whether the request may wait for free capacity any longer. While load is
+	 * shed, this depends on whether it can still be served in time.
+	 * @param isStarted whether the caller has part of the response
+	 * @param waitedNanos the time since the request came, or since the last part
+	 * @return false if its caller should know now
+	 */
+	boolean mayWaitForCapacity(boolean isStarted, long waitedNanos) {
+		OptionalLong loadLimit = isStarted ? OptionalLong.empty()
+				: this.tracker.map(RequestTracker::maxWaitNanos).orElse(OptionalLong.empty());
+		return mayGoOn(isStarted, waitedNanos) && (loadLimit.isEmpty() || waitedNanos < loadLimit.getAsLong());
+	}
+
+	/**
+	 * Returns whether the request may wait any longer, whatever it waits for.
 	 * @param isStarted whether the caller has part of the response
 	 * @param waitedNanos the time since the request came, or since the last part
 	 * @return false if its caller should know now
 	 */
 	boolean mayGoOn(boolean isStarted, long waitedNanos) {
 		double share = isStarted ? RESUME_SHARE : INITIAL_SHARE;
-		return waitedNanos < share * TimeUnit.MILLISECONDS.toNanos(this.route.callerTimeoutMillis());
+		double maxNanos = share * TimeUnit.MILLISECONDS.toNanos(this.route.callerTimeoutMillis());
+		return waitedNanos < maxNanos;
 	}
 
 }
