--- a/router/src/main/java/org/burdocktray/process/balance/DataCentreLoad.java
+++ b/router/src/main/java/org/burdocktray/process/balance/DataCentreLoad.java
@@ -9,8 +9,9 @@
  * immutable.
  *
  * @param dataCentre the data centre
- * @param demandPerSecond the typical requests per second that its VMs are about to get
- * @param capacityPerSecond the typical requests per second that its engines bear
+ * @param demandPerSecond the requests per second expected one second ahead, in typical
+ * requests for engines and in calls for plain services
+ * @param capacityPerSecond what its replicas bear, in the same unit
  * @param share its share in the requests of this VM's data centre
  */
 public record DataCentreLoad(DataCentre dataCentre, double demandPerSecond, double capacityPerSecond, double share) {
--- a/router/src/main/java/org/burdocktray/process/balance/EnginePace.java
+++ b/router/src/main/java/org/burdocktray/process/balance/EnginePace.java
@@ -17,19 +17,21 @@
  */
 public final class EnginePace implements StreamOutputs.PassListener {
 
-	/** Passes take up to twice as long when they read prompts. */
+	/**
+	 * The slowdown from which an engine counts as slow; prompts alone can double a pass.
+	 */
 	private static final double MIN_SLOWDOWN = 2;
 
 	private static final double MAX_SLOWDOWN = 10;
 
-	/** A measurement covers a quarter of a second. */
+	/** How long a measured slowdown counts. */
 	private static final long HOLD_NANOS = TimeUnit.SECONDS.toNanos(1);
 
 	private static final double MEMORY_SECONDS = 8;
 
 	private static final int MIN_MEASUREMENTS = 4;
 
-	/** Paths, and engines. */
+	/** The number of paths, and of engines, that are remembered. */
 	private static final int MAX_ENTRIES = 512;
 
 	private static final double NANOS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
--- a/router/src/main/java/org/burdocktray/process/balance/FleetRoutes.java
+++ b/router/src/main/java/org/burdocktray/process/balance/FleetRoutes.java
@@ -23,8 +23,8 @@
  * of each data centre by itself when engines come, go or change their speed, and divides
  * requests between the data centres by the demand of all VMs. VMs draw at random, so
  * those that know the same old reports do not choose the same path. Invariant: the work
- * of a request does not grow with the number of engines. Thread safety: none, confined to
- * one event loop.
+ * of one draw of engines grows with the stages of the path only. Thread safety: none,
+ * confined to one event loop.
  */
 public final class FleetRoutes {
 
--- a/router/src/main/java/org/burdocktray/process/demand/DemandMeter.java
+++ b/router/src/main/java/org/burdocktray/process/demand/DemandMeter.java
@@ -33,8 +33,8 @@
 	private final Map<OrganisationShare, DecayingRate> organisations = new HashMap<>();
 
 	/**
-	 * Records a request that has arrived. Of its organisation, a request without tokens
-	 * counts as one token.
+	 * Records a request that has arrived. In the demand of its organisation, a request
+	 * without tokens counts as one token.
 	 * @param demandClass its service and priority
 	 * @param organisation its organisation, empty if it has none
 	 * @param promptTokens the length of its prompt, 0 for plain services
--- a/router/src/main/java/org/burdocktray/process/demand/OrganisationShare.java
+++ b/router/src/main/java/org/burdocktray/process/demand/OrganisationShare.java
@@ -1,7 +1,7 @@
 package org.burdocktray.process.demand;
 
 /**
- * The requests of one organisation for one service. Thread safety: immutable.
+ * The key of an organisation's demand for one service. Thread safety: immutable.
  *
  * @param service the name of the service
  * @param organisation the name of the organisation
--- a/router/src/main/java/org/burdocktray/process/overload/AdmissionThreshold.java
+++ b/router/src/main/java/org/burdocktray/process/overload/AdmissionThreshold.java
@@ -40,14 +40,14 @@
 	private static final double CERTAIN_MIN_UTILISATION = 0.35;
 
 	/**
-	 * How much less than the fleet begins is admitted for each share of late requests, so
-	 * that queues become empty.
+	 * The part of the full rate that is held back per share of late requests, so that
+	 * queues become empty.
 	 */
 	private static final double DRAIN_PER_LATE_SHARE = 1.2;
 
 	private static final double MAX_DRAIN = 0.4;
 
-	/** The part of it that is admitted as soon as few are. */
+	/** The part of the full rate that is admitted while few requests are late. */
 	private static final double STEADY_FACTOR = 0.97;
 
 	/** If less of what is admitted begins, the fleet can serve less than before. */
@@ -97,7 +97,7 @@
 	/** The highest rate that has begun lately. */
 	private double highestBegun;
 
-	/** The rate up to which the fleet was not late before. */
+	/** The highest rate that the fleet is known to have served. */
 	private double knownRate;
 
 	/** Whether too much was late at the last update while closed. */
--- a/router/src/main/java/org/burdocktray/process/overload/CapacityEstimate.java
+++ b/router/src/main/java/org/burdocktray/process/overload/CapacityEstimate.java
@@ -22,10 +22,13 @@
 
 	private static final double TOKENS_PER_CONTEXT_UNIT = 1_000;
 
-	/** The prompt tokens that an engine reads in one decoding step. */
+	/**
+	 * The prompt tokens that an engine is assumed to read at once; the profile's
+	 * promptTokensPerPass is not used here.
+	 */
 	private static final double TOKENS_PER_CHUNK = 512;
 
-	/** A pass over all layers executes more than one step where a path is slow. */
+	/** The chunks that an engine is assumed to read in one pass at most. */
 	private static final double MAX_CHUNKS_PER_PASS = 2;
 
 	private final EngineProfile profile;
--- a/router/src/main/java/org/burdocktray/process/overload/ServicePriorities.java
+++ b/router/src/main/java/org/burdocktray/process/overload/ServicePriorities.java
@@ -20,7 +20,7 @@
  */
 public final class ServicePriorities {
 
-	/** No service sheds load. */
+	/** The feature applies to no service. */
 	public static final ServicePriorities NONE = new ServicePriorities(Map.of());
 
 	private static final int ORGANISATION_PRIORITY_FACTOR = 1_000;
@@ -86,7 +86,7 @@
 	 * Returns how many priorities of a service are more urgent than one.
 	 * @param service the service
 	 * @param priority the priority
-	 * @return the number, 0 for services that shed no load
+	 * @return the number, 0 for services to which the feature does not apply
 	 */
 	public int rank(String service, int priority) {
 		List<Integer> known = this.prioritiesByService.getOrDefault(service, List.of());
--- a/router/src/main/java/org/burdocktray/process/placement/PlacementChange.java
+++ b/router/src/main/java/org/burdocktray/process/placement/PlacementChange.java
@@ -23,7 +23,7 @@
 		/** The engine has none, and these add most to the flow. */
 		FLOW,
 
-		/** The number of engines that hold a layer. */
+		/** As without balancing: by the number of engines that hold each layer. */
 		HOLDERS
 
 	}
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/FleetRegistry.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/FleetRegistry.java
@@ -140,7 +140,7 @@
 		return Optional.ofNullable(value.getString(field)).filter((text) -> text.length() <= MAX_TEXT_CHARACTERS);
 	}
 
-	// Builds before the sizes of VMs do not tell them.
+	// Older builds do not register the size of their VM.
 	private static double number(JsonObject value, String field) {
 		return Optional.ofNullable(value.getDouble(field)).filter((number) -> number > 0).orElse(0.0);
 	}
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/ForwardedRequest.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/ForwardedRequest.java
@@ -22,7 +22,8 @@
  * @param lastEventId the id of the event after which a resumed stream continues
  * @param deadlineNanos the monotonic time at which the caller or the route stops waiting
  * @param relay what a VM has to know that relays the request
- * @param priority the priority at the engines, empty where load is not shed by priority
+ * @param priority the priority at the engines, empty for services to which the option
+ * overload does not apply
  */
 record ForwardedRequest(Optional<String> requestId, HttpMethod method, String uri, MultiMap headers, Buffer body,
 		Optional<String> organisation, boolean repeatable, boolean streaming, Optional<String> lastEventId,
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayMetrics.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayMetrics.java
@@ -216,7 +216,7 @@
 
 	private final Counter layersAssigned = Counter.builder()
 		.name("burdocktray_gateway_layers_assigned_total")
-		.help("Orders to load layers that this VM decided on by flow, by reason")
+		.help("Orders to load layers that this VM sent while balancing was in effect, by reason")
 		.labelNames("reason")
 		.register(this.registry);
 
--- a/router/src/main/java/org/burdocktray/process/settings/GatewayOptions.java
+++ b/router/src/main/java/org/burdocktray/process/settings/GatewayOptions.java
@@ -20,11 +20,11 @@
 			Optional.empty());
 
 	/**
-	 * Options of a feature that depends on the configuration in force.
+	 * When a configured feature takes effect.
 	 */
 	public enum Activation {
 
-		/** The feature takes effect where the configuration calls for it. */
+		/** The feature takes effect under the conditions that its options name. */
 		AUTO,
 
 		/** The feature takes effect for all services. */
@@ -59,12 +59,13 @@
 	/**
 	 * How routes and layers follow demand. Thread safety: immutable.
 	 *
-	 * @param activation {@link Activation#AUTO} while demand or capacity of data centres
-	 * differs by more than the ratio
-	 * @param imbalanceRatio the ratio of the highest to the lowest utilisation of data
-	 * centres that counts as uneven
+	 * @param activation {@link Activation#AUTO} for services whose accelerator kinds
+	 * differ by more than the ratio, and for a while after data centres were utilised
+	 * unevenly or engines were lost in a group
+	 * @param imbalanceRatio the ratio of step factors, or of utilisations of data
+	 * centres, that counts as uneven
 	 * @param paybackMillis the time within which the move of an engine to other layers
-	 * must gain more tokens than it costs
+	 * must gain more tokens than it costs; not used yet
 	 */
 	public record BalancingOptions(Activation activation, double imbalanceRatio, long paybackMillis) {
 
--- a/router/src/main/java/org/burdocktray/process/watch/ChangeLog.java
+++ b/router/src/main/java/org/burdocktray/process/watch/ChangeLog.java
@@ -66,9 +66,7 @@
 	void recordListing(ObjectListing listing, Timestamp confirmedTime) {
 		this.storeLost = false;
 		if (isKnown() && listing.revision() < this.revision) {
-			// A linearizable listing that was sent later shows that the store was
-			// restored
-			// from a copy.
+			// A later linearizable listing shows that the store was restored from a copy.
 			boolean isRestored = this.linearizable && confirmedTime.isAfter(this.confirmedAt.get());
 			if (!isRestored) {
 				return;
--- a/router/src/main/java/org/burdocktray/process/watch/StoreSharing.java
+++ b/router/src/main/java/org/burdocktray/process/watch/StoreSharing.java
@@ -17,8 +17,8 @@
 import org.jboss.logging.Logger;
 
 /**
- * The watch of one VM: its feeds, and its answers to others. Thread safety: none,
- * confined to one event loop.
+ * What a VM needs to get the store's objects from other VMs and to pass them on: its
+ * feeds, and its answers to others. Thread safety: none, confined to one event loop.
  */
 public final class StoreSharing {
 
--- a/router/src/main/java/org/burdocktray/process/watch/WatchSources.java
+++ b/router/src/main/java/org/burdocktray/process/watch/WatchSources.java
@@ -35,7 +35,7 @@
 	private static final long MIN_WATCHER_BACKOFF_MILLIS = 1_000;
 
 	/**
-	 * VMs that have stopped stay registered; most of them are to be left out at a time.
+	 * Long, since VMs that have stopped stay registered.
 	 */
 	private static final long MAX_WATCHER_BACKOFF_MILLIS = 600_000;
 
@@ -167,7 +167,8 @@
 	/**
 	 * Returns whether this VM is to watch the store.
 	 * @param nowNanos the current time of the monotonic clock
-	 * @return whether it is one of the first of the ranking, or was asked of late
+	 * @return true if it is one of the first of the ranking or was asked of late, and
+	 * while each VM watches for itself
 	 */
 	public boolean isWatcher(long nowNanos) {
 		return !isActive() || this.askedNanos.filter((asked) -> nowNanos - asked < ASKED_NANOS).isPresent()
@@ -231,9 +232,7 @@
 			RendezvousHash.ranked(this.ownName, remote, DataCentre::name)
 				.forEach((dataCentre) -> candidates.addAll(untried(dataCentre, triedVms, nowNanos)));
 		}
-		// A watcher of another data centre that has the store goes before a local one
-		// that
-		// has lost it.
+		// A remote watcher that has the store goes before a local one that has lost it.
 		return candidates.stream()
 			.filter((vm) -> !isDemoted(vm, nowNanos))
 			.findFirst()
--- a/router/src/main/java/org/burdocktray/process/watch/WatchedKind.java
+++ b/router/src/main/java/org/burdocktray/process/watch/WatchedKind.java
@@ -5,8 +5,8 @@
  *
  * @param name the name of the kind
  * @param waitMillis how long a watcher, and those that ask it, wait for changes
- * @param pausesWhenIdle whether a VM that would wait longer by itself asks for every
- * second answer of its watcher only
+ * @param pausesWhenIdle whether a VM that may wait long pauses between its requests, so
+ * that it skips every second answer of its watcher
  */
 public record WatchedKind(String name, long waitMillis, boolean pausesWhenIdle) {
 
--- a/router/src/main/java/org/burdocktray/process/watch/WatcherRanking.java
+++ b/router/src/main/java/org/burdocktray/process/watch/WatcherRanking.java
@@ -10,14 +10,15 @@
 
 /**
  * Ranks the VMs of one data centre as watchers of the store. All VMs that know the same
- * registered VMs rank them alike. Invariant: the largest VMs come first. Thread safety:
- * immutable.
+ * registered VMs rank them alike. Invariant: the larger third of the VMs, or twice the
+ * number of watchers if that is more, comes before the others; each part is ranked by
+ * rendezvous hashing. Thread safety: immutable.
  */
 final class WatcherRanking {
 
 	private static final String KEY = "watch";
 
-	/** The VMs per VM that counts as one of the largest. */
+	/** One VM in this many counts as large. */
 	private static final int VMS_PER_LARGE_VM = 3;
 
 	private final List<WatchVm> ranked;
--- a/router/src/main/java/org/burdocktray/request/hedge/HedgeDelays.java
+++ b/router/src/main/java/org/burdocktray/request/hedge/HedgeDelays.java
@@ -26,7 +26,7 @@
 
 	private static final long MAX_UNITS = 600_000;
 
-	/** Keeps a class within 3 KB, at an error of the delay below 7%. */
+	/** The precision of recorded times; a higher one takes more memory. */
 	private static final int SIGNIFICANT_DIGITS = 1;
 
 	/** Samples beyond the quantile that make it reliable. */
--- a/router/src/main/java/org/burdocktray/request/hedge/HedgeLimit.java
+++ b/router/src/main/java/org/burdocktray/request/hedge/HedgeLimit.java
@@ -6,10 +6,11 @@
 /**
  * Limits the hedged runs of all VMs at a service. Each VM may start a share of the
  * requests that it has received itself, plus an equal part of the extra runs of the
- * fleet. The same holds for each organisation. A process starts without an allowance, so
- * that restarts do not renew it. Invariants: within any window this VM starts at most its
- * part; within any second it starts at most the part of that second plus one. Thread
- * safety: none, confined to one event loop.
+ * fleet. Each organisation may start the same share of its own requests plus an equal
+ * part of the extra runs, and one run in a window in any case. A process starts without
+ * an allowance, so that restarts do not renew it. Invariants: within any window this VM
+ * starts at most its part; within any second it starts at most the part of that second
+ * plus one. Thread safety: none, confined to one event loop.
  */
 final class HedgeLimit {
 
--- a/router/src/main/java/org/burdocktray/request/hedge/OverdueShare.java
+++ b/router/src/main/java/org/burdocktray/request/hedge/OverdueShare.java
@@ -19,8 +19,7 @@
 	private static final long WINDOW_NANOS = TimeUnit.SECONDS.toNanos(2);
 
 	/**
-	 * Several times the share that is expected beyond the delay. A larger one lets VMs
-	 * hedge after all replicas have become slow, until the learned delay has followed.
+	 * The share of overdue requests above which all replicas count as slow.
 	 */
 	private static final double MAX_SHARE = 0.25;
 
--- a/router/src/main/java/org/burdocktray/request/overload/OverloadControl.java
+++ b/router/src/main/java/org/burdocktray/request/overload/OverloadControl.java
@@ -53,7 +53,7 @@
 	/** How long a late request of this VM supports what other VMs report. */
 	private static final long EVIDENCE_NANOS = TimeUnit.SECONDS.toNanos(20);
 
-	/** At the margin the threshold changes with each update. */
+	/** Changes of the threshold are reported at most this often. */
 	private static final long REPORT_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(2);
 
 	/** Mean sizes of fewer requests would be divided by almost nothing. */
@@ -137,7 +137,8 @@
 			.forEach((name, state) -> rules.service(name).ifPresent((rule) -> update(rule, state, fleet, nowNanos)));
 	}
 
-	// Streams without a target for their pauses have no longest pause.
+	// The most lenient target of all routes counts, and none if a route has none;
+	// StreamTargets.strictest is the opposite.
 	private static long maxGapMillis(RoutingRules rules, String service) {
 		List<Long> gaps = rules.routes()
 			.stream()
@@ -264,7 +265,7 @@
 	 * Follows a request that has been admitted.
 	 * @param arrival the request
 	 * @param startNanos the monotonic time at which it came
-	 * @return its tracker, empty for services that shed no load
+	 * @return its tracker, empty for services to which the feature does not apply
 	 */
 	public Optional<RequestTracker> track(Arrival arrival, long startNanos) {
 		ServiceState state = this.services.get(arrival.service().name());
@@ -285,7 +286,8 @@
 	 * Returns the priority of requests at engines.
 	 * @param service the name of their service
 	 * @param priority their priority
-	 * @return the priority at engines, empty for services that shed no load
+	 * @return the priority at engines, empty for services to which the feature does not
+	 * apply
 	 */
 	public Optional<EnginePriority> enginePriority(String service, int priority) {
 		return this.services.containsKey(service)
