Balancing: a lost group is expected back while others of its data centre hold layers

Cause: the comparison with the placement by holders counts only engines that are present. While a lost group returns one by one, it took layers that serve a little at once in place of those of the group.

Change: the comparison applies where no engine of the data centre holds layers any more, or none is missing.

The tests of a data centre of which a part returns hold; the case itself has no test yet.

--- a/router/src/main/java/org/burdocktray/process/placement/FlowPlacement.java
+++ b/router/src/main/java/org/burdocktray/process/placement/FlowPlacement.java
@@ -90,11 +90,13 @@
 		if (state.placed.isEmpty() && context.departed().isEmpty()) {
 			return byHolders;
 		}
+		boolean isGroupExpected = !state.placed.isEmpty() && !valid.departed().isEmpty();
 		restore(state);
 		boolean isComplete = assignByFlow(state, context.isSettled());
 		Map<String, PlacementChange> byFlow = completeByHolders(state, valid);
-		// Ranges that fit lost engines serve nothing if these do not return.
-		if (rate(engines, byHolders) > rate(engines, byFlow) + MIN_GAIN_PER_SECOND) {
+		// Ranges that fit lost engines serve nothing if these do not return. Where others
+		// still hold layers, a lost group mostly returns within seconds, one by one.
+		if (!isGroupExpected && rate(engines, byHolders) > rate(engines, byFlow) + MIN_GAIN_PER_SECOND) {
 			return byHolders;
 		}
 		return isComplete ? byFlow : state.changes;
