Balancing: a new engine waits for its predecessor, whatever it would gain

In a planned replacement each successor registers about a second before its predecessor drains. Placement by flow gave a new engine layers that others hold where that gained a tenth of the flow, so when the predecessor left, its layers were held by nobody and the data centre had no complete path until engines were moved.

--- a/router/src/main/java/org/burdocktray/process/placement/FlowPlacement.java
+++ b/router/src/main/java/org/burdocktray/process/placement/FlowPlacement.java
@@ -40,13 +40,6 @@
 	/** Excludes differences by rounding. */
 	private static final double MIN_GAIN_PER_SECOND = 0.001;
 
-	/**
-	 * The gain from which layers that are held by others are worth loading before an
-	 * engine has settled. Below it, the engine may be the successor of one that is about
-	 * to leave, and should get its layers.
-	 */
-	private static final double BOTTLENECK_GAIN_SHARE = 0.1;
-
 	/**
 	 * How much a gain counts that needs the other lost engines to return. It may not
 	 * outweigh a similar gain that is certain.
@@ -85,11 +78,11 @@
 		PlacementContext valid = new PlacementContext(
 				context.departed().stream().filter((engine) -> isSupported(engine) && isValid(engine)).toList(),
 				context.isSettled(), context.canMoveEngines());
-		Map<String, PlacementChange> byHolders = computeByHolders(engines, valid);
 		State state = new State(engines, valid.departed());
 		if (state.placed.isEmpty() && context.departed().isEmpty()) {
-			return byHolders;
+			return computeByHolders(engines, valid);
 		}
+		Map<String, PlacementChange> byHolders = computeByHolders(state.present(context.isSettled()), valid);
 		boolean isGroupExpected = !state.placed.isEmpty() && !valid.departed().isEmpty();
 		restore(state);
 		boolean isComplete = assignByFlow(state, context.isSettled());
@@ -107,10 +100,8 @@
 		// The first engines of a group are worth nothing by themselves.
 		boolean waitsForGroup = state.placed.isEmpty() && state.unplaced.stream().noneMatch(context.isSettled());
 		if (!waitsForGroup) {
-			List<Replica> present = new ArrayList<>(state.placed);
-			present.addAll(state.unplaced);
 			PlacementContext rest = new PlacementContext(state.missing, context.isSettled(), context.canMoveEngines());
-			computeByHolders(present, rest).forEach(result::putIfAbsent);
+			computeByHolders(state.present(context.isSettled()), rest).forEach(result::putIfAbsent);
 		}
 		return result;
 	}
@@ -153,15 +144,13 @@
 			Option best = null;
 			double base = this.capacity.requestsPerSecond(state.placed);
 			double expectedBase = expected(state, Optional.empty(), Optional.empty());
-			boolean isAnyLost = !state.missing.isEmpty() || !unheldRanges(state.placed).isEmpty();
 			Map<KindRange, Option> assessed = new HashMap<>();
-			for (Replica engine : state.unplaced) {
-				double minGainShare = (isAnyLost || isSettled.test(engine)) ? MIN_GAIN_SHARE : BOTTLENECK_GAIN_SHARE;
+			for (Replica engine : state.available(isSettled)) {
 				for (LayerRange range : candidates(engine, state)) {
 					Option option = assessed.computeIfAbsent(
 							new KindRange(engine.acceleratorKind().orElseThrow(), range),
 							(key) -> assess(engine, range, state, base, expectedBase));
-					if (option.score() > Math.max(MIN_GAIN_PER_SECOND, minGainShare * base)
+					if (option.score() > Math.max(MIN_GAIN_PER_SECOND, MIN_GAIN_SHARE * base)
 							&& (best == null || option.perLayer() > best.perLayer())) {
 						best = option.forEngine(engine);
 					}
@@ -303,6 +292,20 @@
 			this.missing = new ArrayList<>(departed);
 		}
 
+		// Engines without layers that may get some now. A new one may be the successor of
+		// an engine that is about to leave, whose layers may then be held by nobody else;
+		// it waits for that unless layers are missing already.
+		List<Replica> available(Predicate<Replica> isSettled) {
+			boolean isAnyLost = !this.missing.isEmpty() || !unheldRanges(this.placed).isEmpty();
+			return isAnyLost ? this.unplaced : this.unplaced.stream().filter(isSettled).toList();
+		}
+
+		List<Replica> present(Predicate<Replica> isSettled) {
+			List<Replica> result = new ArrayList<>(this.placed);
+			result.addAll(available(isSettled));
+			return result;
+		}
+
 		void place(Replica engine, PlacementChange change) {
 			this.unplaced.remove(engine);
 			this.placed.add(engine.withLayers(Optional.of(change.layers())));
--- a/router/src/test/java/org/burdocktray/process/placement/FlowPlacementTests.java
+++ b/router/src/test/java/org/burdocktray/process/placement/FlowPlacementTests.java
@@ -91,6 +91,22 @@
 			.isEqualTo(predecessor.layers().orElseThrow());
 	}
 
+	/**
+	 * Guards against a planned replacement that loses a path: a successor took layers
+	 * that would have served more, so its predecessor's layers were held by nobody when
+	 * that left.
+	 */
+	@Test
+	void successorWaitsAlsoWhereOtherLayersAreTheBottleneck() {
+		List<Replica> present = List.of(engine("a", "fast", 0, 28), engine("b", "fast", 28, 56),
+				engine("c", "fast", 56, 80), engine("d", "fast", 0, 28), engine("e", "fast", 28, 56),
+				TestReplicas.emptyEngine("successor", "ghent", "fast"));
+		assertThat(PLACEMENT.computeChanges(present, unsettled(List.of()))).isEmpty();
+		PlacementContext settled = new PlacementContext(List.of(), (engine) -> true, false);
+		assertThat(PLACEMENT.computeChanges(present, settled).get("successor").layers())
+			.isEqualTo(new LayerRange(56, 80));
+	}
+
 	/**
 	 * Guards against a data centre that loads layers on all its engines at once after the
 	 * loss of some: nothing was served until the loads had ended, and the next loss began
