Overload: loss and return of capacity is no sign of too much demand

Cause: late first events of requests that met a loss of engines closed the threshold, what began at another capacity moved fullRate, and outcomes that were seconds old kept the limit low after the queues were empty. Requests that waited for lost capacity were queued for long after their target. Engines starved what minAdmittedShare admits, and its lateness lowered the limit.

Waits are limited to the target while capacity is lost. The late share of a closed threshold is that of the last half second. Floor requests have the engine priority of the margin.

--- a/router/src/main/java/org/burdocktray/process/demand/DemandMeter.java
+++ b/router/src/main/java/org/burdocktray/process/demand/DemandMeter.java
@@ -17,7 +17,7 @@
 	private static final long WINDOW_NANOS = TimeUnit.SECONDS.toNanos(2);
 
 	/** Outcomes tell of an overload that may last a few seconds only. */
-	private static final long OUTCOME_WINDOW_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
+	public static final long OUTCOME_WINDOW_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
 
 	private static final int MAX_CLASSES = 64;
 
--- a/router/src/main/java/org/burdocktray/process/overload/AdmissionShares.java
+++ b/router/src/main/java/org/burdocktray/process/overload/AdmissionShares.java
@@ -61,6 +61,16 @@
 		return isBelowThreshold ? this.minShare : 1;
 	}
 
+	/**
+	 * Returns whether no more than the minimum share of a priority is admitted.
+	 * @param priority the priority
+	 * @return false while everything is admitted
+	 */
+	public boolean isAtMinimum(int priority) {
+		double share = share(priority);
+		return share < 1 && share <= this.minShare;
+	}
+
 	/**
 	 * Returns the share of the next more urgent priority with demand.
 	 * @param priority the priority
--- a/router/src/main/java/org/burdocktray/process/overload/AdmissionThreshold.java
+++ b/router/src/main/java/org/burdocktray/process/overload/AdmissionThreshold.java
@@ -1,9 +1,14 @@
 package org.burdocktray.process.overload;
 
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
 import java.util.SortedMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.ToDoubleFunction;
 
+import org.burdocktray.process.demand.DemandMeter;
+
 /**
  * Decides how much of the demand for one service is admitted. It is fully open until the
  * fleet serves requests late and the estimate explains that by the demand. From then on
@@ -81,6 +86,9 @@
 
 	private static final long OPEN_AFTER_NANOS = TimeUnit.SECONDS.toNanos(1);
 
+	/** The time over which new outcomes are told from those of before. */
+	private static final long RECENT_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
 	private static final double EASING_RATIO = 0.97;
 
 	private static final double NANOS_PER_SECOND = 1e9;
@@ -107,6 +115,15 @@
 
 	private double lateShare;
 
+	/** The late share including what remains of earlier outcomes. */
+	private double meanLateShare;
+
+	/** Whether everything is admitted until the capacity is known again. */
+	private boolean isSuspended;
+
+	/** The rates at the last updates, the oldest first. */
+	private final Deque<Sample> samples = new ArrayDeque<>();
+
 	/** The demand of about the last second. */
 	private double earlierDemand;
 
@@ -131,27 +148,42 @@
 	 * Decides by the present load.
 	 * @param loads the load of the fleet by priority; utilisations are parts of the
 	 * estimated capacity
+	 * @param isSettling whether the capacity has just changed, so that what is late or
+	 * has begun belongs to another capacity
 	 * @param nowNanos the current time of the monotonic clock
 	 */
-	public void update(SortedMap<Integer, PriorityLoad> loads, long nowNanos) {
+	public void update(SortedMap<Integer, PriorityLoad> loads, boolean isSettling, long nowNanos) {
+		this.isSuspended = false;
 		double begun = sum(loads, PriorityLoad::begun);
 		double late = sum(loads, PriorityLoad::latePerSecond);
 		double outcomes = late + sum(loads, PriorityLoad::onTimePerSecond);
 		double elapsedNanos = Math.max(0, nowNanos - this.updatedNanos);
 		this.demand = sum(loads, PriorityLoad::utilisation);
 		this.earlierDemand += smoothing(elapsedNanos, TREND_NANOS) * (this.demand - this.earlierDemand);
-		this.lateShare = (outcomes > 0) ? late / outcomes : 0;
-		boolean isLate = this.lateShare > LATE_SHARE && late >= MIN_LATE_PER_SECOND;
-		this.highestBegun = Math.max(begun, this.highestBegun * (1 - smoothing(elapsedNanos, HIGHEST_BEGUN_NANOS)));
+		Rates rates = new Rates(begun, late, outcomes);
+		Rates recent = recent(rates, isSettling, nowNanos);
+		this.meanLateShare = rates.lateShare();
+		this.lateShare = this.closed ? recent.lateShare() : this.meanLateShare;
+		boolean isLate = !isSettling && this.lateShare > LATE_SHARE && late >= MIN_LATE_PER_SECOND;
+		this.highestBegun = Math.max(isSettling ? 0 : begun,
+				this.highestBegun * (1 - smoothing(elapsedNanos, HIGHEST_BEGUN_NANOS)));
 		if (this.closed) {
-			follow(begun, isLate, elapsedNanos);
+			if (isSettling) {
+				this.fullRate = Math.max(this.fullRate, this.knownRate);
+			}
+			else {
+				follow(begun, isLate, elapsedNanos);
+			}
 			this.wasLate = isLate;
+			moveLimit(isLate, elapsedNanos);
 			openIfDemandIsLow(isLate, nowNanos);
 		}
 		else if (isLate && isOverloadLikely()) {
 			this.closed = true;
 			this.belowLimit = false;
-			this.knownRate = (this.highestBegun > 0) ? this.highestBegun : 1;
+			// The mean of the rate at which a full fleet begins requests lags behind.
+			double highest = Math.max(this.highestBegun, Math.min(1, recent.begun()));
+			this.knownRate = (highest > 0) ? highest : 1;
 			this.fullRate = Math.max(MIN_LIMIT, this.knownRate);
 			this.wasLate = true;
 			this.limit = Math.max(MIN_LIMIT, drainFactor() * this.fullRate);
@@ -161,6 +193,24 @@
 		this.shares = this.closed ? AdmissionShares.of(loads, admitted, this.minShare) : AdmissionShares.all();
 	}
 
+	// The rates are means that decay. What remains of earlier ones says nothing of queues
+	// that have become empty since then.
+	private Rates recent(Rates current, boolean isSettling, long nowNanos) {
+		if (isSettling) {
+			this.samples.clear();
+		}
+		this.samples.addLast(new Sample(nowNanos, current));
+		while (this.samples.size() > 2 && nowNanos - List.copyOf(this.samples).get(1).nanos() >= RECENT_NANOS) {
+			this.samples.removeFirst();
+		}
+		Sample earlier = this.samples.getFirst();
+		if (this.samples.size() == 1) {
+			return current;
+		}
+		return current.since(earlier.rates(),
+				1 - smoothing(nowNanos - earlier.nanos(), DemandMeter.OUTCOME_WINDOW_NANOS));
+	}
+
 	private boolean isOverloadLikely() {
 		return this.demand >= MIN_UTILISATION
 				|| (this.lateShare > CERTAIN_LATE_SHARE && this.demand >= CERTAIN_MIN_UTILISATION);
@@ -181,6 +231,9 @@
 			this.fullRate += smoothing(elapsedNanos, TREND_NANOS) * Math.max(0, begun - this.fullRate);
 		}
 		this.fullRate = Math.max(MIN_LIMIT, this.fullRate);
+	}
+
+	private void moveLimit(boolean isLate, double elapsedNanos) {
 		double target = (isLate ? drainFactor() : STEADY_FACTOR) * this.fullRate;
 		this.limit = Math.max(MIN_LIMIT, this.limit + smoothing(elapsedNanos, FOLLOW_NANOS) * (target - this.limit));
 	}
@@ -190,7 +243,7 @@
 	private double growthPerSecond() {
 		boolean isBelowKnownRate = this.fullRate < KNOWN_RATE_SHARE * this.knownRate;
 		boolean isRejecting = this.demand > this.limit;
-		return (isBelowKnownRate && isRejecting && this.lateShare <= FEW_LATE_SHARE) ? RECOVERY_PER_SECOND
+		return (isBelowKnownRate && isRejecting && this.meanLateShare <= FEW_LATE_SHARE) ? RECOVERY_PER_SECOND
 				: GROWTH_PER_SECOND;
 	}
 
@@ -230,9 +283,12 @@
 		return loads.values().stream().mapToDouble(value).sum();
 	}
 
-	/** Admits everything until the next update, because the capacity is not known. */
-	public void open() {
-		this.closed = false;
+	/**
+	 * Admits everything until the next update, because the capacity is not known. The
+	 * limit is kept, since an overload may last longer than a loss of all engines.
+	 */
+	public void suspend() {
+		this.isSuspended = true;
 		this.demand = 0;
 		this.lateShare = 0;
 		this.shares = AdmissionShares.all();
@@ -243,7 +299,7 @@
 	 * @return false while everything is admitted
 	 */
 	public boolean isClosed() {
-		return this.closed;
+		return this.closed && !this.isSuspended;
 	}
 
 	/**
@@ -263,7 +319,7 @@
 	 * @return a part of the estimated capacity; infinite while the threshold is open
 	 */
 	public double limit() {
-		return this.closed ? this.limit : Double.POSITIVE_INFINITY;
+		return isClosed() ? this.limit : Double.POSITIVE_INFINITY;
 	}
 
 	/**
@@ -282,4 +338,32 @@
 		return this.lateShare;
 	}
 
+	private record Sample(long nanos, Rates rates) {
+
+	}
+
+	/**
+	 * The rates of the whole fleet as decaying means.
+	 *
+	 * @param begun the requests that begin, as a part of the estimated capacity
+	 * @param late the late requests a second
+	 * @param outcomes all requests with an outcome a second
+	 */
+	private record Rates(double begun, double late, double outcomes) {
+
+		private Rates since(Rates earlier, double decay) {
+			return new Rates(since(this.begun, earlier.begun, decay), since(this.late, earlier.late, decay),
+					since(this.outcomes, earlier.outcomes, decay));
+		}
+
+		private static double since(double mean, double earlierMean, double decay) {
+			return (decay < 1) ? Math.max(0, (mean - decay * earlierMean) / (1 - decay)) : mean;
+		}
+
+		private double lateShare() {
+			return (this.outcomes > 0) ? Math.min(1, this.late / this.outcomes) : 0;
+		}
+
+	}
+
 }
--- a/router/src/main/java/org/burdocktray/request/overload/OverloadControl.java
+++ b/router/src/main/java/org/burdocktray/request/overload/OverloadControl.java
@@ -20,7 +20,9 @@
 import org.burdocktray.process.directory.Replica;
 import org.burdocktray.process.directory.ReplicaDirectory;
 import org.burdocktray.process.directory.ReplicaLoads;
+import org.burdocktray.process.overload.AdmissionShares;
 import org.burdocktray.process.overload.AdmissionThreshold;
+import org.burdocktray.process.overload.CapacityChanges;
 import org.burdocktray.process.overload.CapacityEstimate;
 import org.burdocktray.process.overload.CapacityEstimate.ExpectedResponse;
 import org.burdocktray.process.overload.OutputLengths;
@@ -156,6 +158,7 @@
 		state.estimate = service.engine()
 			.map((profile) -> CapacityEstimate.of(usable, this.loads, profile, state.maxGapMillis, nowNanos));
 		int slots = usable.stream().mapToInt(Replica::slots).sum();
+		state.capacity.update(referenceCapacity(service, state, slots), nowNanos);
 		SortedMap<Integer, PriorityLoad> loadsByPriority = new TreeMap<>();
 		int classes = 0;
 		for (Map.Entry<DemandClass, ClassLoad> entry : fleet.classes().entrySet()) {
@@ -170,10 +173,10 @@
 		}
 		if (classes > 0 && loadsByPriority.isEmpty()) {
 			// Without a known capacity the demand cannot be judged.
-			state.threshold.open();
+			state.threshold.suspend();
 		}
 		else {
-			state.threshold.update(loadsByPriority, nowNanos);
+			state.threshold.update(loadsByPriority, state.capacity.isSettling(), nowNanos);
 		}
 		loadsByPriority.keySet()
 			.forEach((priority) -> this.fairness.update(new DemandClass(service.name(), priority),
@@ -181,6 +184,14 @@
 		report(service.name(), state, nowNanos);
 	}
 
+	// The sizes of requests and the response times change also while nothing is lost.
+	private static double referenceCapacity(ServiceRule service, ServiceState state, int slots) {
+		return state.estimate
+			.map((estimate) -> estimate.requestsPerSecond(service.engine().orElseThrow().typicalPromptTokens(),
+					service.engine().orElseThrow().typicalOutputTokens()))
+			.orElse((double) slots);
+	}
+
 	private double capacityPerSecond(ServiceRule service, ServiceState state, ClassLoad load, int slots) {
 		if (state.estimate.isEmpty()) {
 			return this.serviceTimes.requestsPerSecond(service.name(), slots);
@@ -283,15 +294,24 @@
 	}
 
 	/**
-	 * Returns the priority of requests at engines.
+	 * Returns the priority of requests at engines. Those of a priority of which only the
+	 * minimum share is admitted go with the most urgent priority that is rejected in
+	 * part.
 	 * @param service the name of their service
 	 * @param priority their priority
 	 * @return the priority at engines, empty for services to which the feature does not
 	 * apply
 	 */
 	public Optional<EnginePriority> enginePriority(String service, int priority) {
-		return this.services.containsKey(service)
-				? Optional.of(new EnginePriority(this.priorities.rank(service, priority))) : Optional.empty();
+		ServiceState state = this.services.get(service);
+		if (state == null) {
+			return Optional.empty();
+		}
+		AdmissionShares shares = state.threshold.shares();
+		// Otherwise engines that are full would serve nothing of what is admitted by the
+		// minimum share.
+		int served = shares.isAtMinimum(priority) ? shares.threshold().orElse(priority) : priority;
+		return Optional.of(new EnginePriority(this.priorities.rank(service, served)));
 	}
 
 	/**
@@ -304,6 +324,27 @@
 		return state != null && state.threshold.isClosed();
 	}
 
+	/**
+	 * Returns whether requests wait no longer than they can still be served in time.
+	 * @param service the name of their service
+	 * @return true while load is shed, and while capacity is lost
+	 */
+	boolean isWaitLimited(String service) {
+		ServiceState state = this.services.get(service);
+		return state != null && (state.threshold.isClosed() || state.capacity.isNone() || state.capacity.isSettling());
+	}
+
+	/**
+	 * Returns whether a late request tells of lost capacity instead of too much demand.
+	 * @param service the name of its service
+	 * @param startNanos the time at which it came
+	 * @return true if the capacity has changed since then or there is none
+	 */
+	boolean isLateByLoss(String service, long startNanos) {
+		ServiceState state = this.services.get(service);
+		return state != null && state.capacity.explainsLate(startNanos);
+	}
+
 	/**
 	 * Returns for how many output tokens memory is reserved.
 	 * @param service the name of the service
@@ -376,6 +417,8 @@
 
 		private final AdmissionThreshold threshold;
 
+		private final CapacityChanges capacity = new CapacityChanges();
+
 		private Optional<CapacityEstimate> estimate = Optional.empty();
 
 		private long maxGapMillis;
--- a/router/src/main/java/org/burdocktray/request/overload/RequestTracker.java
+++ b/router/src/main/java/org/burdocktray/request/overload/RequestTracker.java
@@ -140,7 +140,8 @@
 	 * send, when the work of an engine would be lost
 	 */
 	public OptionalLong maxWaitNanos() {
-		if (this.hasBeenSent || this.arrival.isInterrupted() || !this.control.isClosed(this.arrival.service().name())) {
+		if (this.hasBeenSent || this.arrival.isInterrupted()
+				|| !this.control.isWaitLimited(this.arrival.service().name())) {
 			return OptionalLong.empty();
 		}
 		double neededNanos = this.unqueuedMillis * NANOS_PER_MILLI;
@@ -154,7 +155,7 @@
 	 * rejected for load
 	 */
 	public OptionalDouble retryAfterSeconds(long nowNanos) {
-		if (!this.control.isClosed(this.arrival.service().name())) {
+		if (!this.control.isWaitLimited(this.arrival.service().name())) {
 			return OptionalDouble.of(0);
 		}
 		return this.control.retryAfterSeconds(this.arrival, this.startNanos, nowNanos);
@@ -167,6 +168,9 @@
 	private void setOutcome(boolean isOnTime, long nowNanos) {
 		if (!this.hasOutcome) {
 			this.hasOutcome = true;
+			if (!isOnTime && this.control.isLateByLoss(this.arrival.service().name(), this.startNanos)) {
+				return;
+			}
 			this.control.recordOutcome(this.arrival, isOnTime, nowNanos);
 		}
 	}
--- a/router/src/test/java/org/burdocktray/process/overload/AdmissionThresholdTests.java
+++ b/router/src/test/java/org/burdocktray/process/overload/AdmissionThresholdTests.java
@@ -53,7 +53,7 @@
 		TreeMap<Integer, PriorityLoad> loads = new TreeMap<>();
 		loads.put(0, new PriorityLoad(DEMAND, begun, 100 * begun, latePerSecond));
 		this.nowNanos += STEP_NANOS;
-		this.threshold.update(loads, this.nowNanos);
+		this.threshold.update(loads, false, this.nowNanos);
 	}
 
 }
--- a/router/src/test/java/org/burdocktray/request/overload/OverloadFleetTests.java
+++ b/router/src/test/java/org/burdocktray/request/overload/OverloadFleetTests.java
@@ -1,5 +1,7 @@
 package org.burdocktray.request.overload;
 
+import java.util.List;
+
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -93,6 +95,45 @@
 		assertThat(load.usefulRate(10, 14)).isGreaterThanOrEqualTo(MIN_USEFUL);
 	}
 
+	/**
+	 * Guards against rejections in vain where groups of engines are lost and come back
+	 * every few seconds, so that none or half of the paths are left meanwhile.
+	 */
+	@ParameterizedTest
+	@CsvSource({ "3, 0.6, 0", "30, 0.6, 2", "30, 0.75, 0", "30, 0.75, 2", "95, 0.75, 0", "9, 0.9, 0", "30, 0.9, 2",
+			"95, 0.9, 2" })
+	void lossAndReturnOfGroupsOfEngines(int vmCount, double demand, int pathsLeft) {
+		SimulatedLoad load = new SimulatedLoad(vmCount, 12);
+		SimulatedLoad before = new SimulatedLoad(vmCount, 12);
+		before.isShedding = false;
+		for (SimulatedLoad each : List.of(load, before)) {
+			for (int group = 0; group < 4; group++) {
+				run(each, 4, 0.3 * demand, 0.3 * demand, 0.4 * demand);
+				runBurst(each, 2, demand, group);
+				each.usePaths(pathsLeft);
+				runBurst(each, 2, demand, group);
+				each.usePaths(4);
+			}
+		}
+		assertThat(load.usefulCount()).isGreaterThanOrEqualTo((long) (MIN_USEFUL * load.servableCount()))
+			.isGreaterThanOrEqualTo(before.usefulCount());
+	}
+
+	private static void runBurst(SimulatedLoad load, double seconds, double demand, int index) {
+		boolean isLeastUrgent = index % 2 == 0;
+		run(load, seconds, (isLeastUrgent ? 1 : 1.7) * 0.3 * demand, 0.3 * demand,
+				(isLeastUrgent ? 2.5 : 1) * 0.4 * demand);
+	}
+
+	/** Guards against engines that starve what is admitted by the minimum share. */
+	@ParameterizedTest
+	@CsvSource({ "9, 1.5", "30, 3" })
+	void floorOfTheLeastUrgentIsServed(int vmCount, double demand) {
+		SimulatedLoad load = new SimulatedLoad(vmCount, 13);
+		run(load, 20, demand / 2, demand / 4, demand / 4);
+		assertThat(load.usefulShare(2, SETTLING_SECONDS, END_SECONDS)).isGreaterThanOrEqualTo(MIN_USEFUL * 0.05);
+	}
+
 	@Test
 	void herdOfReturningCallersIsHeldBack() {
 		SimulatedLoad load = new SimulatedLoad(30, 5);
--- a/router/src/test/java/org/burdocktray/request/overload/SimulatedLoad.java
+++ b/router/src/test/java/org/burdocktray/request/overload/SimulatedLoad.java
@@ -61,6 +61,11 @@
 
 	private static final ServiceRule SERVICE = new ServiceRule("s", "/health", 8, Optional.of(TestReplicas.PROFILE));
 
+	private static final int PATHS = 4;
+
+	/** How long VMs send to engines that have crashed. */
+	private static final long DETECTION_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
 	static final double ESTIMATED_RATE = estimatedRate(PROMPT_TOKENS);
 
 	private final SplittableRandom random;
@@ -70,7 +75,9 @@
 	private final Deque<DemandReport> sums = new ArrayDeque<>();
 
 	private final PriorityQueue<Request> queue = new PriorityQueue<>(
-			Comparator.comparingInt((Request request) -> request.engineOrder).thenComparingLong(Request::startNanos));
+			Comparator.comparingInt((Request request) -> request.engineOrder)
+				.thenComparing((Request request) -> request.isLateAgain)
+				.thenComparingLong(Request::startNanos));
 
 	private final PriorityQueue<Request> returns = new PriorityQueue<>(
 			Comparator.comparingLong((Request request) -> request.returnNanos));
@@ -110,6 +117,18 @@
 
 	private double readable;
 
+	private int paths = PATHS;
+
+	private int knownPaths = PATHS;
+
+	private long lossNanos;
+
+	/** Requests at engines that have crashed, until that is detected. */
+	private final List<Request> stalled = new ArrayList<>();
+
+	/** The work that engines could do in each step. */
+	private final List<Double> capacities = new ArrayList<>();
+
 	final List<Request> requests = new ArrayList<>();
 
 	SimulatedLoad(int vmCount, long seed) {
@@ -138,6 +157,32 @@
 		this.vms.set(0, new Vm(this.vms.size()));
 	}
 
+	/**
+	 * Loses engines that hold the first layers, or takes them back. A loss is detected
+	 * late, a return at once.
+	 * @param count the number of paths that hold all layers
+	 */
+	void usePaths(int count) {
+		this.paths = count;
+		this.lossNanos = this.nowNanos;
+		if (count >= this.knownPaths) {
+			detectPaths();
+		}
+	}
+
+	private void detectPaths() {
+		this.knownPaths = this.paths;
+		List<Replica> usable = IntStream.range(0, ENGINES.size())
+			.filter((index) -> index % 2 == 1 || index < 2 * this.paths)
+			.mapToObj(ENGINES::get)
+			.toList();
+		this.vms.forEach((vm) -> vm.directory.replaceAll(usable, this.nowNanos));
+		this.stalled.forEach((request) -> request.isLateAgain = this.nowNanos
+				- request.offeredNanos > TimeUnit.MILLISECONDS.toNanos(TARGET_MILLIS));
+		this.queue.addAll(this.stalled);
+		this.stalled.clear();
+	}
+
 	/**
 	 * Lets time pass.
 	 * @param seconds how long
@@ -156,6 +201,9 @@
 				this.repeats++;
 				offer(this.returns.poll());
 			}
+			if (this.knownPaths > this.paths && this.nowNanos - this.lossNanos >= DETECTION_NANOS) {
+				detectPaths();
+			}
 			serve();
 			if (this.nowNanos % TimeUnit.MILLISECONDS.toNanos(250) == 0) {
 				exchange();
@@ -194,7 +242,9 @@
 			return;
 		}
 		request.tracker = vm.control.track(arrival, this.nowNanos);
-		request.engineOrder = this.isShedding ? request.priority : 0;
+		EnginePriority unshed = new EnginePriority(request.priority);
+		request.engineOrder = this.isShedding
+				? vm.control.enginePriority("s", request.priority).orElse(unshed).value(false) : 0;
 		this.queue.add(request);
 	}
 
@@ -213,18 +263,31 @@
 	}
 
 	private void serve() {
-		this.readable = Math.min(this.readable + this.realRate * STEP_NANOS / 1e9,
-				2 + 2 * this.realRate * STEP_NANOS / 1e9);
+		double work = this.realRate * STEP_NANOS / 1e9;
+		this.capacities.add(work * this.paths / PATHS);
+		// Until a loss is detected, engines that have crashed are sent their share.
+		this.readable = Math.min(this.readable + work * this.knownPaths / PATHS, 2 + 2 * work);
 		this.queue.removeIf((request) -> this.nowNanos - request.startNanos > CALLER_TIMEOUT_NANOS);
 		this.queue.stream().filter(this::hasWaitedTooLong).toList().forEach(this::giveUp);
 		while (this.readable >= 1 && !this.queue.isEmpty()) {
 			this.readable--;
 			Request request = this.queue.poll();
+			if (this.paths < this.knownPaths && this.random.nextInt(this.knownPaths) >= this.paths) {
+				request.tracker.ifPresent(RequestTracker::recordSend);
+				this.stalled.add(request);
+				continue;
+			}
 			request.isUseful = this.nowNanos - request.offeredNanos <= TimeUnit.MILLISECONDS.toNanos(TARGET_MILLIS);
 			request.isServed = true;
 			request.tracker.ifPresent((tracker) -> tracker.recordFirstEvent(this.nowNanos));
 		}
-		this.queue.forEach((request) -> request.tracker.ifPresent((tracker) -> tracker.check(this.nowNanos)));
+		Stream.concat(this.queue.stream(), this.stalled.stream())
+			.flatMap((request) -> request.tracker.stream())
+			.forEach((tracker) -> tracker.check(this.nowNanos));
+		if (this.knownPaths == 0) {
+			this.queue
+				.forEach((request) -> request.tracker.ifPresent((tracker) -> tracker.recordBlocked(this.nowNanos)));
+		}
 	}
 
 	private boolean hasWaitedTooLong(Request request) {
@@ -300,6 +363,36 @@
 				/ ((toSeconds - fromSeconds) * this.realRate);
 	}
 
+	long usefulCount() {
+		return this.requests.stream().filter((request) -> request.isUseful).count();
+	}
+
+	/**
+	 * Returns how many requests could be served in time if it were known on arrival which
+	 * of them can be.
+	 * @return the number
+	 */
+	long servableCount() {
+		Deque<Request> waiting = new ArrayDeque<>();
+		int next = 0;
+		long count = 0;
+		double work = 0;
+		for (int step = 0; step < this.capacities.size(); step++) {
+			long stepNanos = (step + 1) * STEP_NANOS;
+			while (next < this.requests.size() && this.requests.get(next).startNanos <= stepNanos) {
+				waiting.add(this.requests.get(next++));
+			}
+			waiting
+				.removeIf((request) -> stepNanos - request.startNanos > TimeUnit.MILLISECONDS.toNanos(TARGET_MILLIS));
+			work = Math.min(work + this.capacities.get(step), 2 + 2 * this.capacities.get(step));
+			for (; work >= 1 && !waiting.isEmpty(); work--) {
+				waiting.poll();
+				count++;
+			}
+		}
+		return count;
+	}
+
 	private Stream<Request> arrived(double fromSeconds, double toSeconds) {
 		return this.requests.stream()
 			.filter((request) -> request.startNanos >= 1e9 * fromSeconds && request.startNanos < 1e9 * toSeconds);
@@ -333,18 +426,19 @@
 
 		private final DemandMeter meter = new DemandMeter();
 
+		private final ReplicaDirectory directory = new ReplicaDirectory(0);
+
 		private final OverloadControl control;
 
 		private Vm(int vmCount) {
-			ReplicaDirectory directory = new ReplicaDirectory(0);
-			directory.replaceAll(ENGINES, 0);
+			this.directory.replaceAll(ENGINES, 0);
 			FleetDemand demand = (nowNanos) -> {
 				DemandReport total = (SimulatedLoad.this.reportsAreLost || SimulatedLoad.this.sums.isEmpty())
 						? this.meter.report(nowNanos).times(vmCount) : SimulatedLoad.this.sums.peekFirst();
 				return List.of(new DataCentreDemand(new DataCentre("ghent"), vmCount, total, nowNanos));
 			};
 			this.control = new OverloadControl(new OverloadOptions(Activation.AUTO, 0.05), this.meter, demand,
-					directory, new ReplicaLoads(), SimulatedLoad.this.random.split(), SimulatedLoad.this);
+					this.directory, new ReplicaLoads(), SimulatedLoad.this.random.split(), SimulatedLoad.this);
 		}
 
 	}
@@ -372,6 +466,9 @@
 
 		private boolean isServed;
 
+		/** Whether it came back late from an engine that has crashed. */
+		private boolean isLateAgain;
+
 		private boolean isUseful;
 
 		private Optional<RequestTracker> tracker = Optional.empty();
