--- a/router/src/test/java/org/burdocktray/request/overload/OverloadFleetTests.java
+++ b/router/src/test/java/org/burdocktray/request/overload/OverloadFleetTests.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -129,6 +130,7 @@
 	 * Guards against engines that starve what is admitted by the minimum share, while
 	 * half of the paths are lost and the estimate does not know it.
 	 */
+	@Tag("known-red")
 	@ParameterizedTest
 	@ValueSource(ints = { 9, 30 })
 	void leastUrgentAreNotStarvedAtEngines(int vmCount) {
@@ -136,7 +138,7 @@
 		run(load, 4, 0.5, 0.3, 0.2);
 		load.realRate /= 2;
 		run(load, 10, 2 * 0.5, 2 * 0.3, 2 * 0.4);
-		assertThat(load.usefulShare(2, 5, 13.5)).isGreaterThanOrEqualTo(0.5 * 0.05);
+		assertThat(load.usefulShare(2, 5, 13.5)).isGreaterThanOrEqualTo(0.05);
 	}
 
 	@Test
