--- a/router/src/test/java/org/burdocktray/process/serve/gateway/WatchFleet.java
+++ b/router/src/test/java/org/burdocktray/process/serve/gateway/WatchFleet.java
@@ -301,8 +301,11 @@
 
 		/** Runs an action on this VM, later if it is frozen, never if it has ended. */
 		private void schedule(long delayMillis, Runnable action) {
-			int current = this.incarnation;
-			WatchFleet.this.time.schedule(delayMillis, () -> runIfAlive(current, action));
+			schedule(this.incarnation, delayMillis, action);
+		}
+
+		private void schedule(int scheduledBy, long delayMillis, Runnable action) {
+			WatchFleet.this.time.schedule(delayMillis, () -> runIfAlive(scheduledBy, action));
 		}
 
 		private void runIfAlive(int scheduledBy, Runnable action) {
@@ -335,6 +338,8 @@
 
 		private <T> Single<Either<StoreError, T>> call(long timeoutMillis,
 				Consumer<Consumer<Either<StoreError, T>>> sending) {
+			// An answer must not reach a VM that has ended since.
+			int caller = this.incarnation;
 			return Single.create((emitter) -> {
 				schedule(timeoutMillis, () -> emitter.onSuccess(Either.left(StoreError.UNRESOLVED)));
 				if (this.storeCutOff) {
@@ -343,7 +348,7 @@
 				}
 				WatchFleet.this.time.schedule(LINK_MILLIS, () -> sending.accept((result) -> {
 					if (!this.storeCutOff) {
-						schedule(LINK_MILLIS, () -> emitter.onSuccess(result));
+						schedule(caller, LINK_MILLIS, () -> emitter.onSuccess(result));
 					}
 				}));
 			});
@@ -352,6 +357,7 @@
 		private void ask(NetworkAddress watcher, WatchRequest request, long timeoutMillis,
 				Consumer<Optional<WatchAnswer>> onEnd) {
 			Vm receiver = WatchFleet.this.vms.get(watcher.port() - 1);
+			int caller = this.incarnation;
 			Single.<Optional<WatchAnswer>>create((emitter) -> {
 				schedule(timeoutMillis, () -> emitter.onSuccess(Optional.empty()));
 				WatchFleet.this.messageBytes += request.getSerializedSize() + HEAD_BYTES;
@@ -366,7 +372,7 @@
 				receiver.schedule(LINK_MILLIS, () -> receiver.sharing.answers().handle(request, (answer) -> {
 					WatchFleet.this.messageBytes += answer.getSerializedSize() + HEAD_BYTES;
 					WatchAnswer sent = WatchFleet.this.answerFault.apply(answer);
-					schedule(LINK_MILLIS, () -> emitter.onSuccess(Optional.of(sent)));
+					schedule(caller, LINK_MILLIS, () -> emitter.onSuccess(Optional.of(sent)));
 				}));
 			}).subscribe(onEnd::accept);
 		}
--- a/router/src/test/java/org/burdocktray/process/watch/WatchSourcesTests.java
+++ b/router/src/test/java/org/burdocktray/process/watch/WatchSourcesTests.java
@@ -1,8 +1,10 @@
 package org.burdocktray.process.watch;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 
@@ -37,6 +39,60 @@
 		assertThat(next.orElseThrow().source().isStore()).isFalse();
 	}
 
+	/**
+	 * Guards against a follower that stays at the store since VMs that have stopped, and
+	 * stay registered, take the places of watchers.
+	 */
+	@ParameterizedTest
+	@ValueSource(longs = { 1, 2, 3, 4 })
+	void stoppedVmsDoNotKeepAFollowerAtTheStore(long seed) {
+		List<WatchVm> vms = vms(64);
+		List<WatchVm> ranked = new WatcherRanking(vms, OPTIONS).ranked();
+		Set<WatchVm> stopped = new HashSet<>(ranked.subList(0, 16));
+		WatchSources sources = sources(vms, ranked.get(63).name(), seed);
+		long storeCalls = 0;
+		for (long second = 0; second < 3_600; second++) {
+			boolean isAtStore = callEndsAtStore(sources, stopped, TimeUnit.SECONDS.toNanos(second));
+			storeCalls += (isAtStore && second >= 1_800) ? 1 : 0;
+		}
+		assertThat(storeCalls).isLessThanOrEqualTo(180);
+	}
+
+	/** Guards against a watcher that is forgotten after it was lost for long. */
+	@ParameterizedTest
+	@ValueSource(longs = { 1, 2, 3, 4 })
+	void watcherThatReturnsIsAskedAgain(long seed) {
+		List<WatchVm> vms = vms(64);
+		List<WatchVm> ranked = new WatcherRanking(vms, OPTIONS).ranked();
+		Set<WatchVm> stopped = new HashSet<>(ranked.subList(0, 2));
+		WatchSources sources = sources(vms, ranked.get(63).name(), seed);
+		for (long second = 0; second < 1_800; second++) {
+			callEndsAtStore(sources, stopped, TimeUnit.SECONDS.toNanos(second));
+		}
+		for (long second = 1_800; second < 2_500; second++) {
+			callEndsAtStore(sources, Set.of(), TimeUnit.SECONDS.toNanos(second));
+		}
+		WatchSource source = sources.next(List.of(), TimeUnit.SECONDS.toNanos(2_500)).orElseThrow().source();
+		assertThat(ranked.subList(0, 2)).contains(source.watcher().orElseThrow());
+	}
+
+	private static boolean callEndsAtStore(WatchSources sources, Set<WatchVm> stopped, long nowNanos) {
+		List<WatchSource> tried = new ArrayList<>();
+		while (true) {
+			WatchSource source = sources.next(tried, nowNanos).orElseThrow().source();
+			tried.add(source);
+			if (source.watcher().filter(stopped::contains).isPresent()) {
+				sources.recordFailure(source, nowNanos);
+				continue;
+			}
+			sources.recordAnswer(source, nowNanos);
+			if (source.isStore() && tried.size() > 1) {
+				sources.recordFallback(nowNanos);
+			}
+			return source.isStore();
+		}
+	}
+
 	private static WatchSources sources(List<WatchVm> vms, String ownName, long seed) {
 		WatchSources sources = new WatchSources(OPTIONS, ownName, LOCAL, new SplittableRandom(seed));
 		sources.setVms(vms);
