Watch: a listing asked for in an outage is made after it

A request for a listing that came while the watcher had lost the store waited to its end if the store's next answer held changes alone, since only the request itself started a listing. The next changes of the store start the listing that waiting requests need, once.

--- a/router/src/main/java/org/burdocktray/process/watch/FollowerAnswers.java
+++ b/router/src/main/java/org/burdocktray/process/watch/FollowerAnswers.java
@@ -230,6 +230,18 @@
 	void recordChanges(String kind, long afterRevision, ObjectChanges changes, Timestamp confirmedAt) {
 		this.logs.get(kind).recordChanges(afterRevision, changes, confirmedAt);
 		resolve(kind);
+		listForWaiting(kind);
+	}
+
+	// Requests that came while the store was lost may need more than these changes.
+	private void listForWaiting(String kind) {
+		ChangeLog log = this.logs.get(kind);
+		boolean isNeeded = this.waiting.stream()
+			.map(Waiting::request)
+			.anyMatch((request) -> request.getKind().equals(kind) && needsListing(log, request));
+		if (isNeeded && this.sources.mayCallStore(this.clock.get().monotonicNanos()) && this.listings.add(kind)) {
+			this.lister.accept(kind);
+		}
 	}
 
 	/**
--- a/router/src/test/java/org/burdocktray/process/watch/FollowerAnswersTests.java
+++ b/router/src/test/java/org/burdocktray/process/watch/FollowerAnswersTests.java
@@ -30,11 +30,12 @@
 	private final FollowerAnswers answers = new FollowerAnswers(
 			new StoreSharing.Kinds(List.of(new WatchedKind(KIND, 1_000, false)), List.of()), this.sources, () -> NOW,
 			(delayMillis, action) -> {
-			}, (kind) -> {
-			}, new SilentListener());
+			}, this::countListing, new SilentListener());
 
 	private final List<WatchAnswer.Status> statuses = new ArrayList<>();
 
+	private int listings;
+
 	@Test
 	void requestWaitsForTheStoreWhileTheLogIsRecent() {
 		this.sources.setVms(List.of(new WatchVm("vm-0", new DataCentre("dc-0"), new NetworkAddress("10.0.0.1", 1), 1)));
@@ -49,6 +50,27 @@
 		assertThat(this.statuses).hasSize(2).containsOnly(WatchAnswer.Status.STATUS_STORE_UNAVAILABLE);
 	}
 
+	/**
+	 * Guards against a request that waits in vain, since it came while the store was lost
+	 * and the store's next answer holds changes alone.
+	 */
+	@Test
+	void listingAskedForInAnOutageIsMadeAfterIt() {
+		this.sources.setVms(List.of(new WatchVm("vm-0", new DataCentre("dc-0"), new NetworkAddress("10.0.0.1", 1), 1)));
+		this.sources.setKeyKnown(true);
+		this.answers.recordFailure(KIND);
+		ask(1_000, false);
+		assertThat(this.listings).isZero();
+		this.answers.recordChanges(KIND, 7, new ObjectChanges(List.of(), 7), NOW);
+		this.answers.recordChanges(KIND, 7, new ObjectChanges(List.of(), 7), NOW);
+		assertThat(this.listings).isEqualTo(1);
+		assertThat(this.statuses).isEmpty();
+	}
+
+	private void countListing(String kind) {
+		this.listings++;
+	}
+
 	private void ask(int maxAgeMillis, boolean isAtOnce) {
 		WatchRequest request = WatchRequest.newBuilder()
 			.setKind(KIND)
