Watch: VMs that have stopped take no place of a watcher

Stopped VMs stay registered.

Only VMs that have not failed, or have answered since, take places; the others are retried beside them, one in 0.5 to 1 s a VM, as the first source of a call.

--- a/router/src/main/java/org/burdocktray/process/watch/WatchSources.java
+++ b/router/src/main/java/org/burdocktray/process/watch/WatchSources.java
@@ -21,8 +21,9 @@
  * Selects where this VM gets objects of the store from: a watcher of its data centre, one
  * of another data centre, or the store itself. Invariants: a VM that watches, or that
  * others ask, prefers the store; calls that a VM makes to the store because its watchers
- * fail are spread in time; a watcher that fails is left out for a while, so that the next
- * one of the ranking takes its place. Thread safety: none, confined to one event loop.
+ * fail are spread in time; a watcher that has failed takes no place until it answers
+ * again, so that the next one of the ranking is asked; it is retried beside the others,
+ * by one call at a time. Thread safety: none, confined to one event loop.
  */
 public final class WatchSources {
 
@@ -48,6 +49,9 @@
 
 	private static final int MAX_LOCAL_WATCHERS_TRIED = 2;
 
+	/** The time between two retries of watchers of this VM, half of it at least. */
+	private static final long RETRY_MILLIS = 1_000;
+
 	/** The part of a second that one VM adds to the delay of calls to the store. */
 	private static final long SPREAD_MILLIS_PER_VM = 5;
 
@@ -80,6 +84,11 @@
 
 	private final Map<String, Long> demotedUntilNanos = new HashMap<>();
 
+	/** The watcher that was retried last, beside those that have not failed. */
+	private Optional<WatchVm> retried = Optional.empty();
+
+	private Optional<Long> nextRetryNanos = Optional.empty();
+
 	private Map<DataCentre, WatcherRanking> rankings = Map.of();
 
 	private int vmCount;
@@ -218,8 +227,15 @@
 		if (!triedVms.isEmpty() && this.watcherSearches.hasFailed() && this.storeFailures.isOver(nowNanos)) {
 			return Optional.empty();
 		}
-		long triedLocally = triedVms.stream().filter((vm) -> vm.dataCentre().equals(this.localDataCentre)).count();
-		boolean isRemoteTried = triedLocally < triedVms.size();
+		Optional<WatchVm> retry = triedVms.isEmpty() ? nextRetry(nowNanos) : Optional.empty();
+		if (retry.isPresent()) {
+			return retry.map(WatchSource::of);
+		}
+		boolean isRemoteTried = triedVms.stream().anyMatch((vm) -> !vm.dataCentre().equals(this.localDataCentre));
+		long triedLocally = triedVms.stream()
+			.filter((vm) -> vm.dataCentre().equals(this.localDataCentre))
+			.filter((vm) -> this.retried.filter(vm::equals).isEmpty())
+			.count();
 		List<WatchVm> candidates = new ArrayList<>();
 		if (triedLocally < MAX_LOCAL_WATCHERS_TRIED) {
 			candidates.addAll(untried(this.localDataCentre, triedVms, nowNanos));
@@ -243,26 +259,61 @@
 	// Each VM prefers another watcher; when one is lost, its followers spread over the
 	// others.
 	private List<WatchVm> untried(DataCentre dataCentre, Set<WatchVm> tried, long nowNanos) {
-		List<WatchVm> open = watchersOf(dataCentre, nowNanos).stream()
+		List<WatchVm> open = candidatesOf(dataCentre, nowNanos).stream()
 			.filter((vm) -> !isOwn(vm) && !tried.contains(vm))
 			.toList();
 		return RendezvousHash.ranked(this.ownName, open, WatchVm::name);
 	}
 
-	// The first VMs of the ranking that have not failed of late.
-	private List<WatchVm> watchersOf(DataCentre dataCentre, long nowNanos) {
+	// The first VMs of the ranking that have answered or were not tried; where they are
+	// too few, those that have failed least and whose backoff has passed.
+	private List<WatchVm> candidatesOf(DataCentre dataCentre, long nowNanos) {
 		WatcherRanking ranking = this.rankings.get(dataCentre);
-		List<WatchVm> watchers = new ArrayList<>();
-		for (WatchVm vm : ranking.ranked()) {
-			if (watchers.size() == ranking.watcherCount()) {
-				break;
-			}
-			Failures failures = this.watcherFailures.get(vm.name());
-			if (failures == null || failures.isOver(nowNanos)) {
-				watchers.add(vm);
-			}
+		return ranking.ranked()
+			.stream()
+			.filter((vm) -> !isInBackoff(vm, nowNanos))
+			.sorted(Comparator.comparingInt(this::failureCount))
+			.limit(ranking.watcherCount())
+			.toList();
+	}
+
+	// A watcher that has failed and would have a place. Without such retries, VMs would
+	// stay with the watchers that have replaced it, and it would watch in vain.
+	private Optional<WatchVm> nextRetry(long nowNanos) {
+		boolean isDue = this.nextRetryNanos.filter((due) -> nowNanos - due < 0).isEmpty();
+		if (!isDue || this.watcherSearches.hasFailed()) {
+			return Optional.empty();
 		}
-		return watchers;
+		List<WatchVm> candidates = candidatesOf(this.localDataCentre, nowNanos);
+		Optional<WatchVm> retry = watchersOf(this.localDataCentre, nowNanos).stream()
+			.filter((vm) -> !isOwn(vm) && failureCount(vm) > 0 && !candidates.contains(vm))
+			.findFirst();
+		retry.ifPresent((vm) -> {
+			this.retried = retry;
+			long delayMillis = RETRY_MILLIS / 2 + this.random.nextLong(RETRY_MILLIS / 2 + 1);
+			this.nextRetryNanos = Optional.of(nowNanos + TimeUnit.MILLISECONDS.toNanos(delayMillis));
+		});
+		return retry;
+	}
+
+	private int failureCount(WatchVm vm) {
+		Failures failures = this.watcherFailures.get(vm.name());
+		return (failures != null) ? failures.count() : 0;
+	}
+
+	private boolean isInBackoff(WatchVm vm, long nowNanos) {
+		Failures failures = this.watcherFailures.get(vm.name());
+		return failures != null && !failures.isOver(nowNanos);
+	}
+
+	// The first VMs of the ranking whose backoff has passed, also those to be retried.
+	private List<WatchVm> watchersOf(DataCentre dataCentre, long nowNanos) {
+		WatcherRanking ranking = this.rankings.get(dataCentre);
+		return ranking.ranked()
+			.stream()
+			.filter((vm) -> !isInBackoff(vm, nowNanos))
+			.limit(ranking.watcherCount())
+			.toList();
 	}
 
 	private boolean isDemoted(WatchVm vm, long nowNanos) {
@@ -443,6 +494,10 @@
 			return this.count > 0;
 		}
 
+		private int count() {
+			return this.count;
+		}
+
 		private void add(long nowNanos, long minMillis, long maxMillis, RandomGenerator random) {
 			long ceilingMillis = Math.min(maxMillis, minMillis << Math.min(MAX_DOUBLINGS, this.count));
 			this.count++;
--- a/router/src/test/java/org/burdocktray/process/serve/gateway/WatchFleetTests.java
+++ b/router/src/test/java/org/burdocktray/process/serve/gateway/WatchFleetTests.java
@@ -1,5 +1,6 @@
 package org.burdocktray.process.serve.gateway;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
 
@@ -207,6 +208,38 @@
 		assertThat(fleet.violations).isEmpty();
 	}
 
+	/**
+	 * Guards against followers that stay at the store since stopped VMs, which stay
+	 * registered, take the places of watchers. A third of the names of a data centre are
+	 * stopped, the first of the ranking among them.
+	 */
+	@ParameterizedTest
+	@ValueSource(longs = { 1, 2 })
+	void stoppedVmsTakeNoPlaceOfAWatcher(long seed) {
+		WatchFleet fleet = started(64, ON, seed);
+		List<WatchFleet.Vm> stopped = new ArrayList<>();
+		while (stopped.size() < 16) {
+			WatchFleet.Vm watcher = fleet.watchers()
+				.stream()
+				.filter((vm) -> Integer.parseInt(vm.name.substring(3)) % 3 == 0)
+				.findFirst()
+				.orElse(fleet.vms.get(3 * stopped.size()));
+			watcher.kill();
+			stopped.add(watcher);
+			fleet.time.run(3_000);
+		}
+		fleet.time.run(600_000);
+		long calls = callsOf(fleet, MINUTE_MILLIS);
+		fleet.withdrawKey();
+		fleet.changeReplica();
+		fleet.time.run(6_000);
+		assertThat(calls).isLessThanOrEqualTo(2 * callsOf(started(64, ON, seed), MINUTE_MILLIS));
+		stopped.forEach(WatchFleet.Vm::start);
+		fleet.time.run(900_000);
+		assertThat(fleet.watchers()).hasSizeLessThanOrEqualTo(9);
+		assertThat(fleet.violations).isEmpty();
+	}
+
 	@Test
 	void halfOfTheFleetMayBeOlder() {
 		WatchFleet fleet = new WatchFleet(48, ON, 6);
