Placement lease: with shared watches, VMs beyond the first 16 read it once a minute

Every VM beyond the first four by name read the lease each 15 s, so reads grew with the fleet. With the section watch and at least minVmCount VMs, those beyond the first 16 read it each 60 s; they take over only when the first 16 are lost, within 126 s in the test (30 s and the time of the lease before).

--- a/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayServer.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayServer.java
@@ -38,6 +38,7 @@
 import org.burdocktray.process.limits.FleetRetryBudget;
 import org.burdocktray.process.limits.RelayLimit;
 import org.burdocktray.process.limits.ReplicaLimits;
+import org.burdocktray.process.order.LeasePolling;
 import org.burdocktray.process.overload.AdmissionThreshold;
 import org.burdocktray.process.quarantine.Quarantine;
 import org.burdocktray.process.quarantine.QuarantineSettings;
@@ -263,7 +264,10 @@
 		BodyMemory bodyMemory = BodyMemory.ofHeap();
 		GatewayRequestHandler requestHandler = new GatewayRequestHandler(context, this.requestsInProgress,
 				this.rulesPollInterval, bodyMemory, this.gracefulStop::isStopping, this.gracefulStop::isRejecting);
-		PlacementLease placementLease = new PlacementLease(this.adapter.store(), this.settings.vmName());
+		PlacementLease placementLease = new PlacementLease(this.adapter.store(), this.settings.vmName(),
+				new LeasePolling(this.options.watch()
+					.map((watch) -> OptionalInt.of(watch.minVmCount()))
+					.orElseGet(OptionalInt::empty)));
 		PlacementLoop placementLoop = new PlacementLoop(this.rules, this.directory, engineControl, placementLease,
 				(service) -> routes.filter((fleetRoutes) -> fleetRoutes.isActive(service)).isPresent(), this.metrics);
 		RelayReceiver relayReceiver = new RelayReceiver(this.relayKey, relayLimit, reach, datagrams, requestHandler,
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/PlacementLease.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/PlacementLease.java
@@ -6,6 +6,7 @@
 
 import org.burdocktray.connection.platform.PlatformStore;
 import org.burdocktray.process.order.LeaseLoop;
+import org.burdocktray.process.order.LeasePolling;
 import org.burdocktray.process.order.OrderSettings;
 
 /**
@@ -18,21 +19,18 @@
 
 	private static final String KEY = "burdocktray-leases/placement";
 
-	private static final int FREQUENT_POLLERS = 4;
-
-	private static final long FREQUENT_POLL_MILLIS = 2_000;
-
-	private static final long RARE_POLL_MILLIS = 15_000;
-
 	private final PlatformStore store;
 
 	private final String vmName;
 
+	private final LeasePolling polling;
+
 	private Optional<LeaseLoop> loop = Optional.empty();
 
-	PlacementLease(PlatformStore store, String vmName) {
+	PlacementLease(PlatformStore store, String vmName, LeasePolling polling) {
 		this.store = store;
 		this.vmName = vmName;
+		this.polling = polling;
 	}
 
 	/**
@@ -45,7 +43,7 @@
 			return;
 		}
 		long precedingVms = names.stream().filter((name) -> name.compareTo(this.vmName) < 0).count();
-		long pollMillis = (precedingVms < FREQUENT_POLLERS) ? FREQUENT_POLL_MILLIS : RARE_POLL_MILLIS;
+		long pollMillis = this.polling.pollMillis(precedingVms, names.size());
 		OrderSettings settings = new OrderSettings(4_500, 1_500, 2_000, pollMillis, 1_000, 1_000, 600_000);
 		String holder = this.vmName + "/" + System.currentTimeMillis();
 		this.loop = Optional.of(new LeaseLoop(this.store, KEY, holder, settings, System.nanoTime()));
--- /dev/null
+++ b/router/src/test/java/org/burdocktray/process/order/LeasePollingTests.java
@@ -0,0 +1,123 @@
+package org.burdocktray.process.order;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.concurrent.TimeUnit;
+
+import io.vavr.control.Either;
+import org.burdocktray.connection.platform.StoreError;
+import org.burdocktray.connection.platform.StoredObject;
+import org.jboss.logging.Logger;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against reads of the lease that grow with the fleet, and against a lease that
+ * nobody takes over when the VMs that read it often are lost. Load: a calm minute of all
+ * VMs.
+ */
+class LeasePollingTests {
+
+	private static final Logger LOGGER = Logger.getLogger(LeasePollingTests.class);
+
+	private static final long STEP_MILLIS = 50;
+
+	private static final LeasePolling SHARED = new LeasePolling(OptionalInt.of(16));
+
+	private static final LeasePolling UNSHARED = new LeasePolling(OptionalInt.empty());
+
+	private final List<LeaseKeeper> keepers = new ArrayList<>();
+
+	private Optional<StoredObject> stored = Optional.empty();
+
+	private long nowMillis;
+
+	private long calls;
+
+	@ParameterizedTest
+	@CsvSource({ "9, 170", "30, 200", "95, 270", "300, 480" })
+	void calmMinuteTakesFewReads(int vmCount, long maxCalls) {
+		long shared = callsOfAMinute(vmCount, SHARED);
+		long unshared = callsOfAMinute(vmCount, UNSHARED);
+		LOGGER.infof("Calls of the lease in a minute: vms=%d shared=%d unshared=%d", vmCount, shared, unshared);
+		assertThat(shared).isLessThanOrEqualTo(Math.min(maxCalls, unshared));
+	}
+
+	@Test
+	void leaseIsTakenOverWhenItsFrequentReadersAreLost() {
+		start(95, SHARED);
+		run(120_000);
+		this.keepers.subList(0, 4).clear();
+		run(36_000);
+		assertThat(this.keepers).anyMatch(this::holdsLease);
+	}
+
+	@Test
+	void leaseIsTakenOverByAnyVm() {
+		start(95, SHARED);
+		run(120_000);
+		this.keepers.subList(0, 16).clear();
+		run(126_000);
+		assertThat(this.keepers).anyMatch(this::holdsLease);
+	}
+
+	private long callsOfAMinute(int vmCount, LeasePolling polling) {
+		this.keepers.clear();
+		this.stored = Optional.empty();
+		start(vmCount, polling);
+		run(120_000);
+		long before = this.calls;
+		run(60_000);
+		return this.calls - before;
+	}
+
+	private void start(int vmCount, LeasePolling polling) {
+		for (int index = 0; index < vmCount; index++) {
+			OrderSettings settings = new OrderSettings(4_500, 1_500, 2_000, polling.pollMillis(index, vmCount), 1_000,
+					1_000, 600_000);
+			this.keepers.add(new LeaseKeeper("vm-" + index, settings, nanos() + index));
+			run(STEP_MILLIS);
+		}
+	}
+
+	private void run(long millis) {
+		for (long end = this.nowMillis + millis; this.nowMillis < end; this.nowMillis += STEP_MILLIS) {
+			for (LeaseKeeper keeper : this.keepers) {
+				keeper.nextCall(nanos()).ifPresent((action) -> call(keeper, action));
+			}
+		}
+	}
+
+	private void call(LeaseKeeper keeper, OrderAction action) {
+		this.calls++;
+		if (!(action instanceof OrderAction.WriteLease write)) {
+			keeper.onRead(this.stored, nanos());
+			return;
+		}
+		write(write).peek((object) -> keeper.onWritten(object, nanos()))
+			.peekLeft((error) -> keeper.onWriteFailed(error, nanos()));
+	}
+
+	private Either<StoreError, StoredObject> write(OrderAction.WriteLease write) {
+		long version = this.stored.map(StoredObject::version).orElse(-1L);
+		if (write.expectedVersion().orElse(-1) != version) {
+			return Either.left(StoreError.CONFLICT);
+		}
+		this.stored = Optional.of(new StoredObject("lease", Math.max(1, version + 1), write.value()));
+		return Either.right(this.stored.get());
+	}
+
+	private boolean holdsLease(LeaseKeeper keeper) {
+		return keeper.fencingNumber(nanos()).isPresent();
+	}
+
+	private long nanos() {
+		return TimeUnit.MILLISECONDS.toNanos(this.nowMillis);
+	}
+
+}
