--- a/router/src/test/java/org/burdocktray/process/serve/gateway/WatchFleet.java
+++ b/router/src/test/java/org/burdocktray/process/serve/gateway/WatchFleet.java
@@ -2,10 +2,13 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.TreeMap;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.function.UnaryOperator;
@@ -82,6 +85,9 @@
 
 	long messageBytes;
 
+	/** The calls to the store by kind and purpose. */
+	final Map<String, Long> purposes = new TreeMap<>();
+
 	private long version;
 
 	private long withdrawnMillis = Long.MAX_VALUE;
@@ -178,6 +184,8 @@
 
 		private int incarnation;
 
+		private final Set<String> failedKinds = new HashSet<>();
+
 		private boolean watching = true;
 
 		boolean killed;
@@ -324,18 +332,33 @@
 			return new ChangeFeed() {
 				@Override
 				public Single<Either<StoreError, ObjectListing>> listObjects(String kind) {
-					return call(1_500, (onEnd) -> WatchFleet.this.store.list(Vm.this.name, kind, onEnd));
+					return counted(kind, "listing",
+							call(1_500, (onEnd) -> WatchFleet.this.store.list(Vm.this.name, kind, onEnd)));
 				}
 
 				@Override
 				public Single<Either<StoreError, ObjectChanges>> awaitChanges(String kind, long afterRevision,
 						long waitMillis) {
-					return call(waitMillis + STORE_TIMEOUT_MARGIN_MILLIS, (onEnd) -> WatchFleet.this.store
-						.await(Vm.this.name, kind, afterRevision, waitMillis, onEnd));
+					return counted(kind, "watch",
+							call(waitMillis + STORE_TIMEOUT_MARGIN_MILLIS, (onEnd) -> WatchFleet.this.store
+								.await(Vm.this.name, kind, afterRevision, waitMillis, onEnd)));
 				}
 			};
 		}
 
+		// A call after one of this VM and kind that has failed is a retry.
+		private <T> Single<Either<StoreError, T>> counted(String kind, String purpose,
+				Single<Either<StoreError, T>> call) {
+			String counter = kind + " " + (this.failedKinds.contains(kind) ? "retry" : purpose);
+			WatchFleet.this.purposes.merge(counter, 1L, Long::sum);
+			return call.doOnSuccess((result) -> {
+				this.failedKinds.remove(kind);
+				if (result.isLeft()) {
+					this.failedKinds.add(kind);
+				}
+			});
+		}
+
 		private <T> Single<Either<StoreError, T>> call(long timeoutMillis,
 				Consumer<Consumer<Either<StoreError, T>>> sending) {
 			// An answer must not reach a VM that has ended since.
--- a/router/src/test/java/org/burdocktray/process/serve/gateway/WatchFleetTests.java
+++ b/router/src/test/java/org/burdocktray/process/serve/gateway/WatchFleetTests.java
@@ -2,10 +2,12 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.SplittableRandom;
 
 import org.burdocktray.connection.peer.generated.WatchAnswer;
 import org.burdocktray.process.settings.GatewayOptions.WatchOptions;
+import org.jboss.logging.Logger;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -20,6 +22,8 @@
  */
 class WatchFleetTests {
 
+	private static final Logger LOGGER = Logger.getLogger(WatchFleetTests.class);
+
 	private static final WatchOptions ON = new WatchOptions(16, 32, 2);
 
 	private static final WatchOptions OFF = new WatchOptions(100_000, 32, 2);
@@ -240,6 +244,68 @@
 		assertThat(fleet.violations).isEmpty();
 	}
 
+	/**
+	 * Guards against calls of one purpose that grow with the VMs, above all those that
+	 * many VMs repeat after a failure.
+	 */
+	@ParameterizedTest
+	@ValueSource(ints = { 9, 30, 95 })
+	void callsByPurposeAreFew(int vmCount) {
+		for (Load load : Load.values()) {
+			Map<String, Long> with = purposesOf(vmCount, ON, load);
+			Map<String, Long> without = purposesOf(vmCount, OFF, load);
+			LOGGER.infof("Calls by purpose: vms=%d load=%s with=%s without=%s", vmCount, load, with, without);
+			assertThat(retries(with)).isLessThanOrEqualTo(retries(without));
+		}
+	}
+
+	private static long retries(Map<String, Long> purposes) {
+		return purposes.entrySet()
+			.stream()
+			.filter((entry) -> entry.getKey().endsWith("retry"))
+			.mapToLong(Map.Entry::getValue)
+			.sum();
+	}
+
+	private static Map<String, Long> purposesOf(int vmCount, WatchOptions options, Load load) {
+		WatchFleet fleet = started(vmCount, options, 10);
+		fleet.time.run(MINUTE_MILLIS);
+		fleet.purposes.clear();
+		switch (load) {
+			case CALM -> fleet.time.run(MINUTE_MILLIS);
+			case ENGINES_LOST -> {
+				for (int engine = 0; engine < 5; engine++) {
+					fleet.changeReplica();
+					fleet.time.run(200);
+				}
+				fleet.time.run(MINUTE_MILLIS - 1_000);
+			}
+			case ROLLING_RESTART -> fleet.vms.forEach((vm) -> {
+				vm.kill();
+				fleet.time.run(MINUTE_MILLIS / vmCount);
+				vm.start();
+			});
+			default -> {
+				fleet.vms.stream()
+					.filter((vm) -> Integer.parseInt(vm.name.substring(3)) % 4 == 0)
+					.forEach((vm) -> fleet.store.rejectedVms.add(vm.name));
+				fleet.store.endRejectedWatches();
+				fleet.time.run(MINUTE_MILLIS);
+			}
+		}
+		assertThat(fleet.violations).isEmpty();
+		return fleet.purposes;
+	}
+
+	/**
+	 * What a fleet meets within a minute.
+	 */
+	enum Load {
+
+		CALM, ENGINES_LOST, ROLLING_RESTART, SOME_REJECTED
+
+	}
+
 	@Test
 	void halfOfTheFleetMayBeOlder() {
 		WatchFleet fleet = new WatchFleet(48, ON, 6);
