Watch: a source that did not serve the last call is asked for an answer at once

This is what the design says, but a watcher whose last call of a kind had failed, and which was asked next again, got a request that waits. After an outage such a call waited up to 1.2 s for a watcher without the objects.

--- a/router/src/main/java/org/burdocktray/process/watch/SharedFeed.java
+++ b/router/src/main/java/org/burdocktray/process/watch/SharedFeed.java
@@ -2,9 +2,11 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Supplier;
 import java.util.function.UnaryOperator;
 import java.util.random.RandomGenerator;
@@ -76,6 +78,9 @@
 
 	private final Map<String, WatchSource> answeringSources = new HashMap<>();
 
+	/** The kinds whose last call has failed at all sources. */
+	private final Set<String> unservedKinds = new HashSet<>();
+
 	SharedFeed(ChangeFeed store, List<WatchedKind> kinds, DataCentre localDataCentre, WatchSources sources,
 			FollowerAnswers answers, WatchCalls calls, Supplier<Timestamp> clock, Timers timers, RandomGenerator random,
 			WatchListener listener) {
@@ -155,12 +160,12 @@
 		run(call, source);
 	}
 
-	// A watcher that was not asked before is asked for an answer at once, which shows
-	// sooner whether it is alive.
+	// A watcher that did not serve the last call is asked for an answer at once, which
+	// shows sooner whether it is alive and has the objects.
 	private void run(Call<?> call, WatchSource source) {
 		call.tried.add(source);
 		WatchSource previous = this.lastSources.put(call.kind, source);
-		boolean isChange = previous != null && !previous.equals(source);
+		boolean isChange = this.unservedKinds.contains(call.kind) || (previous != null && !previous.equals(source));
 		if (source.isStore()) {
 			call.callStore();
 			return;
@@ -305,10 +310,12 @@
 		}
 
 		void fail(StoreError error) {
+			SharedFeed.this.unservedKinds.add(this.kind);
 			this.emitter.onSuccess(Either.left(error));
 		}
 
 		void succeed(T result) {
+			SharedFeed.this.unservedKinds.remove(this.kind);
 			this.emitter.onSuccess(Either.right(result));
 		}
 
@@ -349,6 +356,7 @@
 				return;
 			}
 			logSource(this, WatchSource.STORE);
+			SharedFeed.this.unservedKinds.remove(this.kind);
 			if (this.tried.size() > 1) {
 				SharedFeed.this.sources.recordFallback(nowNanos());
 			}
