Placement lease: its frequent readers are spread over data centres

The first 16 VMs by name are often all of one data centre. Where that was cut off, the other VMs read the lease each 60 s and placement rested for up to 126 s. Where watches are shared, the order is that of a hash of the names.

--- a/router/src/main/java/org/burdocktray/process/serve/gateway/PlacementLease.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/PlacementLease.java
@@ -42,8 +42,7 @@
 		if (this.loop.isPresent()) {
 			return;
 		}
-		long precedingVms = names.stream().filter((name) -> name.compareTo(this.vmName) < 0).count();
-		long pollMillis = this.polling.pollMillis(precedingVms, names.size());
+		long pollMillis = this.polling.pollMillis(this.vmName, names);
 		OrderSettings settings = new OrderSettings(4_500, 1_500, 2_000, pollMillis, 1_000, 1_000, 600_000);
 		String holder = this.vmName + "/" + System.currentTimeMillis();
 		this.loop = Optional.of(new LeaseLoop(this.store, KEY, holder, settings, System.nanoTime()));
