Class-data archive: training begins with engines without layers

The training run gave engines their layers before the gateway started, so a start with a fleet that is not placed yet loaded classes that the archive did not hold: those of requests that wait, of the first placement and of the pace of engines. Training now begins as such a fleet, and its responses are long enough for the pace.

Classes outside of the archive within 10 s of a start with 4 engines (-Xlog:class+load), without the forms of method handles: 55 before, 29 after.

--- a/standins/src/main/java/org/burdocktray/standins/gateway/TrainingFleet.java
+++ b/standins/src/main/java/org/burdocktray/standins/gateway/TrainingFleet.java
@@ -10,6 +10,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 
 import io.vertx.core.json.JsonArray;
@@ -34,7 +35,10 @@
 
 	private static final int REQUESTS = 40;
 
-	private static final int EVENTS_PER_RESPONSE = 10;
+	/** So many that the gateway learns the pace of the engines. */
+	private static final int EVENTS_PER_RESPONSE = 40;
+
+	private static final int OK = 200;
 
 	private final HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
 
@@ -63,9 +67,11 @@
 		ObjectApiStandIn store = new ObjectApiStandIn();
 		store.start(0);
 		EngineNetwork network = new EngineNetwork();
-		register(store, new LayeredEngineStandIn("head", network, EVENTS_PER_RESPONSE).startAndJoin(), 0, 6, "head");
-		register(store, new LayeredEngineStandIn("tail", network, EVENTS_PER_RESPONSE).startAndJoin(), 6, 10, "tail");
-		register(store, new LayeredEngineStandIn("empty", network, EVENTS_PER_RESPONSE).startAndJoin(), 0, 0, "empty");
+		// Without layers, as at the start of a fleet: the gateway assigns them.
+		List<LayeredEngineStandIn> engines = List.of(
+				new LayeredEngineStandIn("head", network, EVENTS_PER_RESPONSE).startAndJoin(),
+				new LayeredEngineStandIn("tail", network, EVENTS_PER_RESPONSE).startAndJoin());
+		register(store, engines);
 		PlainReplicaStandIn replica = new PlainReplicaStandIn("desk-1");
 		replica.start(0);
 		store.put("servers", "desk-1", replica.storeEntry("desk", "ghent", "ready"));
@@ -74,6 +80,8 @@
 		int readinessPort = FreePorts.take();
 		Files.writeString(settingsFile, settings(store, callerPort, readinessPort));
 		awaitReady(readinessPort);
+		awaitStream(store, engines, callerPort);
+		register(store, List.of(new LayeredEngineStandIn("empty", network, EVENTS_PER_RESPONSE).startAndJoin()));
 		for (int request = 0; request < REQUESTS; request++) {
 			send(callerPort, "/draft/" + request, "POST", "d" + request);
 			send(callerPort, "/book/" + request, "POST", "b" + request);
@@ -82,9 +90,22 @@
 		}
 	}
 
-	private static void register(ObjectApiStandIn store, LayeredEngineStandIn engine, int from, int to, String id) {
-		engine.setLayers(from, to);
-		store.put("servers", id, engine.storeEntry("llm", "ghent", "fast"));
+	private static void register(ObjectApiStandIn store, List<LayeredEngineStandIn> engines) {
+		engines.forEach((engine) -> store.put("servers", engine.id(), engine.storeEntry("llm", "ghent", "fast")));
+	}
+
+	// Requests wait for engines meanwhile. Engines list the layers that they were
+	// assigned.
+	private void awaitStream(ObjectApiStandIn store, List<LayeredEngineStandIn> engines, int port)
+			throws IOException, InterruptedException {
+		long deadlineNanos = System.nanoTime() + READY_TIMEOUT_NANOS;
+		for (int request = 0; send(port, "/draft/first/" + request, "POST", "first" + request) != OK; request++) {
+			if (System.nanoTime() > deadlineNanos) {
+				throw new IllegalStateException("the engines got no layers in time");
+			}
+			register(store, engines);
+			TimeUnit.MILLISECONDS.sleep(POLL_INTERVAL_MILLIS);
+		}
 	}
 
 	private void awaitReady(int port) throws InterruptedException {
@@ -102,14 +123,14 @@
 			HttpRequest request = HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + port + "/"))
 				.timeout(CALL_TIMEOUT)
 				.build();
-			return this.client.send(request, HttpResponse.BodyHandlers.discarding()).statusCode() == 200;
+			return this.client.send(request, HttpResponse.BodyHandlers.discarding()).statusCode() == OK;
 		}
 		catch (IOException ex) {
 			return false;
 		}
 	}
 
-	private void send(int port, String path, String method, String requestId) throws IOException, InterruptedException {
+	private int send(int port, String path, String method, String requestId) throws IOException, InterruptedException {
 		HttpRequest request = HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + port + path))
 			.method(method, HttpRequest.BodyPublishers.ofString("GET".equals(method) ? "" : "body"))
 			.header("Host", "a.example")
@@ -119,7 +140,7 @@
 			.header("Authorization", "Bearer k1")
 			.timeout(CALL_TIMEOUT)
 			.build();
-		this.client.send(request, HttpResponse.BodyHandlers.ofString());
+		return this.client.send(request, HttpResponse.BodyHandlers.ofString()).statusCode();
 	}
 
 	private static String settings(ObjectApiStandIn store, int callerPort, int readinessPort) {
