Look into all runs in progress when a request ends unanswered

The first call runs on desk-1, falls silent, and its successor runs on desk-0. At the deadline only the first run was looked into; RunHandover.cancel ended that of the successor without evidence. So two replicas were lost and the VMs knew of one crash; the next call, at another VM, was allowed a run, and so was the one after it, before the loss of that run was known. A run sent less than half of the time limit before the deadline ended without evidence likewise.

Change: RequestRuns, taken out of RunGuard, holds the runs of a request. At the end of the request it returns each run that is in progress and not harmless as lost, and RunGuard has it checked. A VM that stops ends its runs without evidence, as before: it would not live to decide on a silence.

Result: with the old rule two of three RequestRunsTests fail (RunAlone at the other VM in place of Wait), with the new one all pass.

--- a/router/src/main/java/org/burdocktray/process/serve/gateway/CrashDetector.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/CrashDetector.java
@@ -65,14 +65,13 @@
 	/**
 	 * Probes the replicas of a lost run, and ends the run when they are known. Those that
 	 * are silent are watched beyond that.
-	 * @param runId the run
+	 * @param runId the run, which is recorded as lost
 	 * @param request its request
 	 * @param replicas the replicas that may have crashed
 	 * @param healthPath the path of their health check
 	 * @return completes when the run has ended; must be subscribed to
 	 */
 	Completable checkLostRun(String runId, RequestIdentity request, List<Replica> replicas, String healthPath) {
-		this.quarantine.recordLoss(runId);
 		long sentNanos = System.nanoTime();
 		return Flowable.fromIterable(replicas)
 			.flatMapSingle((replica) -> this.probe.probe(replica, healthPath)
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/ForwardExchange.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/ForwardExchange.java
@@ -630,6 +630,7 @@
 	void stop() {
 		if (!this.ended) {
 			cancelAttempt();
+			this.runGuard.stop();
 			finish();
 			this.finalResponse.giveUp("VM is stopping", CallerResponse.OTHER_VM_RETRY_AFTER_SECONDS);
 		}
@@ -675,7 +676,6 @@
 			.ifPresent((running) -> {
 				this.health.recordResponse(running.target().replica(), true);
 				running.recordUnresponsive();
-				this.runGuard.recordLoss(running, running.target().replicas());
 			});
 	}
 
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/RunGuard.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/RunGuard.java
@@ -1,11 +1,7 @@
 package org.burdocktray.process.serve.gateway;
 
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
@@ -16,24 +12,19 @@
 import org.burdocktray.process.quarantine.QuarantineDecision;
 import org.burdocktray.process.quarantine.RequestIdentity;
 import org.burdocktray.process.quarantine.RunOutcome;
+import org.burdocktray.process.quarantine.runs.RequestRuns;
 import org.burdocktray.request.forward.AttemptOutcome;
 import org.burdocktray.version.rules.RequestKind;
 
 /**
  * Applies the quarantine to one request. A run begins when the request is sent and
- * whenever its path changes. Invariants: each attempt has at most one run in progress; a
- * silent run is recorded as lost while its successor is prepared, and as in progress
- * again if it goes on; each run is ended once, at the latest when what ended it is known.
- * Thread safety: none, confined to the request.
+ * whenever its path changes. Invariants: a silent run is recorded as lost while its
+ * successor is prepared, and as in progress again if it goes on; each run is ended once,
+ * at the latest when what ended it is known. Thread safety: none, confined to the
+ * request.
  */
 final class RunGuard {
 
-	/**
-	 * The time between events of a response after which the request is harmless to the
-	 * replicas that run it: requests crash replicas when they begin to run.
-	 */
-	private static final long HARMLESS_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
-
 	/**
 	 * The time after which a rejection shows that an engine of the path was waited for.
 	 */
@@ -49,24 +40,13 @@
 
 	private final boolean streaming;
 
-	private final Map<Attempt, GuardedRun> runs = new HashMap<>();
-
-	/** Attempts whose runs are recorded as lost, although they may go on. */
-	private final Set<Attempt> lostAttempts = new HashSet<>();
-
-	/** Whether the last run to begin, or one beside it, has become harmless. */
-	private boolean harmless;
-
-	private boolean hasLostRun;
-
-	private int unresolvedLosses;
-
-	private boolean closed;
+	private final RequestRuns<Attempt> runs;
 
 	RunGuard(CrashDetector detector, AdmittedRequest admitted) {
 		this.detector = detector;
 		this.quarantine = detector.quarantine();
 		this.request = admitted.identity();
+		this.runs = new RequestRuns<>(this.quarantine, this.request);
 		this.healthPath = admitted.service().healthPath();
 		this.streaming = admitted.route().kind() == RequestKind.STREAMING;
 	}
@@ -86,7 +66,7 @@
 	 * @return true for a moment after a lost run
 	 */
 	boolean isCheckingLostRun() {
-		return this.streaming && this.unresolvedLosses > 0;
+		return this.streaming && this.runs.hasUnresolvedLoss();
 	}
 
 	/**
@@ -110,7 +90,7 @@
 	 * @return true after a lost run without much output, or by the quarantine
 	 */
 	boolean isSuspected() {
-		return (this.hasLostRun && !this.harmless) || !(check() instanceof QuarantineDecision.Run);
+		return this.runs.isSuspected() || !(check() instanceof QuarantineDecision.Run);
 	}
 
 	/**
@@ -120,14 +100,8 @@
 	 * @param target where it runs
 	 */
 	void startRun(Attempt attempt, Target target) {
-		end(attempt, RunOutcome.ENDED);
-		this.harmless = false;
-		if (target.isRelay()) {
-			return;
-		}
-		Set<String> upstreams = UpstreamNames.of(target.replicas());
-		String runId = this.quarantine.recordStart(this.request, upstreams, System.nanoTime());
-		this.runs.put(attempt, new GuardedRun(runId));
+		Set<String> upstreams = target.isRelay() ? Set.of() : UpstreamNames.of(target.replicas());
+		this.runs.start(attempt, upstreams, System.nanoTime());
 	}
 
 	/**
@@ -136,7 +110,7 @@
 	 * @param attempt its attempt
 	 */
 	void resumeRun(Attempt attempt) {
-		if (this.lostAttempts.remove(attempt)) {
+		if (this.runs.resume(attempt)) {
 			startRun(attempt, attempt.target());
 		}
 	}
@@ -147,19 +121,7 @@
 	 * @param nowNanos the monotonic time
 	 */
 	void recordOutput(Attempt attempt, long nowNanos) {
-		GuardedRun run = this.runs.get(attempt);
-		if (run == null || run.harmless) {
-			return;
-		}
-		if (run.firstOutputNanos.isEmpty()) {
-			run.firstOutputNanos = OptionalLong.of(nowNanos);
-			return;
-		}
-		run.harmless = nowNanos - run.firstOutputNanos.getAsLong() >= HARMLESS_NANOS;
-		if (run.harmless) {
-			this.harmless = true;
-			this.quarantine.recordHarmless(run.id, System.nanoTime());
-		}
+		this.runs.recordOutput(attempt, nowNanos);
 	}
 
 	/**
@@ -169,18 +131,16 @@
 	 * @return completes when it is known whether they have crashed
 	 */
 	Completable recordLoss(Attempt attempt, List<Replica> replicas) {
-		GuardedRun lost = this.runs.get(attempt);
-		if (lost == null || lost.harmless) {
-			return Completable.complete();
-		}
-		this.runs.remove(attempt);
-		this.lostAttempts.add(attempt);
-		this.hasLostRun = true;
-		this.unresolvedLosses++;
-		Completable check = this.detector.checkLostRun(lost.id, this.request, replicas, this.healthPath)
-			.doOnComplete(() -> this.unresolvedLosses--)
+		return this.runs.recordLoss(attempt)
+			.map((runId) -> checkLostRun(runId, replicas))
+			.orElseGet(Completable::complete);
+	}
+
+	private Completable checkLostRun(String runId, List<Replica> replicas) {
+		Completable check = this.detector.checkLostRun(runId, this.request, replicas, this.healthPath)
+			.doOnComplete(this.runs::recordResolved)
 			.cache();
-		check.subscribe(this::tellOthersIfClosed);
+		check.subscribe(this::tellOthersIfGivenUp);
 		return check;
 	}
 
@@ -218,39 +178,32 @@
 		end(attempt, RunOutcome.ENDED);
 	}
 
-	/** Ends all runs, and records that this VM begins no other one. */
+	/**
+	 * Records that the request has ended, so that this VM begins no other run. Those in
+	 * progress have got no response, and are looked into like lost ones.
+	 */
 	void close() {
-		List.copyOf(this.runs.keySet()).forEach(this::end);
-		this.closed = true;
-		tellOthersIfClosed();
+		this.runs.close(System.nanoTime())
+			.forEach((attempt, runId) -> checkLostRun(runId, attempt.target().replicas()));
+		tellOthersIfGivenUp();
 	}
 
-	private void tellOthersIfClosed() {
-		if (this.closed && this.hasLostRun && this.unresolvedLosses == 0) {
-			this.detector.recordGivenUp(this.request);
-		}
+	/**
+	 * Ends all runs because this VM stops: it would not live to tell a crash from a
+	 * silence.
+	 */
+	void stop() {
+		this.runs.endAll(System.nanoTime());
 	}
 
-	private void end(Attempt attempt, RunOutcome outcome) {
-		this.lostAttempts.remove(attempt);
-		GuardedRun run = this.runs.remove(attempt);
-		if (run != null) {
-			this.quarantine.recordEnd(run.id, outcome, System.nanoTime());
+	private void tellOthersIfGivenUp() {
+		if (this.runs.isGivenUp()) {
+			this.detector.recordGivenUp(this.request);
 		}
 	}
 
-	private static final class GuardedRun {
-
-		private final String id;
-
-		private OptionalLong firstOutputNanos = OptionalLong.empty();
-
-		private boolean harmless;
-
-		private GuardedRun(String id) {
-			this.id = id;
-		}
-
+	private void end(Attempt attempt, RunOutcome outcome) {
+		this.runs.end(attempt, outcome, System.nanoTime());
 	}
 
 }
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/RunHandover.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/RunHandover.java
@@ -311,17 +311,20 @@
 	/** Ends the successor, if there is one, because the other run has responded. */
 	void cancelForResponse() {
 		endHedge(HedgeResult.FIRST_WON);
+		this.successor.ifPresent(this.runGuard::end);
 		cancel();
 	}
 
-	/** Ends the successor, if there is one, because it is not needed any more. */
+	/**
+	 * Cancels the successor, if there is one, because the request has ended. Its run,
+	 * which got no response, is left to the guard.
+	 */
 	void cancel() {
 		endHedge(HedgeResult.NO_WINNER);
 		this.silence = Optional.empty();
 		this.successor.ifPresent((running) -> {
 			this.state.recordOutcome(running.isSent() ? AttemptOutcome.LOST : AttemptOutcome.NOT_SENT);
 			running.cancel();
-			this.runGuard.end(running);
 		});
 		this.successor = Optional.empty();
 	}
