Share evidence of a lost run while the next one is looked into

Cause: with the runs of successors looked into, the VM told the others of the first lost run of a call only when the last one was resolved, 300 ms after the deadline.

Change: once the request has ended, each resolved loss hastens its evidence.

--- a/router/src/main/java/org/burdocktray/process/quarantine/runs/RequestRuns.java
+++ b/router/src/main/java/org/burdocktray/process/quarantine/runs/RequestRuns.java
@@ -185,12 +185,13 @@
 	}
 
 	/**
-	 * Returns whether this VM has lost runs of the request, knows what ended them, and
-	 * begins no other one.
-	 * @return true if other VMs should know now
+	 * Returns whether this VM has lost runs of the request and begins no other one. The
+	 * caller may come again at once at another VM, so what is known of one lost run must
+	 * not wait until the others are resolved.
+	 * @return true if other VMs should know all evidence now
 	 */
 	public boolean isGivenUp() {
-		return this.closed && this.hasLostRun && this.unresolvedLosses == 0;
+		return this.closed && this.hasLostRun;
 	}
 
 	private static final class Run {
--- a/router/src/test/java/org/burdocktray/process/quarantine/runs/RequestRunsTests.java
+++ b/router/src/test/java/org/burdocktray/process/quarantine/runs/RequestRunsTests.java
@@ -55,14 +55,33 @@
 		assertThat(lost).containsOnlyKeys("first", "successor");
 		assertThat(this.quarantine.check(REQUEST, 3)).isInstanceOf(QuarantineDecision.Wait.class);
 		lost.values().forEach((runId) -> {
-			assertThat(this.runs.isGivenUp()).isFalse();
+			assertThat(this.runs.hasUnresolvedLoss()).isTrue();
 			this.quarantine.recordEnd(runId, RunOutcome.ENDED, 4);
 			this.runs.recordResolved();
 		});
-		assertThat(this.runs.isGivenUp()).isTrue();
+		assertThat(this.runs.hasUnresolvedLoss()).isFalse();
 		assertThat(this.quarantine.check(REQUEST, 5)).isInstanceOf(QuarantineDecision.Run.class);
 	}
 
+	/**
+	 * Guards against a request that ended four replicas: evidence of one lost run was
+	 * told to the other VMs only when that of the next one was complete.
+	 */
+	@Test
+	void evidenceOfOneRunIsSharedWhileAnotherIsLookedInto() {
+		this.runs.start("desk-1", Set.of("desk-1"), 0);
+		this.runs.recordLoss("desk-1").orElseThrow();
+		this.quarantine.recordSilence("desk-1", 1);
+		this.runs.recordResolved();
+		assertThat(this.runs.isGivenUp()).isFalse();
+		this.runs.start("desk-2", Set.of("desk-2"), 2);
+		this.runs.close(3);
+		assertThat(this.runs.isGivenUp()).isTrue();
+		this.quarantine.recordGivenUp(REQUEST, 4);
+		assertThat(this.quarantine.takeEntriesToStore(8, 5)).singleElement()
+			.satisfies((entry) -> assertThat(entry.getCrashesCount()).isEqualTo(1));
+	}
+
 	@Test
 	void runsThatAreAnsweredHarmlessOrEndedByThisVmAreNotLost() {
 		this.runs.start("harmless", Set.of("desk-1"), 0);
