Resolve losses whose probe can't be sent

Cause: ReplicaProbe.call throws where the HTTP client is closed, in a VM that stops. The check of a lost run then failed: RunGuard's count of unresolved losses was never lowered, the lost run stayed in the quarantine of this VM, and the subscription without an error handler threw in turn.

Change: such a probe ends with NOT_SENT. It is no evidence of a crash, since a VM that stops would not live to dismiss it, and no sign of life either, so that a suspect isn't sent there. A check that fails for another reason ends the run without evidence as well, with a log line.

--- a/router/src/main/java/org/burdocktray/process/serve/gateway/CrashDetector.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/CrashDetector.java
@@ -64,12 +64,14 @@
 
 	/**
 	 * Probes the replicas of a lost run, and ends the run when they are known. Those that
-	 * are silent are watched beyond that.
+	 * are silent are watched beyond that. Where that fails, the run ends without
+	 * evidence: a loss that stayed open would hold the request back for as long as this
+	 * VM runs.
 	 * @param runId the run, which is recorded as lost
 	 * @param request its request
 	 * @param replicas the replicas that may have crashed
 	 * @param healthPath the path of their health check
-	 * @return completes when the run has ended; must be subscribed to
+	 * @return completes when the run has ended, never fails; must be subscribed to
 	 */
 	Completable checkLostRun(String runId, RequestIdentity request, List<Replica> replicas, String healthPath) {
 		long sentNanos = System.nanoTime();
@@ -77,6 +79,8 @@
 			.flatMapSingle((replica) -> this.probe.probe(replica, healthPath)
 				.flatMap((result) -> recordProbe(replica, healthPath, result, sentNanos)))
 			.ignoreElements()
+			.doOnError((cause) -> LOGGER.warnf("Lost run not looked into: run=%s error=%s", runId, cause))
+			.onErrorComplete()
 			.doOnComplete(() -> endLostRun(runId, request));
 	}
 
@@ -111,7 +115,7 @@
 	private Single<ReplicaProbe.Result> recordProbe(Replica replica, String healthPath, ReplicaProbe.Result result,
 			long sentNanos) {
 		return switch (result) {
-			case RESPONDS -> Single.just(result);
+			case RESPONDS, NOT_SENT -> Single.just(result);
 			case OTHER_INSTANCE -> {
 				recordCrash(replica, result.name());
 				yield Single.just(result);
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/ReplicaProbe.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/ReplicaProbe.java
@@ -76,7 +76,7 @@
 		}
 		Promise<Result> result = Promise.promise();
 		this.limits.recordRequest(replica);
-		Future<HttpClientRequest> opened = this.connections.open(replica, HttpMethod.GET, healthPath, Optional.empty());
+		Future<HttpClientRequest> opened = open(replica, healthPath);
 		opened.flatMap(HttpClientRequest::send)
 			.onSuccess(this.connections.responses()::discard)
 			.onSuccess((response) -> result.tryComplete(resultOf(replica, response)))
@@ -89,6 +89,16 @@
 		return result.future().onComplete((done) -> this.vertx.cancelTimer(timer));
 	}
 
+	// The client throws once it has been closed.
+	private Future<HttpClientRequest> open(Replica replica, String healthPath) {
+		try {
+			return this.connections.open(replica, HttpMethod.GET, healthPath, Optional.empty());
+		}
+		catch (IllegalStateException ex) {
+			return Future.failedFuture(ex);
+		}
+	}
+
 	private Result resultOf(Replica replica, HttpClientResponse response) {
 		ResponseHead head = this.headers.readResponse(response.statusCode(), response.headers());
 		boolean isOther = head.instanceId().filter((id) -> !id.equals(replica.id())).isPresent();
@@ -100,6 +110,9 @@
 
 	// A host that drops packets is silent.
 	private static Result resultOf(Throwable cause) {
+		if (cause instanceof IllegalStateException) {
+			return Result.NOT_SENT;
+		}
 		return (cause instanceof ConnectTimeoutException) ? Result.SILENT : Result.REFUSES;
 	}
 
@@ -118,7 +131,13 @@
 		REFUSES,
 
 		/** Nothing comes in time. */
-		SILENT
+		SILENT,
+
+		/**
+		 * This VM stops and sends no probe any more. Says nothing about the replica: it
+		 * is no evidence of a crash, and no run may begin there because of it.
+		 */
+		NOT_SENT
 
 	}
 
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/SilentReplica.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/SilentReplica.java
@@ -56,8 +56,8 @@
 			return Optional.of(Verdict.REFUSES);
 		}
 		long silentMillis = TimeUnit.NANOSECONDS.toMillis(nowNanos - this.silentSinceNanos);
-		boolean isCutOff = nowNanos - lastSignOfLifeNanos > CUT_OFF_NANOS;
-		if (silentMillis >= SOUND_SILENCE_MILLIS && !isCutOff) {
+		boolean isUnknown = result == ReplicaProbe.Result.NOT_SENT || nowNanos - lastSignOfLifeNanos > CUT_OFF_NANOS;
+		if (silentMillis >= SOUND_SILENCE_MILLIS && !isUnknown) {
 			return Optional.of(Verdict.CRASHED);
 		}
 		return (silentMillis >= Quarantine.UNDECIDED_MILLIS) ? Optional.of(Verdict.UNKNOWN) : Optional.empty();
@@ -77,7 +77,7 @@
 		/** It refuses connections: it has crashed, or this VM is being cut off. */
 		REFUSES,
 
-		/** This VM is cut off and can't tell. */
+		/** This VM is cut off, or stops, and can't tell. */
 		UNKNOWN
 
 	}
--- a/router/src/test/java/org/burdocktray/process/serve/gateway/ReplicaProbeTests.java
+++ b/router/src/test/java/org/burdocktray/process/serve/gateway/ReplicaProbeTests.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
@@ -15,6 +16,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 
+import io.reactivex.rxjava3.core.Flowable;
 import io.vertx.core.Handler;
 import io.vertx.core.MultiMap;
 import io.vertx.core.Vertx;
@@ -25,6 +27,12 @@
 import org.burdocktray.process.limits.ReplicaLimits;
 import org.burdocktray.process.limits.RequestLimit;
 import org.burdocktray.process.limits.RetryAfter;
+import org.burdocktray.process.quarantine.Fingerprint;
+import org.burdocktray.process.quarantine.Quarantine;
+import org.burdocktray.process.quarantine.QuarantineDecision;
+import org.burdocktray.process.quarantine.QuarantineSettings;
+import org.burdocktray.process.quarantine.RequestIdentity;
+import org.burdocktray.process.quarantine.runs.RequestRuns;
 import org.burdocktray.process.serve.gateway.ReplicaProbe.Result;
 import org.burdocktray.process.serve.gateway.SilentReplica.Verdict;
 import org.burdocktray.standins.network.FreePorts;
@@ -46,9 +54,12 @@
 
 	private final Vertx vertx = Vertx.vertx();
 
-	private final ReplicaProbe probe = new ReplicaProbe(this.vertx,
-			new ReplicaConnections(this.vertx, new GatewayMetrics(), "Id", new ReplicaConnections.Listener() {
-			}), new InstanceHeader(), new LimitedReplicas(new ReplicaLimits("vm-1"), new SplittableRandom(1)));
+	private final ReplicaConnections connections = new ReplicaConnections(this.vertx, new GatewayMetrics(), "Id",
+			new ReplicaConnections.Listener() {
+			});
+
+	private final ReplicaProbe probe = new ReplicaProbe(this.vertx, this.connections, new InstanceHeader(),
+			new LimitedReplicas(new ReplicaLimits("vm-1"), new SplittableRandom(1)));
 
 	private final SilenceWatch silenceWatch = new SilenceWatch(this.vertx, this.probe, System::nanoTime);
 
@@ -84,6 +95,30 @@
 		}))).isEqualTo(Result.SILENT);
 	}
 
+	/**
+	 * Guards against losses that stayed unresolved in a VM that stops: the probe threw,
+	 * so that the request was held back as if a replica might have crashed under it.
+	 */
+	@Test
+	void lossOnClosedConnectionsIsResolvedWithoutEvidence() {
+		this.connections.close().toCompletionStage().toCompletableFuture().join();
+		Quarantine quarantine = new Quarantine(QuarantineSettings.sharedThroughStore(), "vm-1");
+		CrashDetector detector = new CrashDetector(quarantine, this.probe, this.silenceWatch,
+				new RefusedReplicas(this.vertx), null, new GatewayMetrics());
+		RequestIdentity request = RequestIdentity.withoutParts(new Fingerprint("acme", "0a".repeat(32)));
+		RequestRuns<String> runs = new RequestRuns<>(quarantine, request);
+		Replica replica = replica(1);
+		runs.start("first", UpstreamNames.of(List.of(replica)), System.nanoTime());
+		runs.start("second", Set.of("another"), System.nanoTime());
+		CompletableFuture<List<Replica>> unresponsive = new CompletableFuture<>();
+		this.vertx.runOnContext((now) -> Flowable.fromIterable(runs.close(System.nanoTime()).values())
+			.flatMapCompletable((runId) -> detector.checkLostRun(runId, request, List.of(replica), HEALTH_PATH))
+			.andThen(detector.findUnresponsive(List.of(replica), HEALTH_PATH))
+			.subscribe(unresponsive::complete, unresponsive::completeExceptionally));
+		assertThat(unresponsive.orTimeout(TIMEOUT_SECONDS, TimeUnit.SECONDS).join()).containsExactly(replica);
+		assertThat(quarantine.check(request, System.nanoTime())).isInstanceOf(QuarantineDecision.Run.class);
+	}
+
 	/**
 	 * A host that accepts no connections for a while counted as one that refuses them.
 	 */
--- a/router/src/test/java/org/burdocktray/process/serve/gateway/SilentReplicaTests.java
+++ b/router/src/test/java/org/burdocktray/process/serve/gateway/SilentReplicaTests.java
@@ -49,6 +49,11 @@
 		assertThat(this.silence.onProbe(Result.SILENT, 0, UNDECIDED_NANOS)).contains(Verdict.UNKNOWN);
 	}
 
+	@Test
+	void probeThatWasNotSentIsNoSilence() {
+		assertThat(this.silence.onProbe(Result.NOT_SENT, SOUND_SILENCE_NANOS, SOUND_SILENCE_NANOS)).isEmpty();
+	}
+
 	@Test
 	void verdictStays() {
 		this.silence.onProbe(Result.RESPONDS, 1, 1);
