End the check of a VM's reach where the VM stops

Cause: most "Client is closed" log lines come from ReachCheck.connect, not from ReplicaProbe (13 of 13 in logs of the crash tests). A VM that stops has closed the client; the check threw, stayed in progress, and failed the check of a lost run or the report of an engine that waited for it.

Change: such a check ends as one that tried no replica: nothing is confirmed, so a refused connection is no evidence, and the VM does not count as cut off, which would dismiss its evidence for good.

--- a/router/src/main/java/org/burdocktray/process/serve/gateway/ReachCheck.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/ReachCheck.java
@@ -45,11 +45,14 @@
 
 	/**
 	 * Starts the check.
-	 * @return whether any of the replicas has accepted a connection
+	 * @return whether any of the replicas has accepted a connection; fails if none can be
+	 * opened because this VM stops
 	 */
 	Future<Boolean> start() {
 		connect(this.replicas.get(0));
-		this.vertx.setTimer(FIRST_REPLICA_MILLIS, (timer) -> tryAll());
+		if (!this.result.future().failed()) {
+			this.vertx.setTimer(FIRST_REPLICA_MILLIS, (timer) -> tryAll());
+		}
 		return this.result.future();
 	}
 
@@ -62,10 +65,16 @@
 	}
 
 	private void connect(Replica replica) {
-		this.client.connect(replica.address().port(), replica.address().ip())
-			.onSuccess(NetSocket::close)
-			.onSuccess((connected) -> this.result.tryComplete(true))
-			.onFailure((cause) -> onFailure());
+		try {
+			this.client.connect(replica.address().port(), replica.address().ip())
+				.onSuccess(NetSocket::close)
+				.onSuccess((connected) -> this.result.tryComplete(true))
+				.onFailure((cause) -> onFailure());
+		}
+		// The client throws once it has been closed.
+		catch (IllegalStateException ex) {
+			this.result.tryFail(ex);
+		}
 	}
 
 	private void onFailure() {
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/ReachMonitor.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/ReachMonitor.java
@@ -94,7 +94,8 @@
 	/**
 	 * Finds out now whether this VM reaches replicas, after a call has failed. It cannot
 	 * be found out where there is no second replica.
-	 * @return whether another replica accepts connections, or none is listed
+	 * @return whether another replica accepts connections, or none is listed; false as
+	 * well where this VM stops
 	 */
 	Single<Boolean> confirm() {
 		if (this.directory.listed().size() <= 1) {
@@ -125,12 +126,16 @@
 				: new ReachCheck(this.vertx, this.client, sample).start();
 		Promise<Boolean> recorded = Promise.promise();
 		this.check = recorded.future();
-		result.onSuccess((isAnyConnected) -> {
-			this.reach.endCheck(isAnyConnected, sample.size(), System.nanoTime());
-			publish();
-			recorded.complete(isAnyConnected);
-			this.listener.onCheckEnd();
-		});
+		// A check that fails has tried no replica: this VM stops.
+		result.onSuccess((isAnyConnected) -> endCheck(isAnyConnected, sample.size(), recorded))
+			.onFailure((cause) -> endCheck(false, 0, recorded));
+	}
+
+	private void endCheck(boolean isAnyConnected, int triedCount, Promise<Boolean> recorded) {
+		this.reach.endCheck(isAnyConnected, triedCount, System.nanoTime());
+		publish();
+		recorded.complete(isAnyConnected);
+		this.listener.onCheckEnd();
 	}
 
 	private void publish() {
--- a/router/src/test/java/org/burdocktray/process/serve/gateway/ReplicaProbeTests.java
+++ b/router/src/test/java/org/burdocktray/process/serve/gateway/ReplicaProbeTests.java
@@ -24,6 +24,9 @@
 import org.burdocktray.model.DataCentre;
 import org.burdocktray.model.NetworkAddress;
 import org.burdocktray.process.directory.Replica;
+import org.burdocktray.process.directory.ReplicaDirectory;
+import org.burdocktray.process.directory.ReplicaLoads;
+import org.burdocktray.process.directory.TestReplicas;
 import org.burdocktray.process.limits.ReplicaLimits;
 import org.burdocktray.process.limits.RequestLimit;
 import org.burdocktray.process.limits.RetryAfter;
@@ -119,6 +122,23 @@
 		assertThat(quarantine.check(request, System.nanoTime())).isInstanceOf(QuarantineDecision.Run.class);
 	}
 
+	/**
+	 * Guards against a VM that stops and dismisses its evidence of crashes as one that is
+	 * cut off, and against the exception that the check of its reach ended with.
+	 */
+	@Test
+	void vmThatStopsIsNotCutOff() {
+		ReplicaDirectory directory = new ReplicaDirectory(0);
+		directory.put(TestReplicas.replica("one", 1), 0);
+		directory.put(TestReplicas.replica("two", 1), 0);
+		ReachMonitor reach = new ReachMonitor(this.vertx, directory, new ReplicaLoads(), new SplittableRandom(1),
+				new GatewayMetrics());
+		close();
+		assertThat(reach.confirm().blockingGet()).isFalse();
+		assertThat(reach.isCutOff()).isFalse();
+		assertThat(reach.isInDoubt()).isFalse();
+	}
+
 	/**
 	 * A host that accepts no connections for a while counted as one that refuses them.
 	 */
