Take a store that throws for one that does not write

Cause: the check of a lost run tells the others of its evidence when it ends.

Change: save takes this for a failed write, and is tried again after the pause.

--- a/router/src/main/java/org/burdocktray/process/serve/gateway/QuarantineSync.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/QuarantineSync.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.function.Consumer;
 
+import io.reactivex.rxjava3.core.Single;
 import io.vertx.core.Vertx;
 import org.burdocktray.connection.peer.generated.Gossip;
 import org.burdocktray.connection.peer.generated.QuarantineEntry;
@@ -86,7 +87,9 @@
 		}
 		this.saving = true;
 		sendDatagrams(entries);
-		this.store.save(entries).subscribe((allWritten) -> {
+		// The store's client throws once this VM stops, also out of what tells of a
+		// change.
+		Single.defer(() -> this.store.save(entries)).onErrorReturnItem(false).subscribe((allWritten) -> {
 			if (allWritten) {
 				this.saving = false;
 				save();
