VMs under pressure hand new requests to stronger VMs

VMs of one fleet differ six times in cores, and the balancer's hash gives them uneven shares of the connections. A small VM was overloaded beside free ones.

With the section pressure, a VM computes its pressure from event loop delay, processor, memory and link. While pressed it hands a part of its new requests to VMs of its data centre with free capacity, over the existing relay; while saturated it rejects what no VM takes. Free capacity is reported with the demand, through the collectors.

--- a/router/src/main/java/org/burdocktray/process/limits/BodyMemory.java
+++ b/router/src/main/java/org/burdocktray/process/limits/BodyMemory.java
@@ -55,6 +55,14 @@
 		return this.heldBytes;
 	}
 
+	/**
+	 * Returns how much of the memory is in use.
+	 * @return a share, 0 to 1
+	 */
+	public double usedShare() {
+		return this.heldBytes / (double) this.maxBytes;
+	}
+
 	/**
 	 * The memory for the body of one request. Thread safety: as the limit.
 	 */
--- /dev/null
+++ b/router/src/main/java/org/burdocktray/process/pressure/PressureState.java
@@ -0,0 +1,17 @@
+package org.burdocktray.process.pressure;
+
+/**
+ * How far the resources of a VM are used up.
+ */
+public enum PressureState {
+
+	/** The VM serves all requests itself. */
+	NORMAL,
+
+	/** The VM hands a part of its new requests to stronger VMs. */
+	PRESSED,
+
+	/** The VM also rejects what it would hand over and no other VM takes. */
+	SATURATED
+
+}
--- /dev/null
+++ b/router/src/main/java/org/burdocktray/process/pressure/ResourcePressure.java
@@ -0,0 +1,156 @@
+package org.burdocktray.process.pressure;
+
+import java.util.Collections;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+import org.burdocktray.process.settings.GatewayOptions.PressureOptions;
+
+/**
+ * The pressure on this VM: the use of its scarcest resource, relative to the limit of
+ * that resource. The state follows the load that callers offer, so that requests which
+ * are handed over or rejected do not end the state that caused this. Invariants: a state
+ * holds for its minimum time; thresholds to enter and to leave a state differ. Thread
+ * safety: none, confined to one event loop.
+ */
+public final class ResourcePressure {
+
+	private static final double PRESSED_ENTRY = 0.8;
+
+	private static final double PRESSED_EXIT = 0.65;
+
+	private static final double SATURATED_ENTRY = 1;
+
+	private static final double SATURATED_EXIT = 0.9;
+
+	private static final long MIN_NANOS_BEFORE_RISE = TimeUnit.SECONDS.toNanos(1);
+
+	private static final long MIN_NANOS_BEFORE_FALL = TimeUnit.SECONDS.toNanos(3);
+
+	/** A single pause or burst of bytes is no pressure. */
+	private static final double SMOOTHING_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+	/** Bounds what a single sample can do to the mean. */
+	private static final double MAX_RATIO = 4;
+
+	/** The share of requests that the state counts as served here at least. */
+	private static final double MIN_SERVED_SHARE = 0.05;
+
+	private final PressureOptions options;
+
+	private double delayRatio;
+
+	private double processorRatio;
+
+	private double memoryRatio;
+
+	private double linkRatio;
+
+	private PressureState state = PressureState.NORMAL;
+
+	private long stateSinceNanos;
+
+	private long lastSampleNanos;
+
+	/**
+	 * Creates the pressure of a VM without load.
+	 * @param options the limits of the resources
+	 * @param nowNanos the current time of the monotonic clock
+	 */
+	public ResourcePressure(PressureOptions options, long nowNanos) {
+		this.options = options;
+		this.stateSinceNanos = nowNanos;
+		this.lastSampleNanos = nowNanos;
+	}
+
+	/**
+	 * Records the use of the resources.
+	 * @param sample the use since the last sample
+	 * @param relayedShare the share of new requests that is handed over at present
+	 * @param rejectedShare the share of new requests that is rejected at present
+	 * @param nowNanos the current time of the monotonic clock
+	 * @return whether the state has changed
+	 */
+	public boolean record(ResourceSample sample, double relayedShare, double rejectedShare, long nowNanos) {
+		double weight = 1 - Math.exp(-Math.max(0, nowNanos - this.lastSampleNanos) / SMOOTHING_NANOS);
+		this.lastSampleNanos = nowNanos;
+		this.delayRatio = smooth(this.delayRatio,
+				sample.eventLoopDelayMillis() / this.options.maxEventLoopDelayMillis(), weight);
+		this.processorRatio = smooth(this.processorRatio, sample.processorShare() / this.options.maxProcessorShare(),
+				weight);
+		this.memoryRatio = smooth(this.memoryRatio, sample.memoryShare() / this.options.maxMemoryShare(), weight);
+		this.linkRatio = smooth(this.linkRatio, sample.linkShare() / this.options.maxLinkShare(), weight);
+		PressureState next = nextState(relayedShare, rejectedShare);
+		long minNanos = (next.compareTo(this.state) > 0) ? MIN_NANOS_BEFORE_RISE : MIN_NANOS_BEFORE_FALL;
+		if (next == this.state || nowNanos - this.stateSinceNanos < minNanos) {
+			return false;
+		}
+		this.state = next;
+		this.stateSinceNanos = nowNanos;
+		return true;
+	}
+
+	private static double smooth(double mean, double ratio, double weight) {
+		double limited = Double.isFinite(ratio) ? Math.max(0, Math.min(MAX_RATIO, ratio)) : 0;
+		return mean + weight * (limited - mean);
+	}
+
+	private PressureState nextState(double relayedShare, double rejectedShare) {
+		double ratio = ratio();
+		double withoutRejections = ratio / Math.max(MIN_SERVED_SHARE, 1 - rejectedShare);
+		double offered = ratio / Math.max(MIN_SERVED_SHARE, 1 - relayedShare - rejectedShare);
+		boolean wasSaturated = this.state == PressureState.SATURATED;
+		if (wasSaturated ? withoutRejections >= SATURATED_EXIT : ratio >= SATURATED_ENTRY) {
+			return PressureState.SATURATED;
+		}
+		boolean wasPressed = this.state != PressureState.NORMAL;
+		return (offered >= (wasPressed ? PRESSED_EXIT : PRESSED_ENTRY)) ? PressureState.PRESSED : PressureState.NORMAL;
+	}
+
+	/**
+	 * Returns the use of the scarcest resource relative to its limit.
+	 * @return 0 or more, above 1 beyond the limit
+	 */
+	double ratio() {
+		return Math.max(Math.max(this.delayRatio, this.processorRatio), Math.max(this.memoryRatio, this.linkRatio));
+	}
+
+	/**
+	 * Returns the pressure level.
+	 * @return 0 without load to 1 at the limit of a resource
+	 */
+	public double level() {
+		return Math.min(1, ratio());
+	}
+
+	public PressureState state() {
+		return this.state;
+	}
+
+	/**
+	 * Returns whether another VM can relieve this one. A relayed request still passes
+	 * through the memory and the link of this VM.
+	 * @return false if memory or the link is the scarcest resource
+	 */
+	boolean isRelievedByRelays() {
+		return Math.max(this.delayRatio, this.processorRatio) >= Math.max(this.memoryRatio, this.linkRatio);
+	}
+
+	/**
+	 * Returns the level of each resource, for metrics and logs.
+	 * @return the use relative to the limit by the name of the resource
+	 */
+	public Map<String, Double> levels() {
+		return Map.of("event_loop", this.delayRatio, "processor", this.processorRatio, "memory", this.memoryRatio,
+				"link", this.linkRatio);
+	}
+
+	/**
+	 * Returns the scarcest resource, for logs.
+	 * @return its name
+	 */
+	String scarcestResource() {
+		return Collections.max(levels().entrySet(), Map.Entry.comparingByValue()).getKey();
+	}
+
+}
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/Attempt.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/Attempt.java
@@ -181,6 +181,7 @@
 		this.listener.onSend();
 		this.sent = true;
 		this.sentNanos = System.nanoTime();
+		this.context.metrics().recordSentBytes(this.request.body().length());
 		if (this.request.body().length() > 0) {
 			clientRequest.end(this.request.body());
 		}
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/CallerResponse.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/CallerResponse.java
@@ -113,6 +113,7 @@
 	 * @return whether more can be written now
 	 */
 	boolean write(Buffer events, Runnable resume) {
+		this.metrics.recordSentBytes(events.length());
 		this.response.write(events);
 		if (!this.response.writeQueueFull()) {
 			return true;
@@ -196,6 +197,7 @@
 		if (closesConnection) {
 			this.response.putHeader(HttpHeaders.CONNECTION, HttpHeaders.CLOSE);
 		}
+		this.metrics.recordSentBytes(body.length());
 		this.response.end(body)
 			.onFailure((cause) -> RequestEventLog.logResponseNotWritten(this.response.getStatusCode(), cause))
 			.onComplete((written) -> {
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/ForwardExchange.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/ForwardExchange.java
@@ -10,6 +10,7 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientResponse;
 import org.burdocktray.model.NetworkAddress;
+import org.burdocktray.model.Verdict;
 import org.burdocktray.process.directory.Replica;
 import org.burdocktray.process.quarantine.QuarantineDecision;
 import org.burdocktray.request.forward.AttemptOutcome;
@@ -142,6 +143,9 @@
 				.ifPresent((policy) -> policy.recordRequest(this.admitted.service().name(),
 						this.admitted.organisationName(), System.nanoTime()));
 		}
+		else {
+			this.context.pressure().ifPresent((pressure) -> pressure.recordFromOtherVm(System.nanoTime()));
+		}
 		this.callerResponse.onDisconnect(this::onCallerDisconnect);
 		this.timeLimitMillis = Math.max(1, this.admitted.request().remainingMillis());
 		this.deadlineTimer = this.context.vertx().setTimer(this.timeLimitMillis, (timer) -> onDeadline());
@@ -434,6 +438,7 @@
 		if (this.health.recordFailedAttempt(target.replica(), outcome, faultAddress)) {
 			this.targetSelector.exclude(target.replica());
 		}
+		this.targetSelector.recordFailure(target, outcome.verdict() != Verdict.NOT_RUN);
 		this.runGuard.recordFailure(failed, outcome, faultAddress.flatMap(this.context.directory()::findByAddress));
 		this.attempt = Optional.empty();
 		if (continueWithSuccessor()) {
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayContext.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayContext.java
@@ -14,6 +14,7 @@
 import org.burdocktray.process.directory.StreamOutputs;
 import org.burdocktray.process.freshness.RulesFreshness;
 import org.burdocktray.process.limits.FleetRetryBudget;
+import org.burdocktray.process.pressure.VmPressure;
 import org.burdocktray.request.hedge.HedgePolicy;
 import org.burdocktray.request.overload.OverloadControl;
 import org.burdocktray.request.path.FlowPathChoice;
@@ -51,6 +52,7 @@
  * @param demand measures the requests that arrive, if a feature needs it
  * @param hedging decides on second runs of late requests, if that feature is on
  * @param overload sheds load by priority, if the feature is on
+ * @param pressure hands requests to stronger VMs under pressure, if the feature is on
  * @param crashes finds out which requests crash replicas
  * @param random the source of randomness
  * @param metrics the metrics of the process
@@ -61,7 +63,7 @@
 		LimitedReplicas limits, EngineMonitor monitor, EngineControl engineControl, ReplicaConnections connections,
 		PathSearch pathSearch, LoadSpread loadSpread, Optional<FleetRoutes> routes, ReplicaTimes replicaTimes,
 		Optional<FlowPathChoice> flowPaths, FleetRetryBudget retryBudget, Optional<DemandMeter> demand,
-		Optional<HedgePolicy> hedging, Optional<OverloadControl> overload, CrashDetector crashes,
-		RandomGenerator random, GatewayMetrics metrics) {
+		Optional<HedgePolicy> hedging, Optional<OverloadControl> overload, Optional<VmPressure> pressure,
+		CrashDetector crashes, RandomGenerator random, GatewayMetrics metrics) {
 
 }
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayMetrics.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayMetrics.java
@@ -7,6 +7,7 @@
 import java.util.Locale;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.LongAdder;
 
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.core.metrics.Gauge;
@@ -16,6 +17,8 @@
 import org.burdocktray.process.balance.DataCentreLoad;
 import org.burdocktray.process.overload.AdmissionThreshold;
 import org.burdocktray.process.placement.PlacementChange;
+import org.burdocktray.process.pressure.PressureState;
+import org.burdocktray.process.pressure.ResourcePressure;
 import org.burdocktray.process.watch.WatchListener;
 
 /**
@@ -39,6 +42,8 @@
 
 	private final PrometheusRegistry registry = new PrometheusRegistry();
 
+	private final LongAdder sentBytes = new LongAdder();
+
 	private final Counter requests = Counter.builder()
 		.name("burdocktray_gateway_requests_total")
 		.help("Requests that got their final answer, by its status")
@@ -238,6 +243,24 @@
 		.labelNames("service", "data_centre")
 		.register(this.registry);
 
+	private final Gauge pressureLevel = Gauge.builder()
+		.name("burdocktray_gateway_pressure_level")
+		.help("The use of a resource of this VM relative to its limit, by resource")
+		.labelNames("resource")
+		.register(this.registry);
+
+	private final Gauge pressureState = Gauge.builder()
+		.name("burdocktray_gateway_pressure_state")
+		.help("Whether this VM is in a state of pressure: 1 or 0")
+		.labelNames("state")
+		.register(this.registry);
+
+	private final Counter pressureRequests = Counter.builder()
+		.name("burdocktray_gateway_pressure_requests_total")
+		.help("New requests that this VM did not serve itself under pressure, by what became of them")
+		.labelNames("result")
+		.register(this.registry);
+
 	private final Gauge admissionThreshold = Gauge.builder()
 		.name("burdocktray_gateway_admission_threshold")
 		.help("The most urgent priority of which requests are rejected for load, by service; -1 while none are")
@@ -473,6 +496,34 @@
 			.inc();
 	}
 
+	/**
+	 * Records a sample of the resources of this VM.
+	 * @param pressure the pressure
+	 */
+	void setPressure(ResourcePressure pressure) {
+		pressure.levels().forEach((resource, level) -> this.pressureLevel.labelValues(resource).set(level));
+		for (PressureState state : PressureState.values()) {
+			this.pressureState.labelValues(state.name().toLowerCase(Locale.ROOT))
+				.set((state == pressure.state()) ? 1 : 0);
+		}
+	}
+
+	void recordPressureRequest(String result) {
+		this.pressureRequests.labelValues(result).inc();
+	}
+
+	/**
+	 * Adds to the bytes of bodies that this process has sent.
+	 * @param count the number of bytes
+	 */
+	void recordSentBytes(long count) {
+		this.sentBytes.add(count);
+	}
+
+	long sentBytes() {
+		return this.sentBytes.sum();
+	}
+
 	void recordEstimateRatio(double ratio) {
 		this.estimateRatio.observe(ratio);
 	}
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayServer.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayServer.java
@@ -39,6 +39,10 @@
 import org.burdocktray.process.limits.RelayLimit;
 import org.burdocktray.process.limits.ReplicaLimits;
 import org.burdocktray.process.overload.AdmissionThreshold;
+import org.burdocktray.process.pressure.JvmResources;
+import org.burdocktray.process.pressure.PressureState;
+import org.burdocktray.process.pressure.ResourcePressure;
+import org.burdocktray.process.pressure.VmPressure;
 import org.burdocktray.process.quarantine.Quarantine;
 import org.burdocktray.process.quarantine.QuarantineSettings;
 import org.burdocktray.process.serve.watch.WatchClient;
@@ -254,20 +258,26 @@
 		Optional<OverloadControl> overload = this.options.overload()
 			.map((features) -> new OverloadControl(features, demandMeter.orElseThrow(), demand.orElseThrow(),
 					this.directory, loads, random, createOverloadListener()));
+		BodyMemory bodyMemory = BodyMemory.ofHeap();
+		Optional<VmPressure> pressure = this.options.pressure()
+			.map((pressureOptions) -> new VmPressure(pressureOptions,
+					new VmPressure.Size(this.settings.size().cores(), this.settings.size().linkBitsPerSecond()),
+					this.settings.peerAddress(), new JvmResources(bodyMemory, this.metrics::sentBytes), random,
+					new PressureListener(), nowNanos));
 		GatewayContext context = new GatewayContext(this.vertx, this.eventLoopDelay, this.settings.dataCentre(),
 				this.adapter.headers(), this.rules, this.freshness, this.directory, loads,
 				this.options.balancing().isPresent() ? new StreamOutputs(enginePace) : new StreamOutputs(), contacts,
 				reach, relays, this.relayKey, limits, monitor, engineControl, connections,
 				new PathSearch(this.settings.dataCentre(), loads, random), loadSpread, routes, replicaTimes, flowPaths,
-				retryBudget, demandMeter, hedging, overload, crashes, random, this.metrics);
-		BodyMemory bodyMemory = BodyMemory.ofHeap();
+				retryBudget, demandMeter, hedging, overload, pressure, crashes, random, this.metrics);
 		GatewayRequestHandler requestHandler = new GatewayRequestHandler(context, this.requestsInProgress,
 				this.rulesPollInterval, bodyMemory, this.gracefulStop::isStopping, this.gracefulStop::isRejecting);
 		PlacementLease placementLease = new PlacementLease(this.adapter.store(), this.settings.vmName());
 		PlacementLoop placementLoop = new PlacementLoop(this.rules, this.directory, engineControl, placementLease,
 				(service) -> routes.filter((fleetRoutes) -> fleetRoutes.isActive(service)).isPresent(), this.metrics);
 		RelayReceiver relayReceiver = new RelayReceiver(this.relayKey, relayLimit, reach, datagrams, requestHandler,
-				this::isReady, this.metrics);
+				() -> isReady() && pressure.filter((vmPressure) -> !vmPressure.acceptsRelays()).isEmpty(),
+				this.metrics);
 		LoadReportBroadcaster loadBroadcaster = new LoadReportBroadcaster(datagrams,
 				(vm, id, startedAtMillis, report) -> this.directory.findById(id)
 					.filter((engine) -> engine.startedAtMillis() == startedAtMillis)
@@ -331,11 +341,15 @@
 						.filter((vm) -> vm.address().isPresent())
 						.collect(Collectors.toMap((vm) -> vm.address().get(), FleetRegistry.RegisteredVm::dataCentre,
 								(first, second) -> first))));
+					pressure.ifPresent((vmPressure) -> vmPressure.setVms(localVms.stream()
+						.filter((vm) -> vm.address().isPresent())
+						.collect(Collectors.toMap((vm) -> vm.address().get(), FleetRegistry.RegisteredVm::cores,
+								(first, second) -> first))));
 					datagrams.setVms(vms.stream().flatMap((vm) -> vm.address().stream()).toList());
 					pollScheduler.setVms(localVms.stream().map(FleetRegistry.RegisteredVm::name).toList());
 					loadBroadcaster.setPeers(localVms.stream().flatMap((vm) -> vm.address().stream()).toList());
 				});
-		demand.ifPresent((exchange) -> exchangeDemand(exchange, datagrams));
+		demand.ifPresent((exchange) -> exchangeDemand(exchange, pressure, datagrams));
 		overload.ifPresent((control) -> this.vertx.setPeriodic(OVERLOAD_UPDATE_MILLIS, (timer) -> runTick("overload",
 				() -> this.rules.current().ifPresent((current) -> control.update(current, System.nanoTime())))));
 		startWatchers();
@@ -352,6 +366,7 @@
 			long tickNanos = System.nanoTime();
 			long delayNanos = this.eventLoopDelay.recordTick(tickNanos);
 			relayLimit.recordDelay(delayNanos);
+			pressure.ifPresent((vmPressure) -> runTick("pressure", () -> vmPressure.tick(delayNanos, tickNanos)));
 			recordEventLoopDelay(delayNanos);
 			runTick("reach", () -> reach.tick(tickNanos));
 			runTick("relays", () -> relays.tick(tickNanos));
@@ -443,13 +458,22 @@
 	}
 
 	private boolean needsDemand() {
-		return this.options.overload().isPresent() || this.options.balancing().isPresent();
+		return this.options.overload().isPresent() || this.options.balancing().isPresent()
+				|| this.options.pressure().isPresent();
 	}
 
-	private void exchangeDemand(DemandExchange exchange, VmDatagrams datagrams) {
-		datagrams.addReceiver((sender, message) -> exchange.receive(sender, message, System.nanoTime()));
-		this.vertx.setPeriodic(DEMAND_EXCHANGE_MILLIS, (timer) -> exchange.tick(System.nanoTime())
-			.forEach((outgoing) -> datagrams.send(outgoing.message(), outgoing.receivers())));
+	private void exchangeDemand(DemandExchange exchange, Optional<VmPressure> pressure, VmDatagrams datagrams) {
+		datagrams.addReceiver((sender, message) -> {
+			exchange.receive(sender, message, System.nanoTime());
+			pressure.ifPresent((vmPressure) -> vmPressure.receive(sender, message, System.nanoTime()));
+		});
+		this.vertx.setPeriodic(DEMAND_EXCHANGE_MILLIS, (timer) -> {
+			long nowNanos = System.nanoTime();
+			List<DemandExchange.Outgoing> due = exchange.tick(nowNanos);
+			pressure.map((vmPressure) -> vmPressure.addTo(due, nowNanos))
+				.orElse(due)
+				.forEach((outgoing) -> datagrams.send(outgoing.message(), outgoing.receivers()));
+		});
 	}
 
 	private void recordForeignAnswer(ForeignAnswer answer) {
@@ -544,6 +568,38 @@
 		return this.gracefulStop.start();
 	}
 
+	/**
+	 * Logs and counts what is decided under pressure.
+	 */
+	private final class PressureListener implements VmPressure.Listener {
+
+		@Override
+		public void onSample(ResourcePressure pressure) {
+			GatewayServer.this.metrics.setPressure(pressure);
+		}
+
+		@Override
+		public void onStateChange(PressureState before, PressureState after, String details) {
+			LOGGER.infof("Pressure changed: from=%s to=%s %s", before, after, details);
+		}
+
+		@Override
+		public void onHandedOver() {
+			GatewayServer.this.metrics.recordPressureRequest("handed_over");
+		}
+
+		@Override
+		public void onDeclined() {
+			GatewayServer.this.metrics.recordPressureRequest("declined");
+		}
+
+		@Override
+		public void onRejected() {
+			GatewayServer.this.metrics.recordPressureRequest("rejected");
+		}
+
+	}
+
 	/**
 	 * Logs and counts what balancing decides.
 	 */
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/LostTargetCheck.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/LostTargetCheck.java
@@ -27,6 +27,10 @@
 	 * @return whether it is gone
 	 */
 	Single<Boolean> isGone(Target target) {
+		// Asking for relays would say that this VM is cut off.
+		if (target.isRelay() && !this.context.reach().isCutOff()) {
+			return Single.just(false);
+		}
 		if (target.isRelay()) {
 			return stillRelays(target).map((offers) -> !offers);
 		}
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/RelayVms.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/RelayVms.java
@@ -88,6 +88,21 @@
 		return this.vms.containsKey(address);
 	}
 
+	/**
+	 * Finds a registered VM.
+	 * @param address its address
+	 * @return the VM as a target, empty if it is not registered or avoided at present
+	 */
+	Optional<Target> find(NetworkAddress address) {
+		return Optional.ofNullable(this.vms.get(address))
+			.filter((vm) -> !this.loads.isAvoided(vm, System.nanoTime()))
+			.map(Target::throughVm);
+	}
+
+	int inFlight(NetworkAddress address) {
+		return Optional.ofNullable(this.vms.get(address)).map(this.loads::inFlight).orElse(0);
+	}
+
 	/**
 	 * Returns whether there are VMs to ask.
 	 * @return false for a VM that is alone
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/RequestDispatch.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/RequestDispatch.java
@@ -82,6 +82,10 @@
 			this.wait.begin();
 			return;
 		}
+		if (!this.owner.isResponseStarted() && this.targetSelector.isRejectedForPressure()) {
+			this.owner.giveUp("VM is saturated", CallerResponse.OTHER_VM_RETRY_AFTER_SECONDS);
+			return;
+		}
 		this.preparation.prepare(this.targetSelector::select, this.owner.isNextRunRetry(), () -> !this.owner.hasEnded())
 			.subscribe(this::onPrepared);
 	}
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/TargetSelector.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/TargetSelector.java
@@ -9,8 +9,11 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
 
+import org.burdocktray.model.NetworkAddress;
 import org.burdocktray.process.balance.StreamTargets;
 import org.burdocktray.process.directory.Replica;
+import org.burdocktray.process.pressure.Placement;
+import org.burdocktray.process.pressure.RequestPlacement;
 import org.burdocktray.request.path.FlowPathChoice;
 import org.burdocktray.request.path.LayerPath;
 import org.burdocktray.request.path.LoadSpread;
@@ -50,6 +53,11 @@
 	/** The times until which replicas are excluded, by their ids. */
 	private final Map<String, Long> exclusions = new HashMap<>();
 
+	/**
+	 * Empty for requests that are always served here: relayed ones and resumed streams.
+	 */
+	private final Optional<RequestPlacement> placement;
+
 	private Set<String> suspectUpstreams = Set.of();
 
 	TargetSelector(GatewayContext context, AdmittedRequest admitted) {
@@ -59,6 +67,9 @@
 		this.requestHead = admitted.head();
 		this.route = admitted.route().name();
 		this.mayBeRelayed = admitted.relayed().isEmpty();
+		this.placement = context.pressure()
+			.filter((pressure) -> this.mayBeRelayed && this.requestHead.lastEventId().isEmpty())
+			.map((pressure) -> new RequestPlacement(pressure, this::mayBeHandedTo, context.relays()::inFlight));
 	}
 
 	void exclude(Replica replica) {
@@ -75,6 +86,10 @@
 		if (isCutOff()) {
 			return selectRelay();
 		}
+		Optional<Target> stronger = selectStrongerVm();
+		if (stronger.isPresent()) {
+			return stronger;
+		}
 		this.suspectUpstreams = suspectUpstreams;
 		Optional<Target> isolated = selectAny();
 		if (isolated.isPresent() || suspectUpstreams.isEmpty()) {
@@ -141,6 +156,42 @@
 		return this.context.reach().isInDoubt();
 	}
 
+	/**
+	 * Returns whether this VM is saturated and no other one takes the request.
+	 * @return false also once the request may have run
+	 */
+	boolean isRejectedForPressure() {
+		return !isCutOff() && this.placement.map((place) -> place.get(System.nanoTime()))
+			.filter(Placement.Nowhere.class::isInstance)
+			.isPresent();
+	}
+
+	/**
+	 * Records that an attempt has failed. A request that a stronger VM has not taken may
+	 * be handed to another one.
+	 * @param target where the request was sent
+	 * @param mayHaveRun whether it may have run there
+	 */
+	void recordFailure(Target target, boolean mayHaveRun) {
+		this.placement.filter((place) -> target.isRelay())
+			.ifPresent((place) -> place.recordFailure(target.replica().address(), mayHaveRun, System.nanoTime()));
+	}
+
+	private Optional<Target> selectStrongerVm() {
+		return this.placement.map((place) -> place.get(System.nanoTime()))
+			.filter(Placement.AtVm.class::isInstance)
+			.map(Placement.AtVm.class::cast)
+			.flatMap((at) -> this.context.relays().find(at.vm()));
+	}
+
+	private boolean mayBeHandedTo(NetworkAddress vm) {
+		long nowNanos = System.nanoTime();
+		return this.context.relayKey().value().isPresent() && this.context.relays()
+			.find(vm)
+			.filter((target) -> !isExcluded(target.replica(), nowNanos))
+			.isPresent();
+	}
+
 	private boolean isCutOff() {
 		return this.context.reach().isCutOff() && this.context.relays().hasOtherVms();
 	}
--- a/router/src/main/java/org/burdocktray/process/settings/GatewayOptions.java
+++ b/router/src/main/java/org/burdocktray/process/settings/GatewayOptions.java
@@ -11,14 +11,27 @@
  * @param overload sheds load by priority while the demand exceeds the capacity
  * @param balancing lets routes and layers follow uneven demand
  * @param hedging sends a second run of repeatable requests that respond late
+ * @param pressure hands new requests of a VM under pressure to stronger VMs
  */
 public record GatewayOptions(Optional<WatchOptions> watch, Optional<OverloadOptions> overload,
-		Optional<BalancingOptions> balancing, Optional<HedgingOptions> hedging) {
+		Optional<BalancingOptions> balancing, Optional<HedgingOptions> hedging, Optional<PressureOptions> pressure) {
 
 	/** All features are off. */
 	public static final GatewayOptions NONE = new GatewayOptions(Optional.empty(), Optional.empty(), Optional.empty(),
 			Optional.empty());
 
+	/**
+	 * Creates options without {@link #pressure}.
+	 * @param watch lets few VMs watch the platform's store for all others
+	 * @param overload sheds load by priority while the demand exceeds the capacity
+	 * @param balancing lets routes and layers follow uneven demand
+	 * @param hedging sends a second run of repeatable requests that respond late
+	 */
+	public GatewayOptions(Optional<WatchOptions> watch, Optional<OverloadOptions> overload,
+			Optional<BalancingOptions> balancing, Optional<HedgingOptions> hedging) {
+		this(watch, overload, balancing, hedging, Optional.empty());
+	}
+
 	/**
 	 * When a configured feature takes effect.
 	 */
@@ -85,4 +98,20 @@
 
 	}
 
+	/**
+	 * When a VM is under pressure, and what it hands over then. A limit is the value at
+	 * which the resource counts as used up. Thread safety: immutable.
+	 *
+	 * @param maxEventLoopDelayMillis the limit of the mean delay of periodic work
+	 * @param maxProcessorShare the limit of the use of the VM's processor cores
+	 * @param maxMemoryShare the limit of the use of the heap and of the memory for bodies
+	 * @param maxLinkShare the limit of the use of the VM's link by what it sends
+	 * @param relayShareLimit the share of new requests that is handed to other VMs at
+	 * most
+	 */
+	public record PressureOptions(long maxEventLoopDelayMillis, double maxProcessorShare, double maxMemoryShare,
+			double maxLinkShare, double relayShareLimit) {
+
+	}
+
 }
--- a/router/src/main/java/org/burdocktray/process/settings/GatewayOptionsReader.java
+++ b/router/src/main/java/org/burdocktray/process/settings/GatewayOptionsReader.java
@@ -10,6 +10,7 @@
 import org.burdocktray.process.settings.GatewayOptions.BalancingOptions;
 import org.burdocktray.process.settings.GatewayOptions.HedgingOptions;
 import org.burdocktray.process.settings.GatewayOptions.OverloadOptions;
+import org.burdocktray.process.settings.GatewayOptions.PressureOptions;
 import org.burdocktray.process.settings.GatewayOptions.WatchOptions;
 import org.burdocktray.version.config.ConfigFault;
 import org.burdocktray.version.config.ConfigFile;
@@ -33,6 +34,11 @@
 
 	private static final NumberRange MILLIS = NumberRange.of(1, 3_600_000);
 
+	private static final NumberRange DELAY_MILLIS = NumberRange.of(1, 10_000);
+
+	/** A limit near 0 would put each VM under pressure without load. */
+	private static final NumberRange LIMIT_SHARE = NumberRange.of(0.05, 1);
+
 	private static final String AUTO = "auto";
 
 	private static final String ALWAYS = "always";
@@ -53,6 +59,17 @@
 
 	private static final long DEFAULT_MIN_DELAY_MILLIS = 50;
 
+	/** From this delay on a VM takes on no requests of others either. */
+	private static final long DEFAULT_MAX_EVENT_LOOP_DELAY_MILLIS = 100;
+
+	private static final double DEFAULT_MAX_PROCESSOR_SHARE = 0.9;
+
+	private static final double DEFAULT_MAX_MEMORY_SHARE = 0.85;
+
+	private static final double DEFAULT_MAX_LINK_SHARE = 0.8;
+
+	private static final double DEFAULT_RELAY_SHARE_LIMIT = 0.75;
+
 	private GatewayOptionsReader() {
 	}
 
@@ -79,7 +96,8 @@
 		return new GatewayOptions(section(root, "watch", GatewayOptionsReader::readWatch),
 				section(root, "overload", GatewayOptionsReader::readOverload),
 				section(root, "balancing", GatewayOptionsReader::readBalancing),
-				section(root, "hedging", GatewayOptionsReader::readHedging));
+				section(root, "hedging", GatewayOptionsReader::readHedging),
+				section(root, "pressure", GatewayOptionsReader::readPressure));
 	}
 
 	private static <T> Optional<T> section(ConfigObject root, String field, Function<ConfigObject, T> reader) {
@@ -110,6 +128,15 @@
 				object.wholeNumber("minDelayMillis", MILLIS, DEFAULT_MIN_DELAY_MILLIS));
 	}
 
+	private static PressureOptions readPressure(ConfigObject object) {
+		return new PressureOptions(
+				object.wholeNumber("maxEventLoopDelayMillis", DELAY_MILLIS, DEFAULT_MAX_EVENT_LOOP_DELAY_MILLIS),
+				object.number("maxProcessorShare", LIMIT_SHARE, DEFAULT_MAX_PROCESSOR_SHARE),
+				object.number("maxMemoryShare", LIMIT_SHARE, DEFAULT_MAX_MEMORY_SHARE),
+				object.number("maxLinkShare", LIMIT_SHARE, DEFAULT_MAX_LINK_SHARE),
+				object.number("relayShareLimit", SHARE, DEFAULT_RELAY_SHARE_LIMIT));
+	}
+
 	private static Activation readActivation(ConfigObject object) {
 		String word = object.choice("activation", List.of(AUTO, ALWAYS), AUTO);
 		return ALWAYS.equals(word) ? Activation.ALWAYS : Activation.AUTO;
--- a/router/src/test/java/org/burdocktray/architecture/LayerTests.java
+++ b/router/src/test/java/org/burdocktray/architecture/LayerTests.java
@@ -39,7 +39,7 @@
 					"org.burdocktray.process.directory..", "org.burdocktray.process.placement..",
 					"org.burdocktray.process.freshness..", "org.burdocktray.process.demand..",
 					"org.burdocktray.process.overload..", "org.burdocktray.process.balance..",
-					"org.burdocktray.process.watch..")
+					"org.burdocktray.process.watch..", "org.burdocktray.process.pressure..")
 			.layer("request")
 			.definedBy("org.burdocktray.request..")
 			.layer("composition")
--- a/router/src/test/java/org/burdocktray/process/serve/gateway/AttemptTests.java
+++ b/router/src/test/java/org/burdocktray/process/serve/gateway/AttemptTests.java
@@ -99,7 +99,7 @@
 				new LimitedReplicas(new ReplicaLimits("vm-1"), random), null, null,
 				new ReplicaConnections(this.vertx, metrics, "Id", new ReplicaConnections.Listener() {
 				}), null, null, Optional.of(routes), this.times, Optional.empty(), null, Optional.empty(),
-				Optional.empty(), Optional.empty(), null, random, metrics);
+				Optional.empty(), Optional.empty(), Optional.empty(), null, random, metrics);
 		ForwardedRequest request = new ForwardedRequest(Optional.of("r1"), HttpMethod.POST, "/",
 				MultiMap.caseInsensitiveMultiMap(), Buffer.buffer(), Optional.empty(), false, false, Optional.empty(),
 				System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(TIMEOUT_MILLIS), null, Optional.empty());
--- a/router/src/test/java/org/burdocktray/process/serve/gateway/ReplicaHealthTests.java
+++ b/router/src/test/java/org/burdocktray/process/serve/gateway/ReplicaHealthTests.java
@@ -21,7 +21,7 @@
 	private final ReplicaHealth health = new ReplicaHealth(
 			new GatewayContext(null, null, null, null, null, null, new ReplicaDirectory(0), this.loads, null, null,
 					null, null, null, new LimitedReplicas(new ReplicaLimits("vm-1"), new SplittableRandom(1)), null,
-					null, null, null, null, null, null, null, null, null, null, null, null, null, null));
+					null, null, null, null, null, null, null, null, null, null, null, null, null, null, null));
 
 	private final Replica plain = TestReplicas.replica("plain", 1);
 
