--- a/router/src/test/java/org/burdocktray/process/settings/GatewayOptionsReaderTests.java
+++ b/router/src/test/java/org/burdocktray/process/settings/GatewayOptionsReaderTests.java
@@ -7,6 +7,7 @@
 import io.vavr.control.Either;
 import org.burdocktray.process.settings.GatewayOptions.Activation;
 import org.burdocktray.process.settings.GatewayOptions.HedgingOptions;
+import org.burdocktray.process.settings.GatewayOptions.PressureOptions;
 import org.burdocktray.version.config.ConfigFault;
 import org.junit.jupiter.api.Test;
 
@@ -39,6 +40,19 @@
 			.isEqualTo(Optional.of(new HedgingOptions(0.05, 0, 0.9, 50)));
 	}
 
+	@Test
+	void readsPressureWithDefaults() {
+		assertThat(read("{\"pressure\": {\"relayShareLimit\": 0.5}}").get().pressure())
+			.isEqualTo(Optional.of(new PressureOptions(100, 0.9, 0.85, 0.8, 0.5)));
+	}
+
+	@Test
+	void namesPressureLimitOutOfRange() {
+		assertThat(read("{\"pressure\": {\"maxLinkShare\": 0, \"maxEventLoopDelayMillis\": 0.5}}").getLeft())
+			.extracting(ConfigFault::fieldPath)
+			.containsExactlyInAnyOrder("pressure.maxLinkShare", "pressure.maxEventLoopDelayMillis");
+	}
+
 	@Test
 	void hedgingNeedsItsLimit() {
 		assertThat(read("{\"hedging\": {}}").getLeft()).singleElement()
