A saturated VM stays saturated while it hands over to the limit

At eight times its load, a VM that handed over 0.75 and rejected the rest left the saturated state, since the rejected share was not related to what is served here. It stopped to reject, and its event loop was up to 1,520 ms late in the model of VmPressureTests. It now relates both; the new test passes.

--- a/router/src/main/java/org/burdocktray/process/pressure/ResourcePressure.java
+++ b/router/src/main/java/org/burdocktray/process/pressure/ResourcePressure.java
@@ -97,8 +97,8 @@
 
 	private PressureState nextState(double relayedShare, double rejectedShare) {
 		double ratio = ratio();
-		double withoutRejections = ratio / Math.max(MIN_SERVED_SHARE, 1 - rejectedShare);
 		double offered = ratio / Math.max(MIN_SERVED_SHARE, 1 - relayedShare - rejectedShare);
+		double withoutRejections = offered * (1 - relayedShare);
 		boolean wasSaturated = this.state == PressureState.SATURATED;
 		if (wasSaturated ? withoutRejections >= SATURATED_EXIT : ratio >= SATURATED_ENTRY) {
 			return PressureState.SATURATED;
--- a/router/src/test/java/org/burdocktray/process/pressure/VmPressureTests.java
+++ b/router/src/test/java/org/burdocktray/process/pressure/VmPressureTests.java
@@ -100,6 +100,19 @@
 		assertThat(fleet.vms.get(0).handedOver).isZero();
 	}
 
+	@Test
+	void handsOverNoMoreThanTheLimitAndRejectsTheRest() {
+		Fleet fleet = new Fleet(1, 0.25, 1.5, 1.5, 1.5, 1.5, 1.5);
+		fleet.setLoad(8, 0, 0, 0, 0, 0);
+		fleet.run(60);
+		fleet.forgetCounts();
+		fleet.run(60);
+		Vm small = fleet.vms.get(0);
+		assertThat(small.handedOver / (8 * 25 * fleet.seconds)).isBetween(0.7, 0.76);
+		assertThat(small.rejected).isPositive();
+		assertThat(small.maxDelayMillis).isLessThan(1_000);
+	}
+
 	@Test
 	void pressedVmHandsNothingToSmallerOnes() {
 		Fleet fleet = new Fleet(1, 1.5, 0.25, 0.25);
