Quarantine: only requests that have lost a run are looked into at their end

Runs in progress at the end now count as lost only where the request has lost a run before, which covers the traced fault (the successor of a silent run). The replicas that are probed are those with which the run began: the path of the attempt may be about to change.

--- a/router/src/main/java/org/burdocktray/process/quarantine/runs/RequestRuns.java
+++ b/router/src/main/java/org/burdocktray/process/quarantine/runs/RequestRuns.java
@@ -16,12 +16,12 @@
 
 /**
  * The runs of one request on this VM, for the quarantine. Decides which of them are lost:
- * one whose replica fell silent or whose connection broke, and, at the end of a request
- * without a response, each one in progress. A request that crashes replicas silently has
- * often two runs in progress at its deadline, and has crashed a replica with each.
- * Invariants: each attempt has at most one run in progress; a run that is harmless is
- * never lost; each lost run is resolved once. Thread safety: none, confined to the
- * request.
+ * one whose replica fell silent or whose connection broke, and, where a run of the
+ * request was lost before, each one in progress at its end without a response. A request
+ * that crashes replicas silently has often two runs in progress at its deadline, and has
+ * crashed a replica with each. Invariants: each attempt has at most one run in progress;
+ * a run that is harmless is never lost; each lost run is resolved once. Thread safety:
+ * none, confined to the request.
  *
  * @param <A> what a run belongs to, an attempt to send the request
  */
@@ -146,7 +146,8 @@
 
 	/**
 	 * Records that this VM begins no other run. Those that still are in progress have got
-	 * no response: all but the harmless ones are lost.
+	 * no response: if the request is suspected, all but the harmless ones are lost. A
+	 * caller that leaves early is no evidence against a request.
 	 * @param nowNanos the time
 	 * @return the lost runs by their attempts, to be treated as those of
 	 * {@link #recordLoss}
@@ -154,8 +155,10 @@
 	public Map<A, String> close(long nowNanos) {
 		this.closed = true;
 		Map<A, String> lost = new LinkedHashMap<>();
-		List.copyOf(this.runs.keySet())
-			.forEach((attempt) -> recordLoss(attempt).ifPresent((runId) -> lost.put(attempt, runId)));
+		if (isSuspected()) {
+			List.copyOf(this.runs.keySet())
+				.forEach((attempt) -> recordLoss(attempt).ifPresent((runId) -> lost.put(attempt, runId)));
+		}
 		endAll(nowNanos);
 		return lost;
 	}
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/ForwardExchange.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/ForwardExchange.java
@@ -681,6 +681,7 @@
 			.ifPresent((running) -> {
 				this.health.recordResponse(running.target().replica(), true);
 				running.recordUnresponsive();
+				this.runGuard.recordLoss(running, running.target().replicas());
 			});
 	}
 
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/RunGuard.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/RunGuard.java
@@ -1,6 +1,8 @@
 package org.burdocktray.process.serve.gateway;
 
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -42,6 +44,9 @@
 
 	private final RequestRuns<Attempt> runs;
 
+	/** The replicas of the last run of each attempt: its path may be about to change. */
+	private final Map<Attempt, List<Replica>> replicas = new HashMap<>();
+
 	RunGuard(CrashDetector detector, AdmittedRequest admitted) {
 		this.detector = detector;
 		this.quarantine = detector.quarantine();
@@ -100,6 +105,7 @@
 	 * @param target where it runs
 	 */
 	void startRun(Attempt attempt, Target target) {
+		this.replicas.put(attempt, target.replicas());
 		Set<String> upstreams = target.isRelay() ? Set.of() : UpstreamNames.of(target.replicas());
 		this.runs.start(attempt, upstreams, System.nanoTime());
 	}
@@ -153,7 +159,7 @@
 	void recordFailure(Attempt failed, AttemptOutcome outcome, Optional<Replica> faultyEngine) {
 		boolean hasWaitedForEngine = System.nanoTime() - failed.sentNanos() >= STALLED_REJECTION_NANOS;
 		if (outcome == AttemptOutcome.LOST) {
-			recordLoss(failed, failed.target().replicas());
+			recordLoss(failed, this.replicas.getOrDefault(failed, failed.target().replicas()));
 		}
 		else if (hasWaitedForEngine) {
 			faultyEngine.ifPresent((engine) -> recordLoss(failed, List.of(engine)));
@@ -179,12 +185,11 @@
 	}
 
 	/**
-	 * Records that the request has ended, so that this VM begins no other run. Those in
-	 * progress have got no response, and are looked into like lost ones.
+	 * Records that the request has ended, so that this VM begins no other run. Where a
+	 * run was lost before, replicas of those in progress are probed as well.
 	 */
 	void close() {
-		this.runs.close(System.nanoTime())
-			.forEach((attempt, runId) -> checkLostRun(runId, attempt.target().replicas()));
+		this.runs.close(System.nanoTime()).forEach((attempt, runId) -> checkLostRun(runId, this.replicas.get(attempt)));
 		tellOthersIfGivenUp();
 	}
 
