Relays: VMs know each other from their start, declined requests are no retries

A VM drops datagrams of addresses that it does not know, and read the list of VMs first 1 s after its registration. VM 2 so passed over the question of VM 0, whose only offer was that of VM 1. When VM 1 declined, VM 0 refused after 3 ms: an offer, also one of a VM that had declined, ended the wait for replies. A declined request counted as a retry, while no replica had received it. A VM that does not know the number of VMs yet has none, so the request was refused: "retry budget is spent".

Change: VMs read the addresses of others once they are registered, and again when they are cut off, at most each 5 s. The first list that counts VMs (retry budget, lease, limits) comes after 1 s as before. OfferWait decides how long requests wait for offers, bounded; offers that have come do not end the wait. A VM that declines states in a new header whether it has sent the request to a replica; if not, the next try is not charged (outcome DECLINED). Sends stay limited to four. Costs one more call to the store at the start of a process, and one at a cut.

--- a/router/src/main/java/org/burdocktray/process/serve/gateway/Attempt.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/Attempt.java
@@ -247,7 +247,7 @@
 		}
 		this.context.connections().responses().discard(response);
 		if (refusal.get().isDeclined()) {
-			fail(AttemptOutcome.REJECTED, refusal.get().cause(), Optional.empty());
+			fail(refusal.get().outcome(), refusal.get().cause(), Optional.empty());
 		}
 		else if (finish()) {
 			this.listener.onRefusal(refusal.get());
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/CallerResponse.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/CallerResponse.java
@@ -149,9 +149,10 @@
 	 * Refuses a relayed request that has not run, so that the VM that sent it selects
 	 * another one.
 	 * @param cause the reason
+	 * @param isUnsent whether no replica has received the request
 	 */
-	void decline(String cause) {
-		RelayHeaders.writeDeclined(this.response.headers());
+	void decline(String cause, boolean isUnsent) {
+		RelayHeaders.writeDeclined(isUnsent, this.response.headers());
 		refuse(SERVICE_UNAVAILABLE, Verdict.NOT_RUN, cause, 0);
 	}
 
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/FinalResponse.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/FinalResponse.java
@@ -110,7 +110,7 @@
 			giveUp(cause);
 			return;
 		}
-		this.callerResponse.decline(cause);
+		this.callerResponse.decline(cause, !this.state.isRetry());
 		log(SERVICE_UNAVAILABLE, Verdict.NOT_RUN, cause);
 	}
 
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/FleetRegistry.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/FleetRegistry.java
@@ -10,6 +10,7 @@
 import io.vertx.core.json.DecodeException;
 import io.vertx.core.json.JsonObject;
 import org.burdocktray.connection.platform.ChangeFeed;
+import org.burdocktray.connection.platform.ObjectListing;
 import org.burdocktray.connection.platform.PlatformStore;
 import org.burdocktray.connection.platform.StoreError;
 import org.burdocktray.connection.platform.StoredObject;
@@ -54,16 +55,30 @@
 
 	private final RegisteredVm ownVm;
 
+	private final Consumer<List<RegisteredVm>> addressListener;
+
 	private final Consumer<List<RegisteredVm>> listener;
 
 	private long intervalMillis = INITIAL_INTERVAL_MILLIS;
 
+	/**
+	 * Creates a registry.
+	 * @param vertx runs its timers
+	 * @param store receives the entry of this VM
+	 * @param listings lists the VMs
+	 * @param ownVm this VM
+	 * @param addressListener is told of all lists; the first comes once this VM is
+	 * registered, so that it knows those that send it messages
+	 * @param listener is told of the periodic lists; the first comes when VMs that start
+	 * at the same time are registered as well, so that it may count them
+	 */
 	FleetRegistry(Vertx vertx, PlatformStore store, ChangeFeed listings, RegisteredVm ownVm,
-			Consumer<List<RegisteredVm>> listener) {
+			Consumer<List<RegisteredVm>> addressListener, Consumer<List<RegisteredVm>> listener) {
 		this.vertx = vertx;
 		this.store = store;
 		this.listings = listings;
 		this.ownVm = ownVm;
+		this.addressListener = addressListener;
 		this.listener = listener;
 	}
 
@@ -77,7 +92,7 @@
 		this.store.create(key, value)
 			.flatMap((created) -> isConflict(created) ? replace(key, value) : Single.just(created))
 			.subscribe((result) -> {
-				result
+				result.peek((registered) -> refresh())
 					.peekLeft((error) -> LOGGER.warnf("VM registration failed, retrying: vm=%s error=%s", key, error));
 				this.vertx.setTimer(INITIAL_INTERVAL_MILLIS, (timer) -> {
 					if (result.isRight()) {
@@ -111,11 +126,19 @@
 		});
 	}
 
+	/** Lists the VMs now, beside the periodic listing. */
+	void refresh() {
+		this.listings.listObjects(KIND).subscribe((listed) -> accept(listed, this.addressListener));
+	}
+
+	private static void accept(Either<StoreError, ObjectListing> listed, Consumer<List<RegisteredVm>> receiver) {
+		listed.peek((listing) -> receiver.accept(listing.objects().stream().map(FleetRegistry::decode).toList()))
+			.peekLeft((error) -> LOGGER.infof("Registered VMs cannot be listed: error=%s", error));
+	}
+
 	private void list() {
 		this.listings.listObjects(KIND).subscribe((listed) -> {
-			listed
-				.peek((listing) -> this.listener.accept(listing.objects().stream().map(FleetRegistry::decode).toList()))
-				.peekLeft((error) -> LOGGER.infof("Registered VMs cannot be listed: error=%s", error));
+			accept(listed, this.addressListener.andThen(this.listener));
 			this.vertx.setTimer(this.intervalMillis, (timer) -> list());
 			this.intervalMillis = listed.isRight() ? Math.min(MAX_INTERVAL_MILLIS, 2 * this.intervalMillis)
 					: INITIAL_INTERVAL_MILLIS;
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/ForwardExchange.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/ForwardExchange.java
@@ -451,7 +451,7 @@
 		if (outcome == AttemptOutcome.REJECTED) {
 			this.tracker.ifPresent((request) -> request.recordReplicaRejection(System.nanoTime()));
 		}
-		if (outcome == AttemptOutcome.REJECTED && target.path().isEmpty()) {
+		if (outcome == AttemptOutcome.DECLINED || (outcome == AttemptOutcome.REJECTED && target.path().isEmpty())) {
 			this.targetSelector.exclude(target.replica());
 		}
 		this.dispatch.dispatch();
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayServer.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayServer.java
@@ -286,26 +286,6 @@
 				(vm, id, startedAtMillis, report) -> this.directory.findById(id)
 					.filter((engine) -> engine.startedAtMillis() == startedAtMillis)
 					.ifPresent((engine) -> monitor.onPeerReport(vm, engine, report)));
-		reach.setListener(new ReachMonitor.Listener() {
-			@Override
-			public void onCutOff() {
-				crashes.onCutOff();
-				loadBroadcaster.discardPending();
-				relays.startAsking();
-				GatewayServer.this.requestsInProgress.onCutOff();
-			}
-
-			@Override
-			public void onCheckEnd() {
-				GatewayServer.this.requestsInProgress.dispatchWaiting(System.nanoTime());
-			}
-
-			@Override
-			public void onReached() {
-				relays.stopAsking();
-				loads.forgetFailures();
-			}
-		});
 		QuarantineSync quarantineSync = new QuarantineSync(this.vertx, this.quarantine, this.adapter, this.storeOutage,
 				datagrams::sendToAll);
 		crashes.setChangeListener(quarantineSync::save);
@@ -331,6 +311,9 @@
 						Optional.of(this.settings.peerAddress()), this.settings.size().cores(),
 						this.settings.size().linkBitsPerSecond()),
 				(vms) -> {
+					datagrams.setVms(vms.stream().flatMap((vm) -> vm.address().stream()).toList());
+					relays.setVms(vms);
+				}, (vms) -> {
 					List<String> vmNames = vms.stream().map(FleetRegistry.RegisteredVm::name).toList();
 					retryBudget.setVmCount(vms.size());
 					hedging.ifPresent((policy) -> policy.setVmCount(vms.size()));
@@ -339,7 +322,6 @@
 					List<FleetRegistry.RegisteredVm> localVms = vms.stream()
 						.filter((vm) -> vm.dataCentre().equals(this.settings.dataCentre()))
 						.toList();
-					relays.setVms(vms);
 					this.storeSharing.ifPresent((sharing) -> sharing.setVms(watchVms(vms)));
 					demand.ifPresent((exchange) -> exchange.setVms(vms.stream()
 						.filter((vm) -> vm.address().isPresent())
@@ -349,10 +331,31 @@
 						.filter((vm) -> vm.address().isPresent())
 						.collect(Collectors.toMap((vm) -> vm.address().get(), FleetRegistry.RegisteredVm::cores,
 								(first, second) -> first))));
-					datagrams.setVms(vms.stream().flatMap((vm) -> vm.address().stream()).toList());
 					pollScheduler.setVms(localVms.stream().map(FleetRegistry.RegisteredVm::name).toList());
 					loadBroadcaster.setPeers(localVms.stream().flatMap((vm) -> vm.address().stream()).toList());
 				});
+		reach.setListener(new ReachMonitor.Listener() {
+			@Override
+			public void onCutOff() {
+				crashes.onCutOff();
+				loadBroadcaster.discardPending();
+				if (relays.startAsking()) {
+					fleetRegistry.refresh();
+				}
+				GatewayServer.this.requestsInProgress.onCutOff();
+			}
+
+			@Override
+			public void onCheckEnd() {
+				GatewayServer.this.requestsInProgress.dispatchWaiting(System.nanoTime());
+			}
+
+			@Override
+			public void onReached() {
+				relays.stopAsking();
+				loads.forgetFailures();
+			}
+		});
 		demand.ifPresent((exchange) -> exchangeDemand(exchange, pressure, datagrams));
 		overload.ifPresent((control) -> this.vertx.setPeriodic(OVERLOAD_UPDATE_MILLIS, (timer) -> runTick("overload",
 				() -> this.rules.current().ifPresent((current) -> control.update(current, System.nanoTime())))));
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/LostTargetCheck.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/LostTargetCheck.java
@@ -3,6 +3,7 @@
 import java.util.List;
 
 import io.reactivex.rxjava3.core.Single;
+import org.burdocktray.process.relay.OfferWait;
 
 /**
  * Finds out after the loss of a run whether what it was sent to is gone: a replica that
@@ -42,7 +43,7 @@
 	private Single<Boolean> stillRelays(Target target) {
 		this.context.relays().askAgain(target.replica());
 		return Single.create((emitter) -> this.context.vertx()
-			.setTimer(RelayVms.REPLY_MILLIS,
+			.setTimer(OfferWait.REPLY_MILLIS,
 					(timer) -> emitter.onSuccess(this.context.relays().hasOffer(target.replica()))));
 	}
 
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/RelayHeaders.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/RelayHeaders.java
@@ -23,6 +23,9 @@
 
 	private static final String DECLINED = "Relay-Declined";
 
+	/** VMs of older builds do not state this, so their refusals count as retries. */
+	private static final String UNSENT = "Relay-Unsent";
+
 	private static final String RETRY_AFTER = "Retry-After";
 
 	private RelayHeaders() {
@@ -76,9 +79,12 @@
 		headers.set(VERDICT, verdict.name());
 	}
 
-	static void writeDeclined(MultiMap headers) {
+	static void writeDeclined(boolean isUnsent, MultiMap headers) {
 		writeVerdict(Verdict.NOT_RUN, headers);
 		headers.set(DECLINED, "1");
+		if (isUnsent) {
+			headers.set(UNSENT, "1");
+		}
 	}
 
 	/**
@@ -95,11 +101,11 @@
 		try {
 			String retryAfter = headers.get(RETRY_AFTER);
 			double retryAfterSeconds = (retryAfter != null) ? Double.parseDouble(retryAfter) : 0;
-			return Optional
-				.of(new RelayRefusal(status, Verdict.valueOf(verdict), retryAfterSeconds, headers.contains(DECLINED)));
+			return Optional.of(new RelayRefusal(status, Verdict.valueOf(verdict), retryAfterSeconds,
+					headers.contains(DECLINED), headers.contains(UNSENT)));
 		}
 		catch (IllegalArgumentException ex) {
-			return Optional.of(new RelayRefusal(status, Verdict.MAY_HAVE_RUN, 0, false));
+			return Optional.of(new RelayRefusal(status, Verdict.MAY_HAVE_RUN, 0, false, false));
 		}
 	}
 
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/RelayReceiver.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/RelayReceiver.java
@@ -88,7 +88,7 @@
 		}
 		if (!canRelay() || !this.requestHandler.hasRules(relayed.get().rulesVersion())) {
 			this.metrics.recordRelay("received", "declined");
-			RelayHeaders.writeDeclined(request.response().headers());
+			RelayHeaders.writeDeclined(true, request.response().headers());
 			request.response().setStatusCode(SERVICE_UNAVAILABLE).end();
 			return;
 		}
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/RelayRefusal.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/RelayRefusal.java
@@ -10,10 +10,14 @@
  * @param verdict whether the request has run
  * @param retryAfterSeconds when the caller may come again, 0 if the VM does not say so
  * @param isDeclined whether the VM cannot relay now, so that another one may
+ * @param isUnsent whether the VM states that it has sent the request to no replica
  */
-record RelayRefusal(int status, Verdict verdict, double retryAfterSeconds, boolean isDeclined) {
+record RelayRefusal(int status, Verdict verdict, double retryAfterSeconds, boolean isDeclined, boolean isUnsent) {
 
 	AttemptOutcome outcome() {
+		if (this.isDeclined) {
+			return this.isUnsent ? AttemptOutcome.DECLINED : AttemptOutcome.REJECTED;
+		}
 		return switch (this.verdict) {
 			case NOT_RUN -> AttemptOutcome.REJECTED;
 			case MAY_HAVE_RUN -> AttemptOutcome.LOST;
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/RelayVms.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/RelayVms.java
@@ -16,6 +16,7 @@
 import org.burdocktray.model.NetworkAddress;
 import org.burdocktray.process.directory.Replica;
 import org.burdocktray.process.directory.ReplicaLoads;
+import org.burdocktray.process.relay.OfferWait;
 
 /**
  * The VMs that offer to relay requests while this VM reaches no replica. It asks some
@@ -35,9 +36,6 @@
 
 	private static final long OFFER_NANOS = TimeUnit.MILLISECONDS.toNanos(1_300);
 
-	/** How long the first replies take at most. */
-	static final long REPLY_MILLIS = 150;
-
 	/** Requests in progress that outweigh the distance to another data centre. */
 	private static final double REMOTE_DATA_CENTRE_PENALTY = 4;
 
@@ -55,9 +53,9 @@
 
 	private Map<NetworkAddress, Replica> vms = Map.of();
 
-	private boolean asking;
+	private final OfferWait wait = new OfferWait();
 
-	private long askedSinceNanos;
+	private boolean asking;
 
 	private long lastAskNanos;
 
@@ -76,6 +74,10 @@
 		Map<NetworkAddress, Replica> next = new HashMap<>();
 		registered.forEach((vm) -> vm.address().ifPresent((address) -> next.put(address, toReplica(vm, address))));
 		this.vms = Map.copyOf(next);
+		long nowNanos = System.nanoTime();
+		if (this.wait.recordVms(next.keySet(), nowNanos)) {
+			ask(nowNanos);
+		}
 	}
 
 	// For the choice and the health of its targets, a VM that relays is like a replica.
@@ -111,16 +113,21 @@
 		return this.vms.size() > 1;
 	}
 
-	/** Begins to ask for offers. */
-	void startAsking() {
+	/**
+	 * Begins to ask for offers.
+	 * @return whether the list of VMs must be read again, since it may lack some
+	 */
+	boolean startAsking() {
 		this.asking = true;
-		this.askedSinceNanos = System.nanoTime();
-		ask(this.askedSinceNanos);
+		long nowNanos = System.nanoTime();
+		ask(nowNanos);
+		return this.wait.begin(nowNanos);
 	}
 
 	/** Stops to ask for offers, and forgets them. */
 	void stopAsking() {
 		this.asking = false;
+		this.wait.end();
 		this.offers.clear();
 	}
 
@@ -170,11 +177,10 @@
 
 	/**
 	 * Returns whether the first replies may still come.
-	 * @return true for a moment after this VM has begun to ask, until there is an offer
+	 * @return true for a moment after this VM has begun to ask
 	 */
 	boolean isAwaitingOffers() {
-		return this.asking && this.offers.isEmpty()
-				&& System.nanoTime() - this.askedSinceNanos < TimeUnit.MILLISECONDS.toNanos(REPLY_MILLIS);
+		return this.wait.isOngoing(System.nanoTime());
 	}
 
 	/**
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/ReplicaHealth.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/ReplicaHealth.java
@@ -53,7 +53,7 @@
 			this.context.monitor().requestReport(atFault.get()).subscribe();
 			return false;
 		}
-		if (outcome == AttemptOutcome.REJECTED) {
+		if (outcome == AttemptOutcome.REJECTED || outcome == AttemptOutcome.DECLINED) {
 			this.context.loads().recordRejection(replica, nowNanos);
 			return false;
 		}
--- a/router/src/main/java/org/burdocktray/request/forward/AttemptOutcome.java
+++ b/router/src/main/java/org/burdocktray/request/forward/AttemptOutcome.java
@@ -11,6 +11,9 @@
 	/** No connection could be established; no byte was sent. */
 	NOT_SENT(Verdict.NOT_RUN),
 
+	/** Another VM gave the request back that has sent it to no replica. */
+	DECLINED(Verdict.NOT_RUN),
+
 	/** The replica reported that it did not run the request. */
 	REJECTED(Verdict.NOT_RUN),
 
--- a/router/src/main/java/org/burdocktray/request/forward/ForwardState.java
+++ b/router/src/main/java/org/burdocktray/request/forward/ForwardState.java
@@ -12,7 +12,9 @@
  */
 public final class ForwardState {
 
-	/** Also bounds rejected attempts, which do not count as runs. */
+	/**
+	 * Also bounds attempts that were rejected or declined, which do not count as runs.
+	 */
 	private static final int MAX_SENDS = 4;
 
 	/** Bounds the runs on replicas that have ended, in case the request ends them. */
@@ -74,7 +76,7 @@
 			return;
 		}
 		this.verdict = this.verdict.combine(outcome.verdict());
-		this.mayHaveArrived = true;
+		this.mayHaveArrived |= outcome != AttemptOutcome.DECLINED;
 		if (outcome.verdict() != Verdict.NOT_RUN) {
 			this.runs++;
 		}
--- a/router/src/test/java/org/burdocktray/architecture/LayerTests.java
+++ b/router/src/test/java/org/burdocktray/architecture/LayerTests.java
@@ -39,7 +39,8 @@
 					"org.burdocktray.process.directory..", "org.burdocktray.process.placement..",
 					"org.burdocktray.process.freshness..", "org.burdocktray.process.demand..",
 					"org.burdocktray.process.overload..", "org.burdocktray.process.balance..",
-					"org.burdocktray.process.watch..", "org.burdocktray.process.pressure..")
+					"org.burdocktray.process.watch..", "org.burdocktray.process.pressure..",
+					"org.burdocktray.process.relay..")
 			.layer("request")
 			.definedBy("org.burdocktray.request..")
 			.layer("composition")
--- a/router/src/test/java/org/burdocktray/process/serve/gateway/FleetRegistryTests.java
+++ b/router/src/test/java/org/burdocktray/process/serve/gateway/FleetRegistryTests.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 
 import io.reactivex.rxjava3.core.Flowable;
@@ -37,6 +38,8 @@
 
 	private final Vertx vertx = Vertx.vertx();
 
+	private final List<String> calls = new CopyOnWriteArrayList<>();
+
 	@AfterEach
 	void close() {
 		this.vertx.close().toCompletionStage().toCompletableFuture().join();
@@ -73,6 +76,16 @@
 		assertThat(store.updates).as("an entry that is right is not written").isEqualTo(1);
 	}
 
+	/**
+	 * Guards against VMs that passed over the questions of a VM that was cut off, since
+	 * they read the addresses of others only a second after their registration.
+	 */
+	@Test
+	void addressesAreKnownBeforeTheFirstPeriodicList() throws Exception {
+		listWith("{}");
+		assertThat(this.calls).startsWith("addresses", "addresses", "vms");
+	}
+
 	private List<RegisteredVm> listWith(String foreignValue) throws Exception {
 		return listWith(new FakeStore(foreignValue));
 	}
@@ -80,7 +93,11 @@
 	private List<RegisteredVm> listWith(FakeStore store) throws Exception {
 		CompletableFuture<List<RegisteredVm>> listed = new CompletableFuture<>();
 		RegisteredVm self = new RegisteredVm("vm-0", new DataCentre("ghent"), Optional.of(ADDRESS));
-		FleetRegistry registry = new FleetRegistry(this.vertx, store, store, self, listed::complete);
+		FleetRegistry registry = new FleetRegistry(this.vertx, store, store, self, (vms) -> this.calls.add("addresses"),
+				(vms) -> {
+					this.calls.add("vms");
+					listed.complete(vms);
+				});
 		this.vertx.getOrCreateContext().runOnContext((now) -> registry.start());
 		return listed.get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
 	}
--- a/router/src/test/java/org/burdocktray/process/serve/gateway/RelayHeadersTests.java
+++ b/router/src/test/java/org/burdocktray/process/serve/gateway/RelayHeadersTests.java
@@ -2,6 +2,7 @@
 
 import io.vertx.core.MultiMap;
 import org.burdocktray.process.serve.gateway.RelayHeaders.RelayedRequest;
+import org.burdocktray.request.forward.AttemptOutcome;
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -21,6 +22,17 @@
 		assertThat(RelayHeaders.read(this.headers)).contains(relayed);
 	}
 
+	/** Guards against sends to replicas that no VM charges to its retry budget. */
+	@Test
+	void onlyRequestThatWasNotSentIsDeclinedWithoutCharge() {
+		RelayHeaders.writeDeclined(false, this.headers);
+		assertThat(RelayHeaders.readRefusal(503, this.headers).map(RelayRefusal::outcome))
+			.contains(AttemptOutcome.REJECTED);
+		RelayHeaders.writeDeclined(true, this.headers);
+		assertThat(RelayHeaders.readRefusal(503, this.headers).map(RelayRefusal::outcome))
+			.contains(AttemptOutcome.DECLINED);
+	}
+
 	@Test
 	void replicasSeeNoneOfTheHeaders() {
 		RelayHeaders.write("key", new RelayedRequest(7, "desk", 1), this.headers);
--- a/router/src/test/java/org/burdocktray/request/forward/ForwardStateTests.java
+++ b/router/src/test/java/org/burdocktray/request/forward/ForwardStateTests.java
@@ -147,6 +147,24 @@
 		assertThat(state.isRetry()).isFalse();
 	}
 
+	/**
+	 * Guards against requests that were refused since no retry was left, while no replica
+	 * had received them: a VM had relayed them to one that was cut off as well.
+	 */
+	@Test
+	void attemptThatAnotherVmDeclinesIsLimitedButNotCharged() {
+		ForwardState state = stateAfterAttempt(RequestKind.NON_IDEMPOTENT, AttemptOutcome.NOT_SENT);
+		int sends = 0;
+		while (state.canRetry()) {
+			state.recordSend();
+			state.recordOutcome(AttemptOutcome.DECLINED);
+			sends++;
+		}
+		assertThat(sends).isEqualTo(4);
+		assertThat(state.isRetry()).isFalse();
+		assertThat(state.verdict()).isEqualTo(Verdict.NOT_RUN);
+	}
+
 	private static ForwardState stateAfterAttempt(RequestKind kind, AttemptOutcome outcome) {
 		RouteRule route = new RouteRule("r", "h", "/", kind, false, 1_000, 100, 0, 0, 2, false,
 				List.of(new WeightedService("s", 1)));
