Store watchers: a retried watcher counts again once it has answered

A watcher that was retried stayed marked, so a later call did not count it and tried three watchers of the data centre in place of two: up to 3.1 s until the store, over the 3 s in which a drain must be known. The mark ends with the watcher's answer. The probe of the registrations asks whether the store is next without taking the place of a retry. WatchSourcesTests fails without the first change and passes with it.

--- a/router/src/main/java/org/burdocktray/process/watch/SharedFeed.java
+++ b/router/src/main/java/org/burdocktray/process/watch/SharedFeed.java
@@ -78,7 +78,9 @@
 
 	private final Map<String, WatchSource> answeringSources = new HashMap<>();
 
-	/** The kinds whose last call has failed at all sources. */
+	/**
+	 * The kinds whose last call has failed, at all sources or since changes were missed.
+	 */
 	private final Set<String> unservedKinds = new HashSet<>();
 
 	SharedFeed(ChangeFeed store, List<WatchedKind> kinds, DataCentre localDataCentre, WatchSources sources,
@@ -128,7 +130,7 @@
 	 * @return false if it goes to another VM
 	 */
 	boolean callsStoreNext() {
-		return this.sources.next(List.of(), nowNanos()).filter((next) -> next.source().isStore()).isPresent();
+		return this.sources.callsStoreFirst(nowNanos());
 	}
 
 	/**
@@ -165,14 +167,14 @@
 	private void run(Call<?> call, WatchSource source) {
 		call.tried.add(source);
 		WatchSource previous = this.lastSources.put(call.kind, source);
-		boolean isChange = this.unservedKinds.contains(call.kind) || (previous != null && !previous.equals(source));
 		if (source.isStore()) {
 			call.callStore();
 			return;
 		}
-		boolean atOnce = isChange || call.tried.size() > 1;
-		long pauseMillis = atOnce ? 0 : call.pauseMillis(this.kinds.get(call.kind));
-		long waitMillis = atOnce ? NO_WAIT : this.kinds.get(call.kind).waitMillis();
+		boolean asksAtOnce = this.unservedKinds.contains(call.kind) || call.tried.size() > 1
+				|| (previous != null && !previous.equals(source));
+		long pauseMillis = asksAtOnce ? 0 : call.pauseMillis(this.kinds.get(call.kind));
+		long waitMillis = asksAtOnce ? NO_WAIT : this.kinds.get(call.kind).waitMillis();
 		if (pauseMillis > 0) {
 			this.timers.schedule(pauseMillis, () -> ask(call, source, waitMillis));
 			return;
--- a/router/src/main/java/org/burdocktray/process/watch/WatchSources.java
+++ b/router/src/main/java/org/burdocktray/process/watch/WatchSources.java
@@ -19,11 +19,13 @@
 
 /**
  * Selects where this VM gets objects of the store from: a watcher of its data centre, one
- * of another data centre, or the store itself. Invariants: a VM that watches, or that
- * others ask, prefers the store; calls that a VM makes to the store because its watchers
- * fail are spread in time; a watcher that has failed takes no place until it answers
- * again, so that the next one of the ranking is asked; it is retried beside the others,
- * by one call at a time. Thread safety: none, confined to one event loop.
+ * of another data centre, or the store itself. The VMs of a data centre that are asked
+ * hold its places: as many as it has watchers, given out in the order of the ranking.
+ * Invariants: a VM that watches, or that others ask, prefers the store; calls that a VM
+ * makes to the store because its watchers fail are spread in time; a watcher that has
+ * failed takes no place until it answers again, so that the next one of the ranking is
+ * asked; it is retried beside the others, by one call at a time. Thread safety: none,
+ * confined to one event loop.
  */
 public final class WatchSources {
 
@@ -49,7 +51,11 @@
 
 	private static final int MAX_LOCAL_WATCHERS_TRIED = 2;
 
-	/** The time between two retries of watchers of this VM, half of it at least. */
+	/**
+	 * The time between two retries of watchers of this VM, half of it at least. A retry
+	 * of a watcher that has not returned delays one call, so they are few; a watcher that
+	 * has restarted is to be asked again within seconds.
+	 */
 	private static final long RETRY_MILLIS = 1_000;
 
 	/** The part of a second that one VM adds to the delay of calls to the store. */
@@ -84,7 +90,7 @@
 
 	private final Map<String, Long> demotedUntilNanos = new HashMap<>();
 
-	/** The watcher that was retried last, beside those that have not failed. */
+	/** The watcher that was retried last and has not answered since. */
 	private Optional<WatchVm> retried = Optional.empty();
 
 	private Optional<Long> nextRetryNanos = Optional.empty();
@@ -181,7 +187,7 @@
 	 */
 	public boolean isWatcher(long nowNanos) {
 		return !isActive() || this.askedNanos.filter((asked) -> nowNanos - asked < ASKED_NANOS).isPresent()
-				|| watchersOf(this.localDataCentre, nowNanos).stream().anyMatch(this::isOwn);
+				|| firstRankedVms(this.localDataCentre, nowNanos).stream().anyMatch(this::isOwn);
 	}
 
 	/**
@@ -194,22 +200,45 @@
 		if (!isActive()) {
 			return tried.isEmpty() ? Optional.of(new Selection(WatchSource.STORE, 0)) : Optional.empty();
 		}
-		boolean isWatcher = isWatcher(nowNanos);
-		// The store may reject all watchers and serve this VM.
-		boolean isOwnCallDue = this.allSourcesLost && this.storeLostCallNanos.isPresent() && mayCallStore(nowNanos);
-		if ((isWatcher || isOwnCallDue) && !tried.contains(WatchSource.STORE) && this.storeFailures.isOver(nowNanos)) {
+		if (prefersStore(tried, nowNanos)) {
 			return Optional.of(new Selection(WatchSource.STORE, 0));
 		}
-		boolean searchesWatcher = this.watcherSearches.isOver(nowNanos) || !this.storeFailures.isOver(nowNanos)
-				|| tried.contains(WatchSource.STORE);
-		Optional<WatchSource> watcher = searchesWatcher ? nextWatcher(tried, nowNanos) : Optional.empty();
+		Optional<WatchVm> retry = dueRetry(tried, nowNanos);
+		retry.ifPresent((vm) -> recordRetry(vm, nowNanos));
+		Optional<WatchVm> watcher = retry.or(() -> nextWatcher(tried, nowNanos));
 		if (watcher.isPresent() || tried.contains(WatchSource.STORE) || !mayCallStore(nowNanos)) {
 			this.allSourcesLost |= watcher.isEmpty();
-			return watcher.map((source) -> new Selection(source, 0));
+			return watcher.map((vm) -> new Selection(WatchSource.of(vm), 0));
 		}
 		return Optional.of(new Selection(WatchSource.STORE, fallbackDelayMillis(nowNanos)));
 	}
 
+	/**
+	 * Returns whether a call that begins now goes to the store first. It selects nothing.
+	 * @param nowNanos the current time of the monotonic clock
+	 * @return false if it goes to a watcher, or to nobody
+	 */
+	boolean callsStoreFirst(long nowNanos) {
+		List<WatchSource> none = List.of();
+		if (!isActive() || prefersStore(none, nowNanos)) {
+			return true;
+		}
+		boolean hasWatcher = dueRetry(none, nowNanos).or(() -> nextWatcher(none, nowNanos)).isPresent();
+		return !hasWatcher && mayCallStore(nowNanos);
+	}
+
+	private boolean prefersStore(Collection<WatchSource> tried, long nowNanos) {
+		// The store may reject all watchers and serve this VM.
+		boolean isOwnCallDue = this.allSourcesLost && this.storeLostCallNanos.isPresent() && mayCallStore(nowNanos);
+		return (isOwnCallDue || isWatcher(nowNanos)) && !tried.contains(WatchSource.STORE)
+				&& this.storeFailures.isOver(nowNanos);
+	}
+
+	private boolean searchesWatcher(Collection<WatchSource> tried, long nowNanos) {
+		return this.watcherSearches.isOver(nowNanos) || !this.storeFailures.isOver(nowNanos)
+				|| tried.contains(WatchSource.STORE);
+	}
+
 	/**
 	 * Returns whether this VM may call the store now.
 	 * @param nowNanos the current time of the monotonic clock
@@ -220,17 +249,13 @@
 				&& this.storeLostCallNanos.filter((allowed) -> nowNanos - allowed < 0).isEmpty();
 	}
 
-	private Optional<WatchSource> nextWatcher(Collection<WatchSource> tried, long nowNanos) {
-		Set<WatchVm> triedVms = tried.stream()
-			.flatMap((source) -> source.watcher().stream())
-			.collect(Collectors.toSet());
-		if (!triedVms.isEmpty() && this.watcherSearches.hasFailed() && this.storeFailures.isOver(nowNanos)) {
+	private Optional<WatchVm> nextWatcher(Collection<WatchSource> tried, long nowNanos) {
+		Set<WatchVm> triedVms = watchersAmong(tried);
+		boolean isOneSearched = !triedVms.isEmpty() && this.watcherSearches.hasFailed()
+				&& this.storeFailures.isOver(nowNanos);
+		if (isOneSearched || !searchesWatcher(tried, nowNanos)) {
 			return Optional.empty();
 		}
-		Optional<WatchVm> retry = triedVms.isEmpty() ? nextRetry(nowNanos) : Optional.empty();
-		if (retry.isPresent()) {
-			return retry.map(WatchSource::of);
-		}
 		boolean isRemoteTried = triedVms.stream().anyMatch((vm) -> !vm.dataCentre().equals(this.localDataCentre));
 		long triedLocally = triedVms.stream()
 			.filter((vm) -> vm.dataCentre().equals(this.localDataCentre))
@@ -238,7 +263,7 @@
 			.count();
 		List<WatchVm> candidates = new ArrayList<>();
 		if (triedLocally < MAX_LOCAL_WATCHERS_TRIED) {
-			candidates.addAll(untried(this.localDataCentre, triedVms, nowNanos));
+			candidates.addAll(untriedVms(this.localDataCentre, triedVms, nowNanos));
 		}
 		if (!isRemoteTried) {
 			List<DataCentre> remote = this.rankings.keySet()
@@ -246,20 +271,23 @@
 				.filter((dataCentre) -> !dataCentre.equals(this.localDataCentre))
 				.toList();
 			RendezvousHash.ranked(this.ownName, remote, DataCentre::name)
-				.forEach((dataCentre) -> candidates.addAll(untried(dataCentre, triedVms, nowNanos)));
+				.forEach((dataCentre) -> candidates.addAll(untriedVms(dataCentre, triedVms, nowNanos)));
 		}
 		// A remote watcher that has the store goes before a local one that has lost it.
 		return candidates.stream()
 			.filter((vm) -> !isDemoted(vm, nowNanos))
 			.findFirst()
-			.or(() -> candidates.stream().findFirst())
-			.map(WatchSource::of);
+			.or(() -> candidates.stream().findFirst());
+	}
+
+	private static Set<WatchVm> watchersAmong(Collection<WatchSource> sources) {
+		return sources.stream().flatMap((source) -> source.watcher().stream()).collect(Collectors.toSet());
 	}
 
 	// Each VM prefers another watcher; when one is lost, its followers spread over the
 	// others.
-	private List<WatchVm> untried(DataCentre dataCentre, Set<WatchVm> tried, long nowNanos) {
-		List<WatchVm> open = candidatesOf(dataCentre, nowNanos).stream()
+	private List<WatchVm> untriedVms(DataCentre dataCentre, Set<WatchVm> tried, long nowNanos) {
+		List<WatchVm> open = leastFailedVms(dataCentre, nowNanos).stream()
 			.filter((vm) -> !isOwn(vm) && !tried.contains(vm))
 			.toList();
 		return RendezvousHash.ranked(this.ownName, open, WatchVm::name);
@@ -267,7 +295,7 @@
 
 	// The first VMs of the ranking that have answered or were not tried; where they are
 	// too few, those that have failed least and whose backoff has passed.
-	private List<WatchVm> candidatesOf(DataCentre dataCentre, long nowNanos) {
+	private List<WatchVm> leastFailedVms(DataCentre dataCentre, long nowNanos) {
 		WatcherRanking ranking = this.rankings.get(dataCentre);
 		return ranking.ranked()
 			.stream()
@@ -279,21 +307,22 @@
 
 	// A watcher that has failed and would have a place. Without such retries, VMs would
 	// stay with the watchers that have replaced it, and it would watch in vain.
-	private Optional<WatchVm> nextRetry(long nowNanos) {
+	private Optional<WatchVm> dueRetry(Collection<WatchSource> tried, long nowNanos) {
 		boolean isDue = this.nextRetryNanos.filter((due) -> nowNanos - due < 0).isEmpty();
-		if (!isDue || this.watcherSearches.hasFailed()) {
+		if (!isDue || this.watcherSearches.hasFailed() || !watchersAmong(tried).isEmpty()
+				|| !searchesWatcher(tried, nowNanos)) {
 			return Optional.empty();
 		}
-		List<WatchVm> candidates = candidatesOf(this.localDataCentre, nowNanos);
-		Optional<WatchVm> retry = watchersOf(this.localDataCentre, nowNanos).stream()
-			.filter((vm) -> !isOwn(vm) && failureCount(vm) > 0 && !candidates.contains(vm))
+		List<WatchVm> askedVms = leastFailedVms(this.localDataCentre, nowNanos);
+		return firstRankedVms(this.localDataCentre, nowNanos).stream()
+			.filter((vm) -> !isOwn(vm) && failureCount(vm) > 0 && !askedVms.contains(vm))
 			.findFirst();
-		retry.ifPresent((vm) -> {
-			this.retried = retry;
-			long delayMillis = RETRY_MILLIS / 2 + this.random.nextLong(RETRY_MILLIS / 2 + 1);
-			this.nextRetryNanos = Optional.of(nowNanos + TimeUnit.MILLISECONDS.toNanos(delayMillis));
-		});
-		return retry;
+	}
+
+	private void recordRetry(WatchVm vm, long nowNanos) {
+		this.retried = Optional.of(vm);
+		long delayMillis = RETRY_MILLIS / 2 + this.random.nextLong(RETRY_MILLIS / 2 + 1);
+		this.nextRetryNanos = Optional.of(nowNanos + TimeUnit.MILLISECONDS.toNanos(delayMillis));
 	}
 
 	private int failureCount(WatchVm vm) {
@@ -307,7 +336,7 @@
 	}
 
 	// The first VMs of the ranking whose backoff has passed, also those to be retried.
-	private List<WatchVm> watchersOf(DataCentre dataCentre, long nowNanos) {
+	private List<WatchVm> firstRankedVms(DataCentre dataCentre, long nowNanos) {
 		WatcherRanking ranking = this.rankings.get(dataCentre);
 		return ranking.ranked()
 			.stream()
@@ -353,7 +382,7 @@
 		this.allSourcesLost = false;
 		this.watcherSearches.reset();
 		String name = source.watcher().orElseThrow().name();
-		this.watcherFailures.remove(name);
+		forgetFailures(name);
 		this.demotedUntilNanos.remove(name);
 		this.peerAnswerNanos = Optional.of(nowNanos);
 		if (this.storeLostForOthers) {
@@ -363,6 +392,13 @@
 		}
 	}
 
+	private void forgetFailures(String name) {
+		this.watcherFailures.remove(name);
+		// From now on it is asked like the others, and counts among those that a call
+		// tries.
+		this.retried = this.retried.filter((vm) -> !vm.name().equals(name));
+	}
+
 	/**
 	 * Records that the store has answered a call in place of watchers. The backoff grows
 	 * once for all calls that end before it has passed.
@@ -400,7 +436,7 @@
 	 */
 	void recordStoreLost(WatchSource source, long nowNanos) {
 		String name = source.watcher().orElseThrow().name();
-		this.watcherFailures.remove(name);
+		forgetFailures(name);
 		this.demotedUntilNanos.put(name, nowNanos + TimeUnit.MILLISECONDS.toNanos(DEMOTION_MILLIS));
 		this.storeLostForOthers = true;
 		boolean isStoreKnown = this.watcherSearches.hasFailed() && this.storeFailures.isOver(nowNanos);
@@ -422,7 +458,7 @@
 	}
 
 	private StoreBackoff storeBackoff(long nowNanos) {
-		List<WatchVm> watchers = watchersOf(this.localDataCentre, nowNanos);
+		List<WatchVm> watchers = firstRankedVms(this.localDataCentre, nowNanos);
 		boolean hasPeer = this.peerAnswerNanos.filter((answered) -> nowNanos - answered < PEER_NANOS).isPresent();
 		if (!hasPeer && !watchers.isEmpty() && isOwn(watchers.get(0))) {
 			return StoreBackoff.PROBER;
--- a/router/src/test/java/org/burdocktray/process/watch/WatchSourcesTests.java
+++ b/router/src/test/java/org/burdocktray/process/watch/WatchSourcesTests.java
@@ -11,6 +11,7 @@
 import org.burdocktray.model.DataCentre;
 import org.burdocktray.model.NetworkAddress;
 import org.burdocktray.process.settings.GatewayOptions.WatchOptions;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -25,6 +26,8 @@
 
 	private static final DataCentre LOCAL = new DataCentre("dc-0");
 
+	private static final DataCentre REMOTE = new DataCentre("dc-1");
+
 	/** Guards against a backoff that grows twice for one call. */
 	@ParameterizedTest
 	@ValueSource(longs = { 1, 2, 3, 4, 5, 6, 7, 8 })
@@ -76,6 +79,60 @@
 		assertThat(ranked.subList(0, 2)).contains(source.watcher().orElseThrow());
 	}
 
+	/**
+	 * Guards against a call that asks one more watcher than it may, since one of them was
+	 * retried long ago: the time until it reaches the store would be too long.
+	 */
+	@ParameterizedTest
+	@ValueSource(booleans = { true, false })
+	void watcherThatHasAnsweredItsRetryCounts(boolean hasStore) {
+		WatchSources sources = sourcesWithFailedWatcher();
+		long retryNanos = TimeUnit.SECONDS.toNanos(2);
+		WatchSource retried = sources.next(List.of(), retryNanos).orElseThrow().source();
+		assertThat(retried).isEqualTo(failedWatcher());
+		if (hasStore) {
+			sources.recordAnswer(retried, retryNanos);
+		}
+		else {
+			sources.recordStoreLost(retried, retryNanos);
+		}
+		List<WatchSource> tried = new ArrayList<>();
+		long lossNanos = TimeUnit.SECONDS.toNanos(100);
+		while (tried.stream().noneMatch(WatchSource::isStore)) {
+			WatchSource source = sources.next(tried, lossNanos).orElseThrow().source();
+			tried.add(source);
+			if (!source.isStore()) {
+				sources.recordFailure(source, lossNanos);
+			}
+		}
+		assertThat(tried.stream().flatMap((source) -> source.watcher().stream()).map(WatchVm::dataCentre))
+			.containsExactly(LOCAL, LOCAL, REMOTE);
+	}
+
+	/**
+	 * Guards against a question about the next source that takes the place of a retry.
+	 */
+	@Test
+	void questionAboutTheNextSourceTakesNoRetry() {
+		WatchSources sources = sourcesWithFailedWatcher();
+		long retryNanos = TimeUnit.SECONDS.toNanos(2);
+		assertThat(sources.callsStoreFirst(retryNanos)).isFalse();
+		assertThat(sources.next(List.of(), retryNanos).orElseThrow().source()).isEqualTo(failedWatcher());
+	}
+
+	private static WatchSources sourcesWithFailedWatcher() {
+		List<WatchVm> vms = vms(32);
+		vms.add(new WatchVm("remote-0", REMOTE, new NetworkAddress("10.0.0.2", 1), 1));
+		vms.add(new WatchVm("remote-1", REMOTE, new NetworkAddress("10.0.0.2", 2), 1));
+		WatchSources sources = sources(vms, new WatcherRanking(vms(32), OPTIONS).ranked().get(31).name(), 1);
+		sources.recordFailure(failedWatcher(), 0);
+		return sources;
+	}
+
+	private static WatchSource failedWatcher() {
+		return WatchSource.of(new WatcherRanking(vms(32), OPTIONS).ranked().get(0));
+	}
+
 	private static boolean callEndsAtStore(WatchSources sources, Set<WatchVm> stopped, long nowNanos) {
 		List<WatchSource> tried = new ArrayList<>();
 		while (true) {
