Placement lease: reads follow the registered VMs and are spread over time

The interval was fixed by the first list of the VMs, so a fleet that grew kept the reads of a small one; and VMs that start at once read in the same second of each minute. With the section watch, the interval follows the list and reads have a phase from a hash of the name; without it nothing changes. LeasePollingTests: the holder is in the data centre that is lost, 300 VMs make at most twice the calls of 95, reads of 300 VMs that start at once are at most 20 a second.

--- a/router/src/main/java/org/burdocktray/process/order/LeaseKeeper.java
+++ b/router/src/main/java/org/burdocktray/process/order/LeaseKeeper.java
@@ -22,6 +22,8 @@
 
 	private final OrderSettings settings;
 
+	private LeasePolling.Schedule polling;
+
 	private Optional<OrderLease> observed = Optional.empty();
 
 	private long observedSinceNanos;
@@ -47,9 +49,18 @@
 	LeaseKeeper(String holder, OrderSettings settings, long nowNanos) {
 		this.holder = holder;
 		this.settings = settings;
+		this.polling = new LeasePolling.Schedule(settings.leasePollMillis(), OptionalLong.empty());
 		this.nextCallNanos = nowNanos;
 	}
 
+	/**
+	 * Sets when the lease of another holder is read, from the next read on.
+	 * @param schedule replaces the interval of the settings
+	 */
+	void setPolling(LeasePolling.Schedule schedule) {
+		this.polling = schedule;
+	}
+
 	/**
 	 * Returns the next call to the store if one is due.
 	 * @param nowNanos the time
@@ -88,13 +99,13 @@
 		}
 		this.heldFencingNumber = OptionalLong.empty();
 		if (nowNanos - this.observedSinceNanos < takeoverDelayNanos(current.get())) {
-			scheduleRead(this.settings.leasePollMillis(), nowNanos);
+			scheduleRead(this.polling.nextNanos(nowNanos));
 		}
 	}
 
 	void onReadFailed(long nowNanos) {
 		this.callInFlight = false;
-		scheduleRead(this.settings.leasePollMillis(), nowNanos);
+		scheduleRead(this.polling.nextNanos(nowNanos));
 	}
 
 	void onWritten(StoredObject object, long nowNanos) {
@@ -114,7 +125,7 @@
 			this.unresolvedSinceNanos = OptionalLong.of(this.writeSentNanos);
 		}
 		boolean retryImmediately = error == StoreError.UNRESOLVED || error == StoreError.CONFLICT;
-		scheduleRead((retryImmediately) ? 0 : this.settings.leasePollMillis(), nowNanos);
+		scheduleRead(retryImmediately ? nowNanos : this.polling.nextNanos(nowNanos));
 	}
 
 	/**
@@ -123,7 +134,7 @@
 	 * @param nowNanos the time
 	 */
 	void requestRead(long nowNanos) {
-		scheduleRead(0, nowNanos);
+		scheduleRead(nowNanos);
 	}
 
 	/**
@@ -169,9 +180,9 @@
 		this.heldUntilNanos = sentNanos + nanos(this.settings.ttlMillis());
 	}
 
-	private void scheduleRead(long millis, long nowNanos) {
+	private void scheduleRead(long dueNanos) {
 		this.mustRead = true;
-		this.nextCallNanos = nowNanos + nanos(millis);
+		this.nextCallNanos = dueNanos;
 	}
 
 	private boolean isOwn(OrderLease lease) {
--- a/router/src/main/java/org/burdocktray/process/order/LeaseLoop.java
+++ b/router/src/main/java/org/burdocktray/process/order/LeaseLoop.java
@@ -34,6 +34,14 @@
 		this.keeper = new LeaseKeeper(holder, settings, nowNanos);
 	}
 
+	/**
+	 * Sets when the lease of another holder is read, from the next read on.
+	 * @param schedule replaces the interval of the settings
+	 */
+	public void setPolling(LeasePolling.Schedule schedule) {
+		this.keeper.setPolling(schedule);
+	}
+
 	/**
 	 * Performs the store call that is due, if any.
 	 * @param nowNanos the time
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/PlacementLease.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/PlacementLease.java
@@ -34,18 +34,25 @@
 	}
 
 	/**
-	 * Sets the VMs of the fleet. Only the first call has an effect: it decides how often
-	 * this VM polls the lease.
+	 * Sets the VMs of the fleet, which decide how often this VM polls the lease. Unless
+	 * watches are shared, only the first call has an effect.
 	 * @param names the names of the VMs
 	 */
 	void setVms(List<String> names) {
-		if (this.loop.isPresent()) {
+		if (this.loop.isPresent() && !this.polling.followsVms()) {
 			return;
 		}
-		long pollMillis = this.polling.pollMillis(this.vmName, names);
+		LeasePolling.Schedule schedule = this.polling.schedule(this.vmName, names);
+		if (this.loop.isEmpty()) {
+			this.loop = Optional.of(start(schedule.intervalMillis()));
+		}
+		this.loop.get().setPolling(schedule);
+	}
+
+	private LeaseLoop start(long pollMillis) {
 		OrderSettings settings = new OrderSettings(4_500, 1_500, 2_000, pollMillis, 1_000, 1_000, 600_000);
 		String holder = this.vmName + "/" + System.currentTimeMillis();
-		this.loop = Optional.of(new LeaseLoop(this.store, KEY, holder, settings, System.nanoTime()));
+		return new LeaseLoop(this.store, KEY, holder, settings, System.nanoTime());
 	}
 
 	void tick(long nowNanos) {
--- a/router/src/test/java/org/burdocktray/process/order/LeasePollingTests.java
+++ b/router/src/test/java/org/burdocktray/process/order/LeasePollingTests.java
@@ -1,5 +1,6 @@
 package org.burdocktray.process.order;
 
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -44,6 +45,8 @@
 
 	private long calls;
 
+	private final Map<Long, Long> readsBySecond = new HashMap<>();
+
 	@ParameterizedTest
 	@ValueSource(ints = { 9, 30, 95, 300 })
 	void calmMinuteTakesFewReads(int vmCount) {
@@ -55,13 +58,55 @@
 		assertThat(shared).isLessThanOrEqualTo(Math.min(maxCalls, unshared));
 	}
 
+	/** Guards against reads that grow as fast as the fleet. */
+	@Test
+	void thriceTheVmsMakeAtMostTwiceTheCalls() {
+		assertThat(callsOfAMinute(300, SHARED)).isLessThanOrEqualTo(2 * callsOfAMinute(95, SHARED));
+	}
+
+	/** Guards against VMs that start at once and read in the same second ever after. */
+	@Test
+	void readsOfVmsThatStartAtOnceAreSpread() {
+		List<String> names = names(300);
+		names.forEach((name) -> add(name, names, SHARED));
+		run(120_000);
+		this.readsBySecond.clear();
+		run(60_000);
+		assertThat(this.readsBySecond.values()).allMatch((reads) -> reads <= 300 / 15);
+	}
+
+	/** Guards against VMs that read as often as in the small fleet that it was before. */
+	@Test
+	void grownFleetReadsByItsNewSize() {
+		List<String> few = names(15);
+		List<String> all = names(300);
+		all.forEach((name) -> add(name, few, SHARED));
+		run(120_000);
+		this.keepers.forEach((name, keeper) -> keeper.setPolling(SHARED.schedule(name, all)));
+		run(60_000);
+		long before = this.calls;
+		run(60_000);
+		assertThat(this.calls - before).isLessThanOrEqualTo(callsOfAMinute(300, SHARED));
+	}
+
 	/** Guards against readers that are all in the data centre that is cut off. */
 	@ParameterizedTest
 	@ValueSource(strings = { "a", "b", "c" })
 	void leaseIsTakenOverWhenADataCentreIsLost(String lost) {
+		List<String> names = names(95);
+		names.stream().filter((name) -> name.startsWith("vm-" + lost)).findFirst().ifPresent((name) -> {
+			add(name, names, SHARED);
+			run(STEP_MILLIS);
+		});
 		start(95, SHARED);
 		run(120_000);
+		String holder = this.keepers.keySet()
+			.stream()
+			.filter((name) -> holdsLease(this.keepers.get(name)))
+			.findFirst()
+			.orElseThrow();
 		this.keepers.keySet().removeIf((name) -> name.startsWith("vm-" + lost));
+		assertThat(this.keepers).isNotEmpty().doesNotContainKey(holder);
 		run(36_000);
 		assertThat(this.keepers.values()).anyMatch(this::holdsLease);
 	}
@@ -89,13 +134,22 @@
 	private void start(int vmCount, LeasePolling polling) {
 		List<String> names = names(vmCount);
 		for (String name : names) {
-			OrderSettings settings = new OrderSettings(4_500, 1_500, 2_000, polling.pollMillis(name, names), 1_000,
-					1_000, 600_000);
-			this.keepers.put(name, new LeaseKeeper(name, settings, nanos() + this.keepers.size()));
-			run(STEP_MILLIS);
+			if (!this.keepers.containsKey(name)) {
+				add(name, names, polling);
+				run(STEP_MILLIS);
+			}
 		}
 	}
 
+	private void add(String name, List<String> names, LeasePolling polling) {
+		LeasePolling.Schedule schedule = polling.schedule(name, names);
+		OrderSettings settings = new OrderSettings(4_500, 1_500, 2_000, schedule.intervalMillis(), 1_000, 1_000,
+				600_000);
+		LeaseKeeper keeper = new LeaseKeeper(name, settings, nanos() + this.keepers.size());
+		keeper.setPolling(schedule);
+		this.keepers.put(name, keeper);
+	}
+
 	private static List<String> names(int vmCount) {
 		return IntStream.range(0, vmCount).mapToObj((index) -> "vm-" + "abc".charAt(index % 3) + "-" + index).toList();
 	}
@@ -111,6 +165,7 @@
 	private void call(LeaseKeeper keeper, OrderAction action) {
 		this.calls++;
 		if (!(action instanceof OrderAction.WriteLease write)) {
+			this.readsBySecond.merge(this.nowMillis / 1_000, 1L, Long::sum);
 			keeper.onRead(this.stored, nanos());
 			return;
 		}
