Quarantine is asked again behind the probe of a target

Cause: RunPreparation checked the quarantine, probed the target of a suspect for up to 300 ms and then began the run, whatever evidence had come meanwhile.

Change: the same check is made again behind the probe, before a retry is taken from the budget.

Measured: runIsRefusedByEvidenceThatComesDuringItsProbe fails without the change (Ready) and passes with it.

--- a/router/src/main/java/org/burdocktray/process/serve/gateway/RunPreparation.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/RunPreparation.java
@@ -13,9 +13,10 @@
 /**
  * Secures what the next run of one request needs before anything is given up for it: the
  * quarantine allows it, a target can take it, the target responds if the request is
- * suspected of crashing replicas, and a retry is left in the budget. Invariant: a retry
- * is taken from the budget only for a run that can be sent at once. Thread safety:
- * confined to one event loop.
+ * suspected of crashing replicas, and a retry is left in the budget. Invariants: a retry
+ * is taken from the budget only for a run that can be sent at once; a run that can be
+ * sent is allowed by all evidence known by then. Thread safety: confined to one event
+ * loop.
  */
 final class RunPreparation {
 
@@ -45,14 +46,9 @@
 	Single<Result> prepare(Function<Set<String>, Optional<Target>> selection, boolean isRetry,
 			BooleanSupplier isNeeded) {
 		QuarantineDecision decision = this.runGuard.check();
-		if (decision instanceof QuarantineDecision.Refuse refuse) {
-			return Single.just(new Result.Quarantined(refuse));
-		}
-		if (this.runGuard.isCheckingLostRun()) {
-			return blocked(Obstacle.LOST_RUN_UNEXPLAINED);
-		}
-		if (decision instanceof QuarantineDecision.Wait) {
-			return blocked(Obstacle.OTHER_RUN);
+		Optional<Result> objection = findObjection(decision);
+		if (objection.isPresent()) {
+			return Single.just(objection.get());
 		}
 		if (isRetry && !this.context.retryBudget().hasRetry(this.service, System.nanoTime())) {
 			return blocked(Obstacle.BUDGET_SPENT);
@@ -63,6 +59,20 @@
 			.orElseGet(() -> blocked(Obstacle.NO_TARGET));
 	}
 
+	private Optional<Result> findObjection(QuarantineDecision decision) {
+		if (decision instanceof QuarantineDecision.Refuse refuse) {
+			return Optional.of(new Result.Quarantined(refuse));
+		}
+		if (this.runGuard.isCheckingLostRun()) {
+			return Optional.of(new Result.Blocked(Obstacle.LOST_RUN_UNEXPLAINED));
+		}
+		if (decision instanceof QuarantineDecision.Wait) {
+			return Optional.of(new Result.Blocked(Obstacle.OTHER_RUN));
+		}
+		return Optional.empty();
+	}
+
+	// A probe takes long enough for this VM to hear of another crash.
 	private Result onProbed(Target target, List<Replica> unresponsive, boolean isRetry, BooleanSupplier isNeeded) {
 		if (!isNeeded.getAsBoolean()) {
 			return new Result.Blocked(Obstacle.NOT_NEEDED);
@@ -71,6 +81,10 @@
 			this.health.avoidUnresponsive(unresponsive);
 			return new Result.Blocked(Obstacle.TARGET_UNRESPONSIVE);
 		}
+		Optional<Result> objection = findObjection(this.runGuard.check());
+		if (objection.isPresent()) {
+			return objection.get();
+		}
 		if (isRetry && !this.context.retryBudget().tryAcquireRetry(this.service, System.nanoTime())) {
 			return new Result.Blocked(Obstacle.BUDGET_SPENT);
 		}
--- a/router/src/test/java/org/burdocktray/process/serve/gateway/ReplicaProbeTests.java
+++ b/router/src/test/java/org/burdocktray/process/serve/gateway/ReplicaProbeTests.java
@@ -35,10 +35,15 @@
 import org.burdocktray.process.quarantine.QuarantineDecision;
 import org.burdocktray.process.quarantine.QuarantineSettings;
 import org.burdocktray.process.quarantine.RequestIdentity;
+import org.burdocktray.process.quarantine.RunOutcome;
 import org.burdocktray.process.quarantine.runs.RequestRuns;
 import org.burdocktray.process.serve.gateway.ReplicaProbe.Result;
 import org.burdocktray.process.serve.gateway.SilentReplica.Verdict;
 import org.burdocktray.standins.network.FreePorts;
+import org.burdocktray.version.rules.RequestKind;
+import org.burdocktray.version.rules.RouteRule;
+import org.burdocktray.version.rules.ServiceRule;
+import org.burdocktray.version.rules.WeightedService;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -122,6 +127,44 @@
 		assertThat(quarantine.check(request, System.nanoTime())).isInstanceOf(QuarantineDecision.Run.class);
 	}
 
+	/**
+	 * Guards against runs that began in spite of a crash of which the VM heard while it
+	 * probed their target.
+	 */
+	@Test
+	void runIsRefusedByEvidenceThatComesDuringItsProbe() {
+		RequestIdentity request = RequestIdentity.withoutParts(new Fingerprint("acme", "0a".repeat(32)));
+		Quarantine quarantine = quarantineWithCrash(request, "vm-1", "desk-1");
+		Quarantine other = quarantineWithCrash(request, "vm-2", "desk-2");
+		int port = serve((probed) -> respondAs("one", probed));
+		// The first probe of a process may take longer than its timeout.
+		probe(port);
+		CrashDetector detector = new CrashDetector(quarantine, this.probe, this.silenceWatch,
+				new RefusedReplicas(this.vertx), null, new GatewayMetrics());
+		RouteRule route = new RouteRule("r", "h", "/", RequestKind.STREAMING, true, 20_000, 500, 250, 0, 2, true,
+				List.of(new WeightedService("s", 1)));
+		AdmittedRequest admitted = new AdmittedRequest(1, null, route,
+				new ServiceRule("s", HEALTH_PATH, 8, Optional.empty()), Optional.empty(), null, request,
+				Optional.empty());
+		RunPreparation preparation = new RunPreparation(null, "s", new RunGuard(detector, admitted), null);
+		CompletableFuture<RunPreparation.Result> result = new CompletableFuture<>();
+		this.vertx.runOnContext((now) -> preparation.prepare((spared) -> {
+			// The target is selected after the first check and before the probe.
+			quarantine.merge(other.table(System.nanoTime()), System.nanoTime());
+			return Optional.of(new Target(replica(port), Optional.empty(), 0));
+		}, false, () -> true).subscribe(result::complete, result::completeExceptionally));
+		assertThat(result.orTimeout(TIMEOUT_SECONDS, TimeUnit.SECONDS).join())
+			.isInstanceOf(RunPreparation.Result.Quarantined.class);
+	}
+
+	private static Quarantine quarantineWithCrash(RequestIdentity request, String vmName, String upstream) {
+		Quarantine quarantine = new Quarantine(QuarantineSettings.sharedThroughStore(), vmName);
+		String run = quarantine.recordStart(request, Set.of(upstream), System.nanoTime());
+		quarantine.recordCrash(upstream, System.nanoTime());
+		quarantine.recordEnd(run, RunOutcome.ENDED, System.nanoTime());
+		return quarantine;
+	}
+
 	/**
 	 * Guards against a VM that stops and dismisses its evidence of crashes as one that is
 	 * cut off, and against the exception that the check of its reach ended with.
