Datagrams with new evidence don't wait for the store

Cause: QuarantineSync sent evidence by datagram only when it began a write, so that none went out during a write and for 1 s after a failed one.

A new run or evidence of other VMs is no reason to send. What is sent counts as stored, so that a dismissal follows it. The write sends its entries as before.

--- a/router/src/main/java/org/burdocktray/process/quarantine/EntryOutbox.java
+++ b/router/src/main/java/org/burdocktray/process/quarantine/EntryOutbox.java
@@ -67,17 +67,28 @@
 	 * @return the entries
 	 */
 	List<Fingerprint> takeForStore(int limit, Predicate<Fingerprint> isSettled, long nowNanos) {
+		List<Fingerprint> taken = findDue(limit, isSettled, nowNanos);
+		taken.forEach(this.toStore::remove);
+		return taken;
+	}
+
+	/**
+	 * Returns entries that {@link #takeForStore} would take, without taking them.
+	 * @param limit the maximum number of entries
+	 * @param condition which entries
+	 * @param nowNanos the time
+	 * @return the entries, those with most crashes first
+	 */
+	List<Fingerprint> findDue(int limit, Predicate<Fingerprint> condition, long nowNanos) {
 		this.toStore.keySet().removeIf((fingerprint) -> !isWorthStoring(fingerprint));
-		List<Fingerprint> taken = this.toStore.entrySet()
+		return this.toStore.entrySet()
 			.stream()
 			.filter((entry) -> entry.getValue() - nowNanos <= 0)
 			.map(Map.Entry::getKey)
-			.filter(isSettled)
+			.filter(condition)
 			.sorted(Comparator.comparingInt(this::crashCount).reversed())
 			.limit(limit)
 			.toList();
-		taken.forEach(this.toStore::remove);
-		return taken;
 	}
 
 	boolean isWorthStoring(Fingerprint fingerprint) {
--- a/router/src/main/java/org/burdocktray/process/quarantine/Quarantine.java
+++ b/router/src/main/java/org/burdocktray/process/quarantine/Quarantine.java
@@ -355,8 +355,31 @@
 			.toList();
 	}
 
+	/**
+	 * Returns entries that wait to be written with evidence that this VM has not told the
+	 * others, for a time when the store can't be written. Each change of the evidence is
+	 * returned at most once.
+	 * @param limit the maximum number of entries
+	 * @param nowNanos the time
+	 * @return the entries, those with most crashes first
+	 */
+	synchronized List<QuarantineEntry> takeUnsentEntries(int limit, long nowNanos) {
+		return this.outbox.findDue(limit, (fingerprint) -> isUnsent(fingerprint) && isSettled(fingerprint), nowNanos)
+			.stream()
+			.flatMap((fingerprint) -> takeEntry(fingerprint, nowNanos).stream())
+			.toList();
+	}
+
+	private boolean isUnsent(Fingerprint fingerprint) {
+		return this.suspects.find(fingerprint).filter(Suspect::isUnsent).isPresent();
+	}
+
+	// An entry that others know must be written if it is dismissed later.
 	private Optional<QuarantineEntry> takeEntry(Fingerprint fingerprint, long nowNanos) {
-		this.suspects.find(fingerprint).ifPresent(Suspect::markStored);
+		this.suspects.find(fingerprint).ifPresent((suspect) -> {
+			suspect.markStored();
+			suspect.markSent();
+		});
 		return entry(fingerprint, nowNanos);
 	}
 
--- a/router/src/main/java/org/burdocktray/process/quarantine/QuarantineStore.java
+++ b/router/src/main/java/org/burdocktray/process/quarantine/QuarantineStore.java
@@ -97,6 +97,15 @@
 		return this.quarantine.takeEntriesToStore(MAX_ENTRIES_PER_SAVE, this.nanoClock.getAsLong());
 	}
 
+	/**
+	 * Returns entries with evidence that {@link #takeEntries} has not returned yet, to be
+	 * sent to other VMs while a write is in progress. They still have to be written.
+	 * @return the entries
+	 */
+	public List<QuarantineEntry> takeUnsentEntries() {
+		return this.quarantine.takeUnsentEntries(MAX_ENTRIES_PER_SAVE, this.nanoClock.getAsLong());
+	}
+
 	/**
 	 * Writes entries.
 	 * @param entries the entries
--- a/router/src/main/java/org/burdocktray/process/quarantine/Suspect.java
+++ b/router/src/main/java/org/burdocktray/process/quarantine/Suspect.java
@@ -33,6 +33,8 @@
 
 	private boolean stored;
 
+	private boolean unsent;
+
 	Suspect(long nowNanos) {
 		this(new WholeRequestRule(), nowNanos);
 	}
@@ -116,6 +118,22 @@
 		this.stored = true;
 	}
 
+	/**
+	 * Returns whether this VM has changed the evidence since it last told the others.
+	 * @return false also if all changes came from other VMs
+	 */
+	boolean isUnsent() {
+		return this.unsent;
+	}
+
+	void markUnsent() {
+		this.unsent = true;
+	}
+
+	void markSent() {
+		this.unsent = false;
+	}
+
 	/**
 	 * Returns whether there are enough crashes to look closer.
 	 * @return false for most suspects
--- a/router/src/main/java/org/burdocktray/process/quarantine/SuspectEvidence.java
+++ b/router/src/main/java/org/burdocktray/process/quarantine/SuspectEvidence.java
@@ -59,6 +59,7 @@
 	int dismiss(Fingerprint fingerprint, Suspect suspect, Predicate<CrashEvidence> condition, long nowNanos) {
 		int dismissed = suspect.update(condition, EvidenceState.DISMISSED);
 		if (dismissed > 0) {
+			suspect.markUnsent();
 			this.partQuarantine.onEvidenceChange();
 			this.outbox.addToGossip(fingerprint);
 			if (suspect.isStored()) {
@@ -78,6 +79,9 @@
 	boolean add(Fingerprint fingerprint, CrashEvidence crash, long nowNanos) {
 		Suspect suspect = this.suspects.findOrAdd(fingerprint, nowNanos);
 		boolean isNew = !(fingerprint.isPart() && suspect.hasEnoughOf(crash)) && suspect.add(crash);
+		if (isNew) {
+			suspect.markUnsent();
+		}
 		extend(suspect, nowNanos);
 		if (fingerprint.isPart()) {
 			this.outbox.addToGossip(fingerprint);
@@ -115,6 +119,7 @@
 		int confirmed = suspect.update((crash) -> crash.isProvisional() && condition.test(crash),
 				EvidenceState.CONFIRMED);
 		if (confirmed > 0) {
+			suspect.markUnsent();
 			this.partQuarantine.onEvidenceChange();
 			extend(suspect, nowNanos);
 			this.outbox.addToGossip(fingerprint);
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/QuarantineSync.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/QuarantineSync.java
@@ -76,9 +76,13 @@
 		this.vertx.setPeriodic(SAVE_INTERVAL_MILLIS, (timer) -> save());
 	}
 
-	/** Writes the entries that this VM has changed, unless a write is in progress. */
+	/**
+	 * Tells the other VMs of the entries that this VM has changed, and writes them unless
+	 * a write is in progress or has just failed: news must not wait for the store.
+	 */
 	void save() {
 		if (this.saving) {
+			sendDatagrams(this.store.takeUnsentEntries());
 			return;
 		}
 		List<QuarantineEntry> entries = this.store.takeEntries();
