VM pressure: saturated VMs reject only what they cannot bear

The rejected share aimed at 0.7 of the limit, below the use at which the saturated state ends, so a saturated VM went on rejecting what it could bear. It now has a target of its own, 0.95. Rejections are spaced evenly instead of drawn, which left queues between them.

Rejections for memory fed themselves: the share was computed from the share served, which memory does not follow. It follows the ratio alone.

The weight of a sample was not bounded, so one pause of 1.5 s made an idle VM saturated. It is that of one sample interval at most, and a sample counts as 2.5 times the limit at most. The test of the scarcest resource plays 40 samples instead of one that is 20 s long.

Nothing is handed over while the memory or the link is used up.

--- a/router/src/main/java/org/burdocktray/process/pressure/ResourcePressure.java
+++ b/router/src/main/java/org/burdocktray/process/pressure/ResourcePressure.java
@@ -30,8 +30,16 @@
 	/** A single pause or burst of bytes is no pressure. */
 	private static final double SMOOTHING_NANOS = TimeUnit.SECONDS.toNanos(1);
 
-	/** Bounds what a single sample can do to the mean. */
-	private static final double MAX_RATIO = 4;
+	/**
+	 * Bounds what a single sample can do to the mean. With 4, one pause would raise an
+	 * idle VM above {@link #PRESSED_ENTRY}.
+	 */
+	private static final double MAX_RATIO = 2.5;
+
+	/** The time of a sample that comes late weighs no more than that of others. */
+	private static final long MAX_WEIGHT_NANOS = VmPressure.SAMPLE_NANOS;
+
+	private static final double MIN_RATIO = 1e-3;
 
 	/** The share of requests that the state counts as served here at least. */
 	private static final double MIN_SERVED_SHARE = 0.05;
@@ -72,7 +80,8 @@
 	 * @return whether the state has changed
 	 */
 	public boolean record(ResourceSample sample, double relayedShare, double rejectedShare, long nowNanos) {
-		double weight = 1 - Math.exp(-Math.max(0, nowNanos - this.lastSampleNanos) / SMOOTHING_NANOS);
+		long weightNanos = Math.max(0, Math.min(MAX_WEIGHT_NANOS, nowNanos - this.lastSampleNanos));
+		double weight = 1 - Math.exp(-weightNanos / SMOOTHING_NANOS);
 		this.lastSampleNanos = nowNanos;
 		this.delayRatio = smooth(this.delayRatio,
 				sample.eventLoopDelayMillis() / this.options.maxEventLoopDelayMillis(), weight);
@@ -97,8 +106,9 @@
 
 	private PressureState nextState(double relayedShare, double rejectedShare) {
 		double ratio = ratio();
-		double offered = ratio / Math.max(MIN_SERVED_SHARE, 1 - relayedShare - rejectedShare);
-		double withoutRejections = offered * (1 - relayedShare);
+		double offeredRate = rateRatio() / Math.max(MIN_SERVED_SHARE, 1 - relayedShare - rejectedShare);
+		double offered = Math.max(offeredRate, this.memoryRatio);
+		double withoutRejections = Math.max(offeredRate * (1 - relayedShare), this.memoryRatio);
 		boolean wasSaturated = this.state == PressureState.SATURATED;
 		if (wasSaturated ? withoutRejections >= SATURATED_EXIT : ratio >= SATURATED_ENTRY) {
 			return PressureState.SATURATED;
@@ -115,6 +125,25 @@
 		return Math.max(Math.max(this.delayRatio, this.processorRatio), Math.max(this.memoryRatio, this.linkRatio));
 	}
 
+	// The use that follows the rate of new requests.
+	private double rateRatio() {
+		return Math.max(Math.max(this.delayRatio, this.processorRatio), this.linkRatio);
+	}
+
+	/**
+	 * Returns the share of new requests without which the use is at a target. Memory does
+	 * not follow new requests, so the share for it does not build on what is shed at
+	 * present: it would grow for as long as the memory stays in use.
+	 * @param targetRatio the target relative to the limits
+	 * @param servedShare the share of new requests that is served here at present
+	 * @return below 1, 0 or less if nothing needs to be shed
+	 */
+	double shareBeyond(double targetRatio, double servedShare) {
+		double ofRate = 1 - targetRatio * servedShare / Math.max(MIN_RATIO, rateRatio());
+		double ofMemory = 1 - targetRatio / Math.max(MIN_RATIO, this.memoryRatio);
+		return Math.max(ofRate, ofMemory);
+	}
+
 	/**
 	 * Returns the pressure level.
 	 * @return 0 without load to 1 at the limit of a resource
@@ -130,10 +159,11 @@
 	/**
 	 * Returns whether another VM can relieve this one. A relayed request still passes
 	 * through the memory and the link of this VM.
-	 * @return false if memory or the link is the scarcest resource
+	 * @return false if memory or the link is the scarcest resource or used up
 	 */
 	boolean isRelievedByRelays() {
-		return Math.max(this.delayRatio, this.processorRatio) >= Math.max(this.memoryRatio, this.linkRatio);
+		double passedThrough = Math.max(this.memoryRatio, this.linkRatio);
+		return passedThrough < 1 && Math.max(this.delayRatio, this.processorRatio) >= passedThrough;
 	}
 
 	/**
--- a/router/src/main/java/org/burdocktray/process/pressure/VmPressure.java
+++ b/router/src/main/java/org/burdocktray/process/pressure/VmPressure.java
@@ -23,11 +23,17 @@
  */
 public final class VmPressure {
 
-	private static final long SAMPLE_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
+	static final long SAMPLE_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
 
 	/** The use of the scarcest resource that requests are handed over for. */
 	private static final double TARGET_RATIO = 0.7;
 
+	/**
+	 * The use that requests are rejected for. Above the use at which the saturated state
+	 * ends: a VM that bears what callers offer would reject a part of it otherwise.
+	 */
+	private static final double REJECTION_TARGET_RATIO = 0.95;
+
 	/** Up to this use, a VM offers what it has free; below what counts as pressed. */
 	private static final double OFFERED_RATIO = 0.6;
 
@@ -37,6 +43,9 @@
 	/** The part of the difference to the computed share that one sample closes. */
 	private static final double SHARE_STEP = 0.25;
 
+	/** Bounds how many requests are rejected or served in succession. */
+	private static final double MAX_EXCESS_REQUESTS = 4;
+
 	private static final double MIN_RATE_PER_SECOND = 0.5;
 
 	private static final double NANOS_PER_SECOND = 1e9;
@@ -75,6 +84,15 @@
 
 	private double shedShare;
 
+	/** The share of new requests that this VM cannot bear. */
+	private double excessShare;
+
+	/**
+	 * The requests that this VM could not bear, less those handed over or rejected. With
+	 * rejections drawn at random, queues would build up between them.
+	 */
+	private double excessRequests;
+
 	/**
 	 * Creates the pressure of a VM without load.
 	 * @param options the limits
@@ -144,12 +162,22 @@
 	private void updateShedShare() {
 		if (this.pressure.state() == PressureState.NORMAL) {
 			this.shedShare = 0;
+			this.excessShare = 0;
+			this.excessRequests = 0;
 			return;
 		}
 		double servedShare = 1 - this.arrivals.handedOverShare() - this.arrivals.rejectedShare();
-		double ratio = Math.max(1e-3, this.pressure.ratio());
-		double needed = Math.max(0, Math.min(MAX_SHED_SHARE, 1 - TARGET_RATIO * servedShare / ratio));
-		this.shedShare += SHARE_STEP * (needed - this.shedShare);
+		this.shedShare = step(this.shedShare, this.pressure.shareBeyond(TARGET_RATIO, servedShare));
+		this.excessShare = step(this.excessShare, this.pressure.shareBeyond(REJECTION_TARGET_RATIO, servedShare));
+	}
+
+	private void addExcess(double requests) {
+		this.excessRequests = Math.max(-MAX_EXCESS_REQUESTS,
+				Math.min(MAX_EXCESS_REQUESTS, this.excessRequests + requests));
+	}
+
+	private static double step(double share, double needed) {
+		return share + SHARE_STEP * (Math.max(0, Math.min(MAX_SHED_SHARE, needed)) - share);
 	}
 
 	/**
@@ -160,6 +188,7 @@
 	 * @return where it is served
 	 */
 	Placement place(Predicate<NetworkAddress> isUsable, ToIntFunction<NetworkAddress> inFlight, long nowNanos) {
+		addExcess(this.excessShare);
 		double drawn = this.random.nextDouble();
 		if (drawn >= this.shedShare) {
 			return here(nowNanos);
@@ -167,6 +196,7 @@
 		if (drawn < this.options.relayShareLimit() && this.pressure.isRelievedByRelays()) {
 			Optional<NetworkAddress> vm = choose(isUsable, inFlight, nowNanos);
 			if (vm.isPresent()) {
+				addExcess(-1);
 				this.arrivals.recordHandedOver(nowNanos);
 				this.listener.onHandedOver();
 				return new Placement.AtVm(vm.get());
@@ -192,12 +222,14 @@
 		if (next.isPresent()) {
 			return new Placement.AtVm(next.get());
 		}
+		addExcess(1);
 		this.arrivals.withdrawHandedOver(nowNanos);
 		return hereOrNowhere(nowNanos);
 	}
 
 	private Placement hereOrNowhere(long nowNanos) {
-		if (this.pressure.state() == PressureState.SATURATED) {
+		if (this.pressure.state() == PressureState.SATURATED && this.excessRequests >= 1) {
+			addExcess(-1);
 			this.arrivals.recordRejected(nowNanos);
 			this.listener.onRejected();
 			return new Placement.Nowhere();
--- a/router/src/test/java/org/burdocktray/process/pressure/ResourcePressureTests.java
+++ b/router/src/test/java/org/burdocktray/process/pressure/ResourcePressureTests.java
@@ -35,7 +35,11 @@
 
 	@Test
 	void oneLongPauseIsNoPressure() {
-		assertThat(run(40, 0, 0, (step) -> (step == 10) ? 2.5 : 0.1)).isZero();
+		assertThat(run(20, 0, 0, (step) -> 0.1)).isZero();
+		this.nowNanos += TimeUnit.MILLISECONDS.toNanos(1_500);
+		ResourceSample pause = new ResourceSample(1_500, 0.1, 0.1, 0.1);
+		assertThat(this.pressure.record(pause, 0, 0, this.nowNanos)).isFalse();
+		assertThat(run(20, 0, 0, (step) -> 0.1)).isZero();
 	}
 
 	@Test
@@ -49,12 +53,24 @@
 
 	@Test
 	void scarcestResourceDecides() {
-		this.pressure.record(new ResourceSample(0, 0.1, 0.1, 0.8), 0, 0, TimeUnit.SECONDS.toNanos(20));
+		for (int step = 1; step <= 40; step++) {
+			this.pressure.record(new ResourceSample(0, 0.1, 0.1, 0.8), 0, 0, step * STEP_NANOS);
+		}
 		assertThat(this.pressure.level()).isGreaterThan(0.99);
 		assertThat(this.pressure.scarcestResource()).isEqualTo("link");
 		assertThat(this.pressure.isRelievedByRelays()).isFalse();
 	}
 
+	/** Guards against relays that fill a link or memory that is used up already. */
+	@Test
+	void nothingIsHandedOverOnceTheLinkIsUsedUp() {
+		for (int step = 1; step <= 40; step++) {
+			this.pressure.record(new ResourceSample(120, 0, 0, 0.84), 0, 0, step * STEP_NANOS);
+		}
+		assertThat(this.pressure.scarcestResource()).isEqualTo("event_loop");
+		assertThat(this.pressure.isRelievedByRelays()).isFalse();
+	}
+
 	private int run(int steps, double relayedShare, double rejectedShare, IntToDoubleFunction ratio) {
 		int changes = 0;
 		for (int step = 0; step < steps; step++) {
--- a/router/src/test/java/org/burdocktray/process/pressure/VmPressureTests.java
+++ b/router/src/test/java/org/burdocktray/process/pressure/VmPressureTests.java
@@ -48,7 +48,10 @@
 		assertThat(fleet.vms.get(0).handedOver).isPositive();
 	}
 
-	/** The only stronger VM is full as well. */
+	/**
+	 * The only other VM is full as well. The VM bears 0.9 of its cores, the limit of the
+	 * options.
+	 */
 	@Test
 	void saturatedVmRejectsOnlyWhatItCannotBear() {
 		Fleet fleet = new Fleet(1, 0.25, 0.25);
@@ -56,12 +59,47 @@
 		fleet.run(60);
 		fleet.forgetCounts();
 		fleet.run(60);
-		assertThat(fleet.vms.get(0).served / fleet.seconds).isBetween(0.5 * 25, 1.0 * 25);
+		assertThat(fleet.vms.get(0).served / fleet.seconds).isBetween(0.9 * 0.9 * 25, 1.0 * 25);
 		assertThat(fleet.vms.get(0).rejected).isPositive();
 		assertThat(fleet.vms.get(1).rejected).isZero();
 		assertThat(fleet.vms.get(0).maxDelayMillis).isLessThan(1_000);
 	}
 
+	/** A load just below the limit keeps the saturated state, which must not reject. */
+	@Test
+	void spikeDoesNotLeaveRejectionsOfWhatTheVmBears() {
+		Fleet fleet = new Fleet(1, 0.25);
+		fleet.setLoad(2);
+		fleet.run(20);
+		assertThat(fleet.vms.get(0).rejected).isPositive();
+		for (double load = 2; load > 0.9 * 0.95; load -= 0.02) {
+			fleet.setLoad(load);
+			fleet.run(1);
+		}
+		fleet.setLoad(0.9 * 0.95);
+		fleet.run(20);
+		fleet.forgetCounts();
+		fleet.run(120);
+		assertThat(fleet.rejectedShare()).isLessThan(0.02);
+	}
+
+	/** Memory that is in use whatever is rejected must not raise the share by itself. */
+	@Test
+	void rejectionsForMemoryDoNotFeedThemselves() {
+		Fleet fleet = new Fleet(1, 0.25);
+		fleet.setLoad(0.3);
+		fleet.vms.get(0).constantMemoryShare = 1.02 * 0.85;
+		fleet.run(60);
+		fleet.forgetCounts();
+		fleet.run(60);
+		assertThat(fleet.rejectedShare()).isBetween(0.01, 0.15);
+		fleet.vms.get(0).constantMemoryShare = 0.8 * 0.85;
+		fleet.run(10);
+		fleet.forgetCounts();
+		fleet.run(60);
+		assertThat(fleet.rejectedShare()).isZero();
+	}
+
 	@ParameterizedTest
 	@ValueSource(ints = { 1, 2, 3 })
 	void twoPressedVmsDoNotFillTheSameThirdOne(int seed) {
@@ -269,6 +307,8 @@
 
 		private double usedSeconds;
 
+		private double constantMemoryShare;
+
 		private boolean declines;
 
 		private int served;
@@ -317,7 +357,7 @@
 
 		@Override
 		public double memoryShare() {
-			return 0;
+			return this.constantMemoryShare;
 		}
 
 		@Override
