VM pressure: declined VMs stay blocked, wrong reports remove those before

A VM that had declined and left the reports meanwhile came back with a new bucket, and was tried again within the second. Blocked buckets stay until their block ends. A report out of range left the one before it in force, and the largest count of pressed VMs of all collectors held, so one collector could lower what all VMs relay; now the smallest holds.

CapacityExchangeTests and RelayChoiceTests pass. The new tests were not run without the change.

--- a/router/src/main/java/org/burdocktray/process/pressure/CapacityExchange.java
+++ b/router/src/main/java/org/burdocktray/process/pressure/CapacityExchange.java
@@ -137,7 +137,8 @@
 	}
 
 	private void receive(NetworkAddress vm, CapacityCodec.Entry entry, long nowNanos) {
-		check(vm, entry, nowNanos).ifPresent((capacity) -> this.reports.put(vm, capacity));
+		check(vm, entry, nowNanos).ifPresentOrElse((capacity) -> this.reports.put(vm, capacity),
+				() -> this.reports.remove(vm));
 	}
 
 	private void receive(NetworkAddress collector, CapacityCodec.Sum sum, long nowNanos) {
@@ -182,13 +183,14 @@
 	}
 
 	/**
-	 * Returns the number of VMs of this data centre that are under pressure.
+	 * Returns the number of VMs of this data centre that are under pressure, the smallest
+	 * that a collector has counted.
 	 * @param nowNanos the current time of the monotonic clock
 	 * @return 0 if no collector has reported any
 	 */
 	public int pressedVms(long nowNanos) {
 		removeOld(nowNanos);
-		return this.sums.values().stream().mapToInt(ReceivedSum::pressedVms).max().orElse(0);
+		return this.sums.values().stream().mapToInt(ReceivedSum::pressedVms).min().orElse(0);
 	}
 
 	private void removeOld(long nowNanos) {
--- a/router/src/main/java/org/burdocktray/process/pressure/RelayChoice.java
+++ b/router/src/main/java/org/burdocktray/process/pressure/RelayChoice.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
 import java.util.function.ToIntFunction;
@@ -35,7 +36,7 @@
 
 	private final RandomGenerator random;
 
-	/** One bucket for each VM with free capacity. */
+	/** One bucket for each VM with free capacity, or that has declined of late. */
 	private final Map<NetworkAddress, Bucket> buckets = new HashMap<>();
 
 	public RelayChoice(RandomGenerator random) {
@@ -53,7 +54,9 @@
 	 */
 	public Optional<NetworkAddress> choose(Need need, List<VmCapacity> vms, Predicate<NetworkAddress> isUsable,
 			ToIntFunction<NetworkAddress> inFlight, long nowNanos) {
-		this.buckets.keySet().retainAll(vms.stream().map(VmCapacity::address).collect(Collectors.toSet()));
+		Set<NetworkAddress> reported = vms.stream().map(VmCapacity::address).collect(Collectors.toSet());
+		this.buckets.entrySet()
+			.removeIf((entry) -> !reported.contains(entry.getKey()) && !entry.getValue().isBlocked(nowNanos));
 		List<VmCapacity> candidates = new ArrayList<>();
 		List<Double> weights = new ArrayList<>();
 		double totalWeight = 0;
@@ -134,7 +137,11 @@
 		}
 
 		private boolean hasToken(long nowNanos) {
-			return this.tokens >= 1 && nowNanos - this.blockedUntilNanos >= 0;
+			return this.tokens >= 1 && !isBlocked(nowNanos);
+		}
+
+		private boolean isBlocked(long nowNanos) {
+			return nowNanos - this.blockedUntilNanos < 0;
 		}
 
 		private void take() {
--- a/router/src/test/java/org/burdocktray/process/pressure/CapacityExchangeTests.java
+++ b/router/src/test/java/org/burdocktray/process/pressure/CapacityExchangeTests.java
@@ -40,6 +40,39 @@
 		assertThat(this.exchange.vms(0)).hasSize(isKept ? 1 : 0);
 	}
 
+	/** Guards against a collector that goes on naming a VM whose report is wrong. */
+	@Test
+	void reportOutOfRangeRemovesTheOneBefore() {
+		receiveOwn(STRONG, 1.2);
+		assertThat(createSum().vms()).hasSize(1);
+		receiveOwn(STRONG, 7);
+		assertThat(createSum().vms()).isEmpty();
+	}
+
+	/** Guards against one collector that makes all VMs under pressure relay less. */
+	@Test
+	void smallestCountOfPressedVmsHolds() {
+		this.exchange.receive(COLLECTOR, encodeSum(3), 0);
+		this.exchange.receive(STRONG, encodeSum(1), 0);
+		assertThat(this.exchange.pressedVms(0)).isEqualTo(1);
+	}
+
+	private static SharedLoads encodeSum(int pressedVms) {
+		return CapacityCodec.withSum(SharedLoads.getDefaultInstance(), new CapacityCodec.Sum(pressedVms, List.of()));
+	}
+
+	private void receiveOwn(NetworkAddress vm, double freeCores) {
+		this.exchange.receive(vm, CapacityCodec.withCapacity(SharedLoads.getDefaultInstance(),
+				new CapacityCodec.Entry("", freeCores, false, 0)), 0);
+	}
+
+	private CapacityCodec.Sum createSum() {
+		SharedLoads demand = SharedLoads.newBuilder().addDemandSums(DemandSum.newBuilder().setVmCount(3)).build();
+		return CapacityCodec
+			.readSum(this.exchange.addTo(List.of(new Outgoing(demand, List.of(STRONG))), 0, true, 0).get(0).message())
+			.orElseThrow();
+	}
+
 	@Test
 	void vmsThatAreNotRegisteredHereDoNotCount() {
 		receive(COLLECTOR, new CapacityCodec.Entry("10.9.9.9:9000", 0.1, false, 0));
