VM pressure: requests that may have run stay, pressed VMs serve relays

- The placement learned only of failures at its own VM.
Each outcome other than not run, at any target, and the take-over by a successor keep the request here, where it is neither handed over nor rejected.
- A saturated VM sent Retry-After 0.02 over a connection that stays open, to all callers alike.
It sends the usual time of the service, spread.
- A request is handed over only if the retry budget has a retry, which the attempt after a decline needs.
- A decline by another VM is no rejection by an engine for the overload tracker.
- A pressed VM declined relays of VMs that are cut off, against decision 0021.
It declines only while saturated.
- LostTargetCheck treats only targets chosen by pressure differently, so relays of VMs that are cut off are checked as without the feature.

VmPressureTests, PressureTests and LayerTests pass. RunHandover and LostTargetCheck have no test of their own for this.

--- a/router/src/main/java/org/burdocktray/process/pressure/RequestPlacement.java
+++ b/router/src/main/java/org/burdocktray/process/pressure/RequestPlacement.java
@@ -8,9 +8,8 @@
 /**
  * Where one request of a caller is served. It is decided once, and again only when the VM
  * to which it was handed has not taken it: a request that waits is not drawn again.
- * Invariants: a request is sent to at most two other VMs; one that may have run at
- * another VM, or that has run here, is not handed over. Thread safety: none, confined to
- * one event loop.
+ * Invariants: a request is sent to at most two other VMs; one that may have run anywhere
+ * is neither handed over nor rejected. Thread safety: none, confined to one event loop.
  */
 public final class RequestPlacement {
 
@@ -52,19 +51,21 @@
 	}
 
 	/**
-	 * Records that the request was not served where it was sent.
-	 * @param vm the address of the replica or VM
-	 * @param mayHaveRun whether it may have run there
+	 * Records that the request may have run anywhere. From then on it is served here.
+	 */
+	public void keepHere() {
+		this.placement = new Placement.Here();
+	}
+
+	/**
+	 * Records that a VM has not taken the request, which has not run there.
+	 * @param vm the address of the VM
 	 * @param nowNanos the current time of the monotonic clock
 	 */
-	public void recordFailure(NetworkAddress vm, boolean mayHaveRun, long nowNanos) {
+	public void recordNotTaken(NetworkAddress vm, long nowNanos) {
 		if (!(this.placement instanceof Placement.AtVm at) || !at.vm().equals(vm)) {
 			return;
 		}
-		if (mayHaveRun) {
-			this.placement = new Placement.Here();
-			return;
-		}
 		this.tried++;
 		this.placement = this.pressure.placeAgain(vm, this.isUsable, this.inFlight, this.tried < MAX_VMS, nowNanos);
 	}
--- a/router/src/main/java/org/burdocktray/process/pressure/VmPressure.java
+++ b/router/src/main/java/org/burdocktray/process/pressure/VmPressure.java
@@ -260,11 +260,17 @@
 	}
 
 	/**
-	 * Returns whether this VM takes requests of other VMs.
-	 * @return false under pressure
+	 * Returns whether this VM takes requests of other VMs. VMs under pressure do not
+	 * choose it while it reports pressure itself; those that are cut off may have no
+	 * other.
+	 * @return false while saturated
 	 */
 	public boolean acceptsRelays() {
-		return this.pressure.state() == PressureState.NORMAL;
+		return this.pressure.state() != PressureState.SATURATED;
+	}
+
+	boolean isUnderPressure() {
+		return this.pressure.state() != PressureState.NORMAL;
 	}
 
 	/**
@@ -282,7 +288,7 @@
 	 * @return the messages to send
 	 */
 	public List<Outgoing> addTo(List<Outgoing> messages, long nowNanos) {
-		return messages.isEmpty() ? messages : this.exchange.addTo(messages, freeCores(), !acceptsRelays(), nowNanos);
+		return messages.isEmpty() ? messages : this.exchange.addTo(messages, freeCores(), isUnderPressure(), nowNanos);
 	}
 
 	/**
@@ -302,7 +308,7 @@
 	 */
 	double freeCores() {
 		double ownRatio = this.pressure.ratio() * this.arrivals.callersPart();
-		return acceptsRelays() ? this.size.cores() * Math.max(0, OFFERED_RATIO - ownRatio) : 0;
+		return isUnderPressure() ? 0 : this.size.cores() * Math.max(0, OFFERED_RATIO - ownRatio);
 	}
 
 	private String describe(long nowNanos) {
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/FinalResponse.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/FinalResponse.java
@@ -141,7 +141,7 @@
 		log(status, this.state.verdict(), cause + lastAttempt);
 	}
 
-	private double retryAfterSeconds() {
+	double retryAfterSeconds() {
 		return this.admitted.service().engine().isPresent() ? ENGINE_RETRY_AFTER_SECONDS : SERVICE_RETRY_AFTER_SECONDS;
 	}
 
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/ForwardExchange.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/ForwardExchange.java
@@ -324,6 +324,7 @@
 		this.state.recordOutcome(AttemptOutcome.FAILED);
 		this.context.metrics().recordAttempt(AttemptOutcome.FAILED.name());
 		this.targetSelector.exclude(replica);
+		this.targetSelector.keepHere();
 		this.runGuard.end(failed);
 		this.attempt = Optional.empty();
 		if (continueWithSuccessor()) {
@@ -358,6 +359,9 @@
 			return;
 		}
 		this.state.recordOutcome(refusal.outcome());
+		if (refusal.outcome().verdict() != Verdict.NOT_RUN) {
+			this.targetSelector.keepHere();
+		}
 		this.attempt = Optional.empty();
 		if (continueWithSuccessor()) {
 			return;
@@ -448,7 +452,7 @@
 			giveUpUnlessTargetIsGone(failed, outcome, cause);
 			return;
 		}
-		if (outcome == AttemptOutcome.REJECTED) {
+		if (outcome == AttemptOutcome.REJECTED && !target.isRelay()) {
 			this.tracker.ifPresent((request) -> request.recordReplicaRejection(System.nanoTime()));
 		}
 		if (outcome == AttemptOutcome.REJECTED && target.path().isEmpty()) {
@@ -592,6 +596,7 @@
 	}
 
 	private void continueWith(RunHandover.Successor successor) {
+		this.targetSelector.keepHere();
 		this.attempt = Optional.of(successor.attempt());
 		successor.attempt().setListener(this);
 		this.stream.startRun(successor.streamHead());
@@ -696,6 +701,11 @@
 		this.finalResponse.giveUp(cause, retryAfterSeconds);
 	}
 
+	@Override
+	public double retryAfterSeconds() {
+		return this.finalResponse.retryAfterSeconds();
+	}
+
 	private void finish() {
 		this.ended = true;
 		this.dispatch.endWait();
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/LostTargetCheck.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/LostTargetCheck.java
@@ -28,7 +28,7 @@
 	 */
 	Single<Boolean> isGone(Target target) {
 		// Asking for relays would say that this VM is cut off.
-		if (target.isRelay() && this.context.pressure().isPresent() && !this.context.reach().isCutOff()) {
+		if (target.isForPressure()) {
 			return Single.just(false);
 		}
 		if (target.isRelay()) {
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/RelayVms.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/RelayVms.java
@@ -96,7 +96,7 @@
 	Optional<Target> find(NetworkAddress address) {
 		return Optional.ofNullable(this.vms.get(address))
 			.filter((vm) -> !this.loads.isAvoided(vm, System.nanoTime()))
-			.map(Target::throughVm);
+			.map(Target::forPressure);
 	}
 
 	int inFlight(NetworkAddress address) {
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/RequestDispatch.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/RequestDispatch.java
@@ -83,7 +83,9 @@
 			return;
 		}
 		if (!this.owner.isResponseStarted() && this.targetSelector.isRejectedForPressure()) {
-			this.owner.giveUp("VM is saturated", CallerResponse.OTHER_VM_RETRY_AFTER_SECONDS);
+			// The caller may come back over the same connection, to this VM.
+			double spread = 1 + this.context.random().nextDouble();
+			this.owner.giveUp("VM is saturated", spread * this.owner.retryAfterSeconds());
 			return;
 		}
 		this.preparation.prepare(this.targetSelector::select, this.owner.isNextRunRetry(), () -> !this.owner.hasEnded())
@@ -240,6 +242,12 @@
 		 */
 		void giveUp(String cause, double retryAfterSeconds);
 
+		/**
+		 * Returns after which time callers of the service usually come again.
+		 * @return the time
+		 */
+		double retryAfterSeconds();
+
 		/** Gives the request back to the VM that has relayed it. */
 		void giveBack();
 
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/RunHandover.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/RunHandover.java
@@ -7,6 +7,7 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientResponse;
 import org.burdocktray.model.NetworkAddress;
+import org.burdocktray.model.Verdict;
 import org.burdocktray.process.directory.Replica;
 import org.burdocktray.request.forward.AttemptOutcome;
 import org.burdocktray.request.forward.EventFramer;
@@ -409,6 +410,9 @@
 		if (this.health.recordFailedAttempt(failed.target().replica(), outcome, faultAddress)) {
 			this.targetSelector.exclude(failed.target().replica());
 		}
+		if (outcome.verdict() != Verdict.NOT_RUN) {
+			this.targetSelector.keepHere();
+		}
 		this.runGuard.recordFailure(failed, outcome, faultAddress.flatMap(this.context.directory()::findByAddress));
 		if (!wasHedge) {
 			this.owner.onSuccessorFailure(cause);
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/Target.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/Target.java
@@ -15,11 +15,13 @@
  * @param path the layer path of the request, empty unless the replica is an engine
  * @param tokens the number of tokens that the request keeps in the KV cache of engines
  * @param isRelay whether the request is sent to a VM that relays it to a replica
+ * @param isForPressure whether it is relayed because this VM is under pressure, not cut
+ * off
  */
-record Target(Replica replica, Optional<LayerPath> path, int tokens, boolean isRelay) {
+record Target(Replica replica, Optional<LayerPath> path, int tokens, boolean isRelay, boolean isForPressure) {
 
 	Target(Replica replica, Optional<LayerPath> path, int tokens) {
-		this(replica, path, tokens, false);
+		this(replica, path, tokens, false, false);
 	}
 
 	/**
@@ -28,7 +30,16 @@
 	 * @return the target
 	 */
 	static Target throughVm(Replica vm) {
-		return new Target(vm, Optional.empty(), 0, true);
+		return new Target(vm, Optional.empty(), 0, true, false);
+	}
+
+	/**
+	 * Returns a target to which this VM hands a request under pressure.
+	 * @param vm the VM, as the replica that takes its place
+	 * @return the target
+	 */
+	static Target forPressure(Replica vm) {
+		return new Target(vm, Optional.empty(), 0, true, true);
 	}
 
 	void recordSend(ReplicaLoads loads) {
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/TargetSelector.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/TargetSelector.java
@@ -173,8 +173,17 @@
 	 * @param mayHaveRun whether it may have run there
 	 */
 	void recordFailure(Target target, boolean mayHaveRun) {
+		if (mayHaveRun) {
+			keepHere();
+			return;
+		}
 		this.placement.filter((place) -> target.isRelay())
-			.ifPresent((place) -> place.recordFailure(target.replica().address(), mayHaveRun, System.nanoTime()));
+			.ifPresent((place) -> place.recordNotTaken(target.replica().address(), System.nanoTime()));
+	}
+
+	/** Records that the request may have run, so that it is not handed over any more. */
+	void keepHere() {
+		this.placement.ifPresent(RequestPlacement::keepHere);
 	}
 
 	private Optional<Target> selectStrongerVm() {
@@ -186,10 +195,13 @@
 
 	private boolean mayBeHandedTo(NetworkAddress vm) {
 		long nowNanos = System.nanoTime();
-		return this.context.relayKey().value().isPresent() && this.context.relays()
-			.find(vm)
-			.filter((target) -> !isExcluded(target.replica(), nowNanos))
-			.isPresent();
+		// Another VM may decline the request, and the attempt after that is a retry.
+		boolean mayRetry = this.context.retryBudget().hasRetry(this.service.name(), nowNanos);
+		return mayRetry && this.context.relayKey().value().isPresent()
+				&& this.context.relays()
+					.find(vm)
+					.filter((target) -> !isExcluded(target.replica(), nowNanos))
+					.isPresent();
 	}
 
 	private boolean isCutOff() {
