VM pressure: terms and documentation

Equal VMs take requests as well, so 'stronger' becomes 'of at least its size'. Names that meant 'not normal' by 'pressed' say underPressure, also in the log line (vmsUnderPressure); the protocol keeps its names. Placement.Nowhere is Rejected.

The comment of CapacityChanges contradicted docs/design/overload.md: a capacity that goes on changing at the settling interval does hide an overload.

--- a/router/src/main/java/org/burdocktray/process/overload/CapacityChanges.java
+++ b/router/src/main/java/org/burdocktray/process/overload/CapacityChanges.java
@@ -6,9 +6,10 @@
 /**
  * Knows when the capacity of a service was lost or came back, so that requests that are
  * late for this reason alone are not taken for a sign of too much demand. Invariant: two
- * changes that count are at least {@link #SETTLING_NANOS} apart, so a capacity that
- * changes all the time hides no overload. Thread safety: none, confined to one event
- * loop.
+ * changes that count are at least {@link #SETTLING_NANOS} apart, so changes in quick
+ * succession count once. A capacity that goes on changing at that interval keeps the
+ * threshold as it is, and so hides an overload. Thread safety: none, confined to one
+ * event loop.
  */
 public final class CapacityChanges {
 
--- a/router/src/main/java/org/burdocktray/process/pressure/CapacityCodec.java
+++ b/router/src/main/java/org/burdocktray/process/pressure/CapacityCodec.java
@@ -33,7 +33,7 @@
 	 * @return the message with the reports
 	 */
 	static SharedLoads withSum(SharedLoads message, Sum sum) {
-		CapacitySum.Builder encoded = CapacitySum.newBuilder().setPressedVms(sum.pressedVms());
+		CapacitySum.Builder encoded = CapacitySum.newBuilder().setPressedVms(sum.vmsUnderPressure());
 		sum.vms().forEach((entry) -> encoded.addVms(encode(entry)));
 		return message.toBuilder().setCapacitySum(encoded).build();
 	}
@@ -65,7 +65,7 @@
 		return VmCapacity.newBuilder()
 			.setAddress(entry.address())
 			.setFreeCores((float) entry.freeCores())
-			.setPressed(entry.pressed())
+			.setPressed(entry.underPressure())
 			.setAgeMillis((int) entry.ageMillis())
 			.build();
 	}
@@ -80,20 +80,20 @@
 	 *
 	 * @param address the address of the VM, empty in its own report
 	 * @param freeCores the free cores
-	 * @param pressed whether the VM is under pressure
+	 * @param underPressure whether the VM is under pressure
 	 * @param ageMillis the age of the report when it was sent
 	 */
-	record Entry(String address, double freeCores, boolean pressed, long ageMillis) {
+	record Entry(String address, double freeCores, boolean underPressure, long ageMillis) {
 
 	}
 
 	/**
 	 * The reports of several VMs as they were sent. Thread safety: immutable.
 	 *
-	 * @param pressedVms the number of VMs under pressure
+	 * @param vmsUnderPressure the number of VMs under pressure
 	 * @param vms the VMs with free capacity
 	 */
-	record Sum(int pressedVms, List<Entry> vms) {
+	record Sum(int vmsUnderPressure, List<Entry> vms) {
 
 	}
 
--- a/router/src/main/java/org/burdocktray/process/pressure/CapacityExchange.java
+++ b/router/src/main/java/org/burdocktray/process/pressure/CapacityExchange.java
@@ -63,13 +63,13 @@
 	 * Adds free capacity to the messages about demand that are due.
 	 * @param messages the messages
 	 * @param freeCores the free cores of this VM
-	 * @param pressed whether this VM is under pressure
+	 * @param underPressure whether this VM is under pressure
 	 * @param nowNanos the current time of the monotonic clock
 	 * @return the messages to send
 	 */
-	public List<Outgoing> addTo(List<Outgoing> messages, double freeCores, boolean pressed, long nowNanos) {
+	public List<Outgoing> addTo(List<Outgoing> messages, double freeCores, boolean underPressure, long nowNanos) {
 		removeOld(nowNanos);
-		CapacityCodec.Entry own = new CapacityCodec.Entry("", freeCores, pressed, 0);
+		CapacityCodec.Entry own = new CapacityCodec.Entry("", freeCores, underPressure, 0);
 		List<Outgoing> result = new ArrayList<>();
 		boolean isSumSent = false;
 		for (Outgoing outgoing : messages) {
@@ -105,14 +105,14 @@
 	private CapacityCodec.Sum createSum(long nowNanos) {
 		List<CapacityCodec.Entry> vms = this.reports.values()
 			.stream()
-			.filter((report) -> !report.pressed() && report.freeCores() > 0)
+			.filter((report) -> !report.underPressure() && report.freeCores() > 0)
 			.sorted(Comparator.comparingDouble(VmCapacity::freeCores).reversed())
 			.limit(MAX_VMS_PER_SUM)
 			.map((report) -> new CapacityCodec.Entry(format(report.address()), report.freeCores(), false,
 					TimeUnit.NANOSECONDS.toMillis(nowNanos - report.measuredNanos())))
 			.toList();
 		CapacityCodec.Sum sum = new CapacityCodec.Sum(
-				(int) this.reports.values().stream().filter(VmCapacity::pressed).count(), vms);
+				(int) this.reports.values().stream().filter(VmCapacity::underPressure).count(), vms);
 		receive(this.ownAddress, sum, nowNanos);
 		return sum;
 	}
@@ -150,7 +150,8 @@
 				.flatMap((address) -> check(address, entry, nowNanos))
 				.stream())
 			.toList();
-		this.sums.put(collector, new ReceivedSum(Math.min(sum.pressedVms(), this.localVms.size()), vms, nowNanos));
+		this.sums.put(collector,
+				new ReceivedSum(Math.min(sum.vmsUnderPressure(), this.localVms.size()), vms, nowNanos));
 	}
 
 	// A value out of range says nothing about the VM, so the whole report is dropped.
@@ -162,7 +163,7 @@
 			return Optional.empty();
 		}
 		long measuredNanos = nowNanos - TimeUnit.MILLISECONDS.toNanos(entry.ageMillis());
-		return Optional.of(new VmCapacity(vm, cores, entry.freeCores(), entry.pressed(), measuredNanos));
+		return Optional.of(new VmCapacity(vm, cores, entry.freeCores(), entry.underPressure(), measuredNanos));
 	}
 
 	/**
@@ -188,9 +189,9 @@
 	 * @param nowNanos the current time of the monotonic clock
 	 * @return 0 if no collector has reported any
 	 */
-	public int pressedVms(long nowNanos) {
+	public int vmsUnderPressure(long nowNanos) {
 		removeOld(nowNanos);
-		return this.sums.values().stream().mapToInt(ReceivedSum::pressedVms).min().orElse(0);
+		return this.sums.values().stream().mapToInt(ReceivedSum::vmsUnderPressure).min().orElse(0);
 	}
 
 	private void removeOld(long nowNanos) {
@@ -198,7 +199,7 @@
 		this.sums.values().removeIf((sum) -> nowNanos - sum.receivedNanos() > MAX_AGE_NANOS);
 	}
 
-	private record ReceivedSum(int pressedVms, List<VmCapacity> vms, long receivedNanos) {
+	private record ReceivedSum(int vmsUnderPressure, List<VmCapacity> vms, long receivedNanos) {
 
 	}
 
--- a/router/src/main/java/org/burdocktray/process/pressure/Placement.java
+++ b/router/src/main/java/org/burdocktray/process/pressure/Placement.java
@@ -3,7 +3,7 @@
 import org.burdocktray.model.NetworkAddress;
 
 /**
- * What becomes of a new request.
+ * What becomes of a new request. Thread safety: immutable.
  */
 public sealed interface Placement {
 
@@ -22,7 +22,7 @@
 	}
 
 	/** The request is rejected as not run. */
-	record Nowhere() implements Placement {
+	record Rejected() implements Placement {
 
 	}
 
--- a/router/src/main/java/org/burdocktray/process/pressure/PressureState.java
+++ b/router/src/main/java/org/burdocktray/process/pressure/PressureState.java
@@ -8,7 +8,7 @@
 	/** The VM serves all requests itself. */
 	NORMAL,
 
-	/** The VM hands a part of its new requests to stronger VMs. */
+	/** The VM hands a part of its new requests to VMs of at least its size. */
 	PRESSED,
 
 	/** The VM also rejects what it would hand over and no other VM takes. */
--- a/router/src/main/java/org/burdocktray/process/pressure/RelayChoice.java
+++ b/router/src/main/java/org/burdocktray/process/pressure/RelayChoice.java
@@ -61,11 +61,11 @@
 		List<Double> weights = new ArrayList<>();
 		double totalWeight = 0;
 		for (VmCapacity vm : vms) {
-			if (vm.pressed() || vm.cores() < need.ownCores() || vm.freeCores() <= 0) {
+			if (vm.underPressure() || vm.cores() < need.ownCores() || vm.freeCores() <= 0) {
 				continue;
 			}
 			Bucket bucket = this.buckets.computeIfAbsent(vm.address(), (address) -> new Bucket(nowNanos));
-			bucket.fill(vm.freeCores() / (need.coresPerRequest() * Math.max(1, need.pressedVms())), nowNanos);
+			bucket.fill(vm.freeCores() / (need.coresPerRequest() * Math.max(1, need.vmsUnderPressure())), nowNanos);
 			int ownRequests = inFlight.applyAsInt(vm.address());
 			if (bucket.hasToken(nowNanos) && ownRequests < MAX_IN_FLIGHT && isUsable.test(vm.address())) {
 				double weight = vm.freeCores() / (1 + ownRequests);
@@ -110,10 +110,10 @@
 	 *
 	 * @param ownCores the cores of this VM
 	 * @param coresPerRequest the cores that one request a second takes
-	 * @param pressedVms the VMs of the data centre that are under pressure, this one
-	 * included
+	 * @param vmsUnderPressure the VMs of the data centre that are under pressure, this
+	 * one included
 	 */
-	public record Need(double ownCores, double coresPerRequest, int pressedVms) {
+	public record Need(double ownCores, double coresPerRequest, int vmsUnderPressure) {
 
 	}
 
--- a/router/src/main/java/org/burdocktray/process/pressure/VmCapacity.java
+++ b/router/src/main/java/org/burdocktray/process/pressure/VmCapacity.java
@@ -9,9 +9,10 @@
  * @param address the address of the VM
  * @param cores its processor cores, as it has registered them
  * @param freeCores the cores that its own requests leave free, at most all
- * @param pressed whether it is under pressure itself
+ * @param underPressure whether it is under pressure itself
  * @param measuredNanos the monotonic time of this VM at which it reported
  */
-public record VmCapacity(NetworkAddress address, double cores, double freeCores, boolean pressed, long measuredNanos) {
+public record VmCapacity(NetworkAddress address, double cores, double freeCores, boolean underPressure,
+		long measuredNanos) {
 
 }
--- a/router/src/main/java/org/burdocktray/process/pressure/VmPressure.java
+++ b/router/src/main/java/org/burdocktray/process/pressure/VmPressure.java
@@ -15,11 +15,11 @@
 import org.burdocktray.process.settings.GatewayOptions.PressureOptions;
 
 /**
- * Decides which new requests this VM serves itself, hands to stronger VMs of its data
- * centre, or rejects. Invariants: in the normal state all requests are served here; a
- * request is rejected only while the VM is saturated and no VM has taken it; the share
- * that is handed over is bounded by the options. Thread safety: none, confined to one
- * event loop.
+ * Decides which new requests this VM serves itself, hands to VMs of at least its size in
+ * its data centre, or rejects. Invariants: in the normal state all requests are served
+ * here; a request is rejected only while the VM is saturated and no VM has taken it; the
+ * share that is handed over is bounded by the options. Thread safety: none, confined to
+ * one event loop.
  */
 public final class VmPressure {
 
@@ -202,7 +202,7 @@
 				return new Placement.AtVm(vm.get());
 			}
 		}
-		return hereOrNowhere(nowNanos);
+		return hereOrRejected(nowNanos);
 	}
 
 	/**
@@ -224,15 +224,15 @@
 		}
 		addExcess(1);
 		this.arrivals.withdrawHandedOver(nowNanos);
-		return hereOrNowhere(nowNanos);
+		return hereOrRejected(nowNanos);
 	}
 
-	private Placement hereOrNowhere(long nowNanos) {
+	private Placement hereOrRejected(long nowNanos) {
 		if (this.pressure.state() == PressureState.SATURATED && this.excessRequests >= 1) {
 			addExcess(-1);
 			this.arrivals.recordRejected(nowNanos);
 			this.listener.onRejected();
-			return new Placement.Nowhere();
+			return new Placement.Rejected();
 		}
 		return here(nowNanos);
 	}
@@ -247,7 +247,7 @@
 		double rate = Math.max(MIN_RATE_PER_SECOND, this.arrivals.servedPerSecond());
 		double coresPerRequest = Math.max(1e-4, this.size.cores() * this.pressure.level() / rate);
 		RelayChoice.Need need = new RelayChoice.Need(this.size.cores(), coresPerRequest,
-				Math.max(1, this.exchange.pressedVms(nowNanos)));
+				Math.max(1, this.exchange.vmsUnderPressure(nowNanos)));
 		return this.choice.choose(need, this.exchange.vms(nowNanos), isUsable, inFlight, nowNanos);
 	}
 
@@ -312,9 +312,9 @@
 	}
 
 	private String describe(long nowNanos) {
-		return String.format(Locale.ROOT, "level=%.2f resource=%s share=%.2f pressedVms=%d candidates=%d",
+		return String.format(Locale.ROOT, "level=%.2f resource=%s share=%.2f vmsUnderPressure=%d candidates=%d",
 				this.pressure.level(), this.pressure.scarcestResource(), this.shedShare,
-				this.exchange.pressedVms(nowNanos), this.exchange.vms(nowNanos).size());
+				this.exchange.vmsUnderPressure(nowNanos), this.exchange.vms(nowNanos).size());
 	}
 
 	/**
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayContext.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayContext.java
@@ -52,7 +52,8 @@
  * @param demand measures the requests that arrive, if a feature needs it
  * @param hedging decides on second runs of late requests, if that feature is on
  * @param overload sheds load by priority, if the feature is on
- * @param pressure hands requests to stronger VMs under pressure, if the feature is on
+ * @param pressure hands requests under pressure to VMs of at least its size, if the
+ * feature is on
  * @param crashes finds out which requests crash replicas
  * @param random the source of randomness
  * @param metrics the metrics of the process
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/TargetSelector.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/TargetSelector.java
@@ -86,9 +86,9 @@
 		if (isCutOff()) {
 			return selectRelay();
 		}
-		Optional<Target> stronger = selectStrongerVm();
-		if (stronger.isPresent()) {
-			return stronger;
+		Optional<Target> relieving = selectRelievingVm();
+		if (relieving.isPresent()) {
+			return relieving;
 		}
 		this.suspectUpstreams = suspectUpstreams;
 		Optional<Target> isolated = selectAny();
@@ -162,13 +162,13 @@
 	 */
 	boolean isRejectedForPressure() {
 		return !isCutOff() && this.placement.map((place) -> place.get(System.nanoTime()))
-			.filter(Placement.Nowhere.class::isInstance)
+			.filter(Placement.Rejected.class::isInstance)
 			.isPresent();
 	}
 
 	/**
-	 * Records that an attempt has failed. A request that a stronger VM has not taken may
-	 * be handed to another one.
+	 * Records that an attempt has failed. A request that another VM has not taken may be
+	 * handed to another one.
 	 * @param target where the request was sent
 	 * @param mayHaveRun whether it may have run there
 	 */
@@ -186,7 +186,7 @@
 		this.placement.ifPresent(RequestPlacement::keepHere);
 	}
 
-	private Optional<Target> selectStrongerVm() {
+	private Optional<Target> selectRelievingVm() {
 		return this.placement.map((place) -> place.get(System.nanoTime()))
 			.filter(Placement.AtVm.class::isInstance)
 			.map(Placement.AtVm.class::cast)
--- a/router/src/main/java/org/burdocktray/process/settings/GatewayOptions.java
+++ b/router/src/main/java/org/burdocktray/process/settings/GatewayOptions.java
@@ -11,7 +11,7 @@
  * @param overload sheds load by priority while the demand exceeds the capacity
  * @param balancing lets routes and layers follow uneven demand
  * @param hedging sends a second run of repeatable requests that respond late
- * @param pressure hands new requests of a VM under pressure to stronger VMs
+ * @param pressure hands new requests of a VM under pressure to VMs of at least its size
  */
 public record GatewayOptions(Optional<WatchOptions> watch, Optional<OverloadOptions> overload,
 		Optional<BalancingOptions> balancing, Optional<HedgingOptions> hedging, Optional<PressureOptions> pressure) {
--- a/router/src/main/java/org/burdocktray/process/settings/GatewayOptionsReader.java
+++ b/router/src/main/java/org/burdocktray/process/settings/GatewayOptionsReader.java
@@ -59,7 +59,7 @@
 
 	private static final long DEFAULT_MIN_DELAY_MILLIS = 50;
 
-	/** From this delay on a VM takes on no requests of others either. */
+	/** The mean delay from which on a VM accepts no relayed requests in any case. */
 	private static final long DEFAULT_MAX_EVENT_LOOP_DELAY_MILLIS = 100;
 
 	private static final double DEFAULT_MAX_PROCESSOR_SHARE = 0.9;
--- a/router/src/test/java/org/burdocktray/process/pressure/CapacityExchangeTests.java
+++ b/router/src/test/java/org/burdocktray/process/pressure/CapacityExchangeTests.java
@@ -54,11 +54,12 @@
 	void smallestCountOfPressedVmsHolds() {
 		this.exchange.receive(COLLECTOR, encodeSum(3), 0);
 		this.exchange.receive(STRONG, encodeSum(1), 0);
-		assertThat(this.exchange.pressedVms(0)).isEqualTo(1);
+		assertThat(this.exchange.vmsUnderPressure(0)).isEqualTo(1);
 	}
 
-	private static SharedLoads encodeSum(int pressedVms) {
-		return CapacityCodec.withSum(SharedLoads.getDefaultInstance(), new CapacityCodec.Sum(pressedVms, List.of()));
+	private static SharedLoads encodeSum(int vmsUnderPressure) {
+		return CapacityCodec.withSum(SharedLoads.getDefaultInstance(),
+				new CapacityCodec.Sum(vmsUnderPressure, List.of()));
 	}
 
 	private void receiveOwn(NetworkAddress vm, double freeCores) {
@@ -101,7 +102,7 @@
 		assertThat(received.getDemandSumsList()).isEqualTo(demand.getDemandSumsList());
 		assertThat(received.getAsksForRelay()).isFalse();
 		assertThat(CapacityCodec.readSum(received)).hasValueSatisfying((sum) -> {
-			assertThat(sum.pressedVms()).isEqualTo(1);
+			assertThat(sum.vmsUnderPressure()).isEqualTo(1);
 			assertThat(sum.vms()).isEmpty();
 		});
 	}
--- a/router/src/test/java/org/burdocktray/process/pressure/VmPressureTests.java
+++ b/router/src/test/java/org/burdocktray/process/pressure/VmPressureTests.java
@@ -68,9 +68,10 @@
 	/** A load just below the limit keeps the saturated state, which must not reject. */
 	@Test
 	void spikeDoesNotLeaveRejectionsOfWhatTheVmBears() {
-		Fleet fleet = new Fleet(1, 0.25);
+		Fleet fleet = new Fleet(1, 4);
 		fleet.setLoad(2);
 		fleet.run(20);
+		assertThat(fleet.vms.get(0).pressure.acceptsRelays()).isFalse();
 		assertThat(fleet.vms.get(0).rejected).isPositive();
 		for (double load = 2; load > 0.9 * 0.95; load -= 0.02) {
 			fleet.setLoad(load);
@@ -263,7 +264,7 @@
 				request.recordNotTaken(at.vm(), this.nowNanos);
 				place = request.get(this.nowNanos);
 			}
-			if (place instanceof Placement.Nowhere) {
+			if (place instanceof Placement.Rejected) {
 				vm.rejected++;
 				return;
 			}
