VM pressure: requests are handed over only with two retries left

Two VMs may decline a request, and the attempt after each is charged to the retry budget. With one retry left, the second decline would become a rejection by a VM that is only pressed.

VmPressureTests, FleetRetryBudgetTests, PressureTests, RelayTests, RelayLossTests and LayerTests pass. No test drives a spent budget.

--- a/router/src/main/java/org/burdocktray/process/limits/FleetRetryBudget.java
+++ b/router/src/main/java/org/burdocktray/process/limits/FleetRetryBudget.java
@@ -103,6 +103,20 @@
 		return hasRetryBeyond(0, service, nowNanos);
 	}
 
+	/**
+	 * Returns whether the budget allows several retries now, without acquiring them.
+	 * @param count the number of retries
+	 * @param service the name of the service
+	 * @param nowNanos the time
+	 * @return whether all of them are left
+	 */
+	public boolean hasRetries(int count, String service, long nowNanos) {
+		Service attempts = service(service);
+		removeOutsideWindow(attempts.firstAttemptTimes, nowNanos);
+		removeOutsideWindow(attempts.retryTimes, nowNanos);
+		return attempts.retryTimes.size() + count <= allowedRetries(attempts, nowNanos);
+	}
+
 	/**
 	 * Returns whether the budget allows a retry now that leaves a share of it to others.
 	 * @param reservedShare the share of all retries of the window that must be left
--- a/router/src/main/java/org/burdocktray/process/pressure/RequestPlacement.java
+++ b/router/src/main/java/org/burdocktray/process/pressure/RequestPlacement.java
@@ -13,7 +13,8 @@
  */
 public final class RequestPlacement {
 
-	private static final int MAX_VMS = 2;
+	/** To how many other VMs a request is sent at most. */
+	public static final int MAX_VMS = 2;
 
 	private final VmPressure pressure;
 
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/TargetSelector.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/TargetSelector.java
@@ -195,8 +195,9 @@
 
 	private boolean mayBeHandedTo(NetworkAddress vm) {
 		long nowNanos = System.nanoTime();
-		// Another VM may decline the request, and the attempt after that is a retry.
-		boolean mayRetry = this.context.retryBudget().hasRetry(this.service.name(), nowNanos);
+		// Each VM may decline the request, and each attempt after that is a retry.
+		boolean mayRetry = this.context.retryBudget()
+			.hasRetries(RequestPlacement.MAX_VMS, this.service.name(), nowNanos);
 		return mayRetry && this.context.relayKey().value().isPresent()
 				&& this.context.relays()
 					.find(vm)
