--- a/router/src/main/java/org/burdocktray/process/pressure/VmPressure.java
+++ b/router/src/main/java/org/burdocktray/process/pressure/VmPressure.java
@@ -15,19 +15,25 @@
 import org.burdocktray.process.settings.GatewayOptions.PressureOptions;
 
 /**
- * Decides which new requests this VM serves itself, hands to stronger VMs of its data
- * centre, or rejects. Invariants: in the normal state all requests are served here; a
- * request is rejected only while the VM is saturated and no VM has taken it; the share
- * that is handed over is bounded by the options. Thread safety: none, confined to one
- * event loop.
+ * Decides which new requests this VM serves itself, hands to VMs of at least its size in
+ * its data centre, or rejects. Invariants: in the normal state all requests are served
+ * here; a request is rejected only while the VM is saturated and no VM has taken it; the
+ * share that is handed over is bounded by the options. Thread safety: none, confined to
+ * one event loop.
  */
 public final class VmPressure {
 
-	private static final long SAMPLE_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
+	static final long SAMPLE_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
 
 	/** The use of the scarcest resource that requests are handed over for. */
 	private static final double TARGET_RATIO = 0.7;
 
+	/**
+	 * The use that requests are rejected for. Above the use at which the saturated state
+	 * ends: a VM that bears what callers offer would reject a part of it otherwise.
+	 */
+	private static final double REJECTION_TARGET_RATIO = 0.95;
+
 	/** Up to this use, a VM offers what it has free; below what counts as pressed. */
 	private static final double OFFERED_RATIO = 0.6;
 
@@ -37,6 +43,9 @@
 	/** The part of the difference to the computed share that one sample closes. */
 	private static final double SHARE_STEP = 0.25;
 
+	/** Bounds how many requests are rejected or served in succession. */
+	private static final double MAX_EXCESS_REQUESTS = 4;
+
 	private static final double MIN_RATE_PER_SECOND = 0.5;
 
 	private static final double NANOS_PER_SECOND = 1e9;
@@ -75,6 +84,15 @@
 
 	private double shedShare;
 
+	/** The share of new requests that this VM cannot bear. */
+	private double excessShare;
+
+	/**
+	 * The requests that this VM could not bear, less those handed over or rejected. With
+	 * rejections drawn at random, queues would build up between them.
+	 */
+	private double excessRequests;
+
 	/**
 	 * Creates the pressure of a VM without load.
 	 * @param options the limits
@@ -144,12 +162,22 @@
 	private void updateShedShare() {
 		if (this.pressure.state() == PressureState.NORMAL) {
 			this.shedShare = 0;
+			this.excessShare = 0;
+			this.excessRequests = 0;
 			return;
 		}
 		double servedShare = 1 - this.arrivals.handedOverShare() - this.arrivals.rejectedShare();
-		double ratio = Math.max(1e-3, this.pressure.ratio());
-		double needed = Math.max(0, Math.min(MAX_SHED_SHARE, 1 - TARGET_RATIO * servedShare / ratio));
-		this.shedShare += SHARE_STEP * (needed - this.shedShare);
+		this.shedShare = step(this.shedShare, this.pressure.shareBeyond(TARGET_RATIO, servedShare));
+		this.excessShare = step(this.excessShare, this.pressure.shareBeyond(REJECTION_TARGET_RATIO, servedShare));
+	}
+
+	private void addExcess(double requests) {
+		this.excessRequests = Math.max(-MAX_EXCESS_REQUESTS,
+				Math.min(MAX_EXCESS_REQUESTS, this.excessRequests + requests));
+	}
+
+	private static double step(double share, double needed) {
+		return share + SHARE_STEP * (Math.max(0, Math.min(MAX_SHED_SHARE, needed)) - share);
 	}
 
 	/**
@@ -160,6 +188,7 @@
 	 * @return where it is served
 	 */
 	Placement place(Predicate<NetworkAddress> isUsable, ToIntFunction<NetworkAddress> inFlight, long nowNanos) {
+		addExcess(this.excessShare);
 		double drawn = this.random.nextDouble();
 		if (drawn >= this.shedShare) {
 			return here(nowNanos);
@@ -167,12 +196,13 @@
 		if (drawn < this.options.relayShareLimit() && this.pressure.isRelievedByRelays()) {
 			Optional<NetworkAddress> vm = choose(isUsable, inFlight, nowNanos);
 			if (vm.isPresent()) {
+				addExcess(-1);
 				this.arrivals.recordHandedOver(nowNanos);
 				this.listener.onHandedOver();
 				return new Placement.AtVm(vm.get());
 			}
 		}
-		return hereOrNowhere(nowNanos);
+		return hereOrRejected(nowNanos);
 	}
 
 	/**
@@ -192,15 +222,17 @@
 		if (next.isPresent()) {
 			return new Placement.AtVm(next.get());
 		}
+		addExcess(1);
 		this.arrivals.withdrawHandedOver(nowNanos);
-		return hereOrNowhere(nowNanos);
+		return hereOrRejected(nowNanos);
 	}
 
-	private Placement hereOrNowhere(long nowNanos) {
-		if (this.pressure.state() == PressureState.SATURATED) {
+	private Placement hereOrRejected(long nowNanos) {
+		if (this.pressure.state() == PressureState.SATURATED && this.excessRequests >= 1) {
+			addExcess(-1);
 			this.arrivals.recordRejected(nowNanos);
 			this.listener.onRejected();
-			return new Placement.Nowhere();
+			return new Placement.Rejected();
 		}
 		return here(nowNanos);
 	}
@@ -215,7 +247,7 @@
 		double rate = Math.max(MIN_RATE_PER_SECOND, this.arrivals.servedPerSecond());
 		double coresPerRequest = Math.max(1e-4, this.size.cores() * this.pressure.level() / rate);
 		RelayChoice.Need need = new RelayChoice.Need(this.size.cores(), coresPerRequest,
-				Math.max(1, this.exchange.pressedVms(nowNanos)));
+				Math.max(1, this.exchange.vmsUnderPressure(nowNanos)));
 		return this.choice.choose(need, this.exchange.vms(nowNanos), isUsable, inFlight, nowNanos);
 	}
 
@@ -228,11 +260,17 @@
 	}
 
 	/**
-	 * Returns whether this VM takes requests of other VMs.
-	 * @return false under pressure
+	 * Returns whether this VM takes requests of other VMs. VMs under pressure do not
+	 * choose it while it reports pressure itself; those that are cut off may have no
+	 * other.
+	 * @return false while saturated
 	 */
 	public boolean acceptsRelays() {
-		return this.pressure.state() == PressureState.NORMAL;
+		return this.pressure.state() != PressureState.SATURATED;
+	}
+
+	boolean isUnderPressure() {
+		return this.pressure.state() != PressureState.NORMAL;
 	}
 
 	/**
@@ -250,7 +288,7 @@
 	 * @return the messages to send
 	 */
 	public List<Outgoing> addTo(List<Outgoing> messages, long nowNanos) {
-		return messages.isEmpty() ? messages : this.exchange.addTo(messages, freeCores(), !acceptsRelays(), nowNanos);
+		return messages.isEmpty() ? messages : this.exchange.addTo(messages, freeCores(), isUnderPressure(), nowNanos);
 	}
 
 	/**
@@ -270,13 +308,13 @@
 	 */
 	double freeCores() {
 		double ownRatio = this.pressure.ratio() * this.arrivals.callersPart();
-		return acceptsRelays() ? this.size.cores() * Math.max(0, OFFERED_RATIO - ownRatio) : 0;
+		return isUnderPressure() ? 0 : this.size.cores() * Math.max(0, OFFERED_RATIO - ownRatio);
 	}
 
 	private String describe(long nowNanos) {
-		return String.format(Locale.ROOT, "level=%.2f resource=%s share=%.2f pressedVms=%d candidates=%d",
+		return String.format(Locale.ROOT, "level=%.2f resource=%s share=%.2f vmsUnderPressure=%d candidates=%d",
 				this.pressure.level(), this.pressure.scarcestResource(), this.shedShare,
-				this.exchange.pressedVms(nowNanos), this.exchange.vms(nowNanos).size());
+				this.exchange.vmsUnderPressure(nowNanos), this.exchange.vms(nowNanos).size());
 	}
 
 	/**
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/TargetSelector.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/TargetSelector.java
@@ -86,9 +86,9 @@
 		if (isCutOff()) {
 			return selectRelay();
 		}
-		Optional<Target> stronger = selectStrongerVm();
-		if (stronger.isPresent()) {
-			return stronger;
+		Optional<Target> relieving = selectRelievingVm();
+		if (relieving.isPresent()) {
+			return relieving;
 		}
 		this.suspectUpstreams = suspectUpstreams;
 		Optional<Target> isolated = selectAny();
@@ -162,22 +162,31 @@
 	 */
 	boolean isRejectedForPressure() {
 		return !isCutOff() && this.placement.map((place) -> place.get(System.nanoTime()))
-			.filter(Placement.Nowhere.class::isInstance)
+			.filter(Placement.Rejected.class::isInstance)
 			.isPresent();
 	}
 
 	/**
-	 * Records that an attempt has failed. A request that a stronger VM has not taken may
-	 * be handed to another one.
+	 * Records that an attempt has failed. A request that another VM has not taken may be
+	 * handed to another one.
 	 * @param target where the request was sent
 	 * @param mayHaveRun whether it may have run there
 	 */
 	void recordFailure(Target target, boolean mayHaveRun) {
+		if (mayHaveRun) {
+			keepHere();
+			return;
+		}
 		this.placement.filter((place) -> target.isRelay())
-			.ifPresent((place) -> place.recordFailure(target.replica().address(), mayHaveRun, System.nanoTime()));
+			.ifPresent((place) -> place.recordNotTaken(target.replica().address(), System.nanoTime()));
+	}
+
+	/** Records that the request may have run, so that it is not handed over any more. */
+	void keepHere() {
+		this.placement.ifPresent(RequestPlacement::keepHere);
 	}
 
-	private Optional<Target> selectStrongerVm() {
+	private Optional<Target> selectRelievingVm() {
 		return this.placement.map((place) -> place.get(System.nanoTime()))
 			.filter(Placement.AtVm.class::isInstance)
 			.map(Placement.AtVm.class::cast)
@@ -186,10 +195,14 @@
 
 	private boolean mayBeHandedTo(NetworkAddress vm) {
 		long nowNanos = System.nanoTime();
-		return this.context.relayKey().value().isPresent() && this.context.relays()
-			.find(vm)
-			.filter((target) -> !isExcluded(target.replica(), nowNanos))
-			.isPresent();
+		// Each VM may decline the request, and each attempt after that is a retry.
+		boolean mayRetry = this.context.retryBudget()
+			.hasRetries(RequestPlacement.MAX_VMS, this.service.name(), nowNanos);
+		return mayRetry && this.context.relayKey().value().isPresent()
+				&& this.context.relays()
+					.find(vm)
+					.filter((target) -> !isExcluded(target.replica(), nowNanos))
+					.isPresent();
 	}
 
 	private boolean isCutOff() {
