Read-through: relayed requests that may have run, terms and comments

A reader who had not seen the work found: a refusal that says both that it declines and that the request may have run counted as not run (no VM writes that; it counts as lost now, with a test); a request that its successor continues, or that is given up, was placed again and counted as handed over or rejected; pages that contradicted the code on which attempts after a decline are retries, on free capacity and on what a saturated VM rejects. Comments and names are in plainer terms; the address format and the check of the retry budget no longer stand twice.

--- a/router/src/main/java/org/burdocktray/process/limits/FleetRetryBudget.java
+++ b/router/src/main/java/org/burdocktray/process/limits/FleetRetryBudget.java
@@ -111,10 +111,7 @@
 	 * @return whether all of them are left
 	 */
 	public boolean hasRetries(int count, String service, long nowNanos) {
-		Service attempts = service(service);
-		removeOutsideWindow(attempts.firstAttemptTimes, nowNanos);
-		removeOutsideWindow(attempts.retryTimes, nowNanos);
-		return attempts.retryTimes.size() + count <= allowedRetries(attempts, nowNanos);
+		return hasRetries(count, 1, service, nowNanos);
 	}
 
 	/**
@@ -125,10 +122,14 @@
 	 * @return whether enough retries are left
 	 */
 	public boolean hasRetryBeyond(double reservedShare, String service, long nowNanos) {
+		return hasRetries(1, 1 - reservedShare, service, nowNanos);
+	}
+
+	private boolean hasRetries(int count, double usableShare, String service, long nowNanos) {
 		Service attempts = service(service);
 		removeOutsideWindow(attempts.firstAttemptTimes, nowNanos);
 		removeOutsideWindow(attempts.retryTimes, nowNanos);
-		return attempts.retryTimes.size() + 1 <= (1 - reservedShare) * allowedRetries(attempts, nowNanos);
+		return attempts.retryTimes.size() + count <= usableShare * allowedRetries(attempts, nowNanos);
 	}
 
 	private double allowedRetries(Service attempts, long nowNanos) {
--- a/router/src/main/java/org/burdocktray/process/order/LeasePolling.java
+++ b/router/src/main/java/org/burdocktray/process/order/LeasePolling.java
@@ -35,8 +35,9 @@
 	private static final long RARE_POLL_MILLIS = 15_000;
 
 	/**
-	 * The default of {@code minVmCount}: only fleets larger than that read more rarely
-	 * than without shared watches.
+	 * VMs of a lower rank read at the rarest interval. Equals the default of
+	 * {@code minVmCount}, so that no smaller fleet reads more rarely than without shared
+	 * watches.
 	 */
 	private static final int FREQUENT_AND_RARE_POLLERS = 16;
 
--- a/router/src/main/java/org/burdocktray/process/pressure/CapacityExchange.java
+++ b/router/src/main/java/org/burdocktray/process/pressure/CapacityExchange.java
@@ -108,7 +108,7 @@
 			.filter((report) -> !report.underPressure() && report.freeCores() > 0)
 			.sorted(Comparator.comparingDouble(VmCapacity::freeCores).reversed())
 			.limit(MAX_VMS_PER_SUM)
-			.map((report) -> new CapacityCodec.Entry(format(report.address()), report.freeCores(), false,
+			.map((report) -> new CapacityCodec.Entry(report.address().toString(), report.freeCores(), false,
 					TimeUnit.NANOSECONDS.toMillis(nowNanos - report.measuredNanos())))
 			.toList();
 		CapacityCodec.Sum sum = new CapacityCodec.Sum(
@@ -117,11 +117,6 @@
 		return sum;
 	}
 
-	private static String format(NetworkAddress address) {
-		return (address.ip().indexOf(':') >= 0) ? "[" + address.ip() + "]:" + address.port()
-				: address.ip() + ":" + address.port();
-	}
-
 	/**
 	 * Handles what another VM has sent.
 	 * @param sender the address of that VM
--- a/router/src/main/java/org/burdocktray/process/pressure/PressureState.java
+++ b/router/src/main/java/org/burdocktray/process/pressure/PressureState.java
@@ -11,7 +11,7 @@
 	/** The VM hands a part of its new requests to VMs of at least its size. */
 	PRESSED,
 
-	/** The VM also rejects what it would hand over and no other VM takes. */
+	/** The VM also rejects what it cannot bear and no other VM takes. */
 	SATURATED
 
 }
--- a/router/src/main/java/org/burdocktray/process/pressure/ResourcePressure.java
+++ b/router/src/main/java/org/burdocktray/process/pressure/ResourcePressure.java
@@ -31,8 +31,8 @@
 	private static final double SMOOTHING_NANOS = TimeUnit.SECONDS.toNanos(1);
 
 	/**
-	 * Bounds what a single sample can do to the mean. With 4, one pause would raise an
-	 * idle VM above {@link #PRESSED_ENTRY}.
+	 * Bounds what one sample adds to the mean: 0.55 at most, less than
+	 * {@link #PRESSED_ENTRY}.
 	 */
 	private static final double MAX_RATIO = 2.5;
 
@@ -106,8 +106,11 @@
 
 	private PressureState nextState(double relayedShare, double rejectedShare) {
 		double ratio = ratio();
+		// The use if nothing were handed over or rejected. Memory does not follow new
+		// requests.
 		double offeredRate = rateRatio() / Math.max(MIN_SERVED_SHARE, 1 - relayedShare - rejectedShare);
 		double offered = Math.max(offeredRate, this.memoryRatio);
+		// A VM stays saturated while it could not bear what other VMs leave it.
 		double withoutRejections = Math.max(offeredRate * (1 - relayedShare), this.memoryRatio);
 		boolean wasSaturated = this.state == PressureState.SATURATED;
 		if (wasSaturated ? withoutRejections >= SATURATED_EXIT : ratio >= SATURATED_ENTRY) {
--- a/router/src/main/java/org/burdocktray/process/pressure/ResourceSample.java
+++ b/router/src/main/java/org/burdocktray/process/pressure/ResourceSample.java
@@ -1,7 +1,7 @@
 package org.burdocktray.process.pressure;
 
 /**
- * The use of a VM's resources at one time. Thread safety: immutable.
+ * The use of a VM's resources since the sample before. Thread safety: immutable.
  *
  * @param eventLoopDelayMillis how late periodic work was
  * @param processorShare the used share of the VM's processor cores
--- a/router/src/main/java/org/burdocktray/process/pressure/VmPressure.java
+++ b/router/src/main/java/org/burdocktray/process/pressure/VmPressure.java
@@ -25,12 +25,16 @@
 
 	static final long SAMPLE_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
 
-	/** The use of the scarcest resource that requests are handed over for. */
+	/**
+	 * Requests are handed over until the scarcest resource is used to this part of its
+	 * limit.
+	 */
 	private static final double TARGET_RATIO = 0.7;
 
 	/**
-	 * The use that requests are rejected for. Above the use at which the saturated state
-	 * ends: a VM that bears what callers offer would reject a part of it otherwise.
+	 * Requests are rejected until the scarcest resource is used to this part of its
+	 * limit. It is above the use at which the saturated state ends, so that a VM that
+	 * bears what callers offer rejects nothing.
 	 */
 	private static final double REJECTION_TARGET_RATIO = 0.95;
 
--- a/router/src/main/java/org/burdocktray/process/quarantine/Suspect.java
+++ b/router/src/main/java/org/burdocktray/process/quarantine/Suspect.java
@@ -107,8 +107,8 @@
 	}
 
 	/**
-	 * Returns whether the store has an entry of this request.
-	 * @return true if it was written or read
+	 * Returns whether the store or other VMs may have an entry of this request.
+	 * @return true if it was read, or taken to be written or sent
 	 */
 	boolean isStored() {
 		return this.stored;
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/ForwardExchange.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/ForwardExchange.java
@@ -442,7 +442,9 @@
 		if (this.health.recordFailedAttempt(target.replica(), outcome, faultAddress)) {
 			this.targetSelector.exclude(target.replica());
 		}
-		this.targetSelector.recordFailure(target, outcome.verdict() != Verdict.NOT_RUN);
+		if (outcome.verdict() != Verdict.NOT_RUN) {
+			this.targetSelector.keepHere();
+		}
 		this.runGuard.recordFailure(failed, outcome, faultAddress.flatMap(this.context.directory()::findByAddress));
 		this.attempt = Optional.empty();
 		if (continueWithSuccessor()) {
@@ -458,6 +460,7 @@
 		if (outcome == AttemptOutcome.DECLINED || (outcome == AttemptOutcome.REJECTED && target.path().isEmpty())) {
 			this.targetSelector.exclude(target.replica());
 		}
+		this.targetSelector.recordNotTaken(target);
 		this.dispatch.dispatch();
 	}
 
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/QuarantineSync.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/QuarantineSync.java
@@ -91,8 +91,8 @@
 		}
 		this.saving = true;
 		sendDatagrams(entries);
-		// The store's client throws once this VM stops, also out of what tells of a
-		// change.
+		// The store's client throws once it is closed. The exception must not reach the
+		// caller that has reported a change.
 		Single.defer(() -> this.store.save(entries)).onErrorReturnItem(false).subscribe((allWritten) -> {
 			if (allWritten) {
 				this.saving = false;
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/RelayReceiver.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/RelayReceiver.java
@@ -47,7 +47,7 @@
 	 * @param reach knows whether this VM reaches replicas
 	 * @param datagrams sends offers
 	 * @param requestHandler handles the accepted requests
-	 * @param ready whether this VM is ready for requests
+	 * @param ready whether this VM is ready for requests of other VMs
 	 * @param metrics counts the requests
 	 */
 	RelayReceiver(RelayKey key, RelayLimit limit, ReachMonitor reach, VmDatagrams datagrams,
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/RelayRefusal.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/RelayRefusal.java
@@ -15,7 +15,8 @@
 record RelayRefusal(int status, Verdict verdict, double retryAfterSeconds, boolean isDeclined, boolean isUnsent) {
 
 	AttemptOutcome outcome() {
-		if (this.isDeclined) {
+		// What may have run is never sent again because of the other header.
+		if (this.isDeclined && this.verdict == Verdict.NOT_RUN) {
 			return this.isUnsent ? AttemptOutcome.DECLINED : AttemptOutcome.REJECTED;
 		}
 		return switch (this.verdict) {
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/RelayVms.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/RelayVms.java
@@ -95,7 +95,7 @@
 	 * @param address its address
 	 * @return the VM as a target, empty if it is not registered or avoided at present
 	 */
-	Optional<Target> find(NetworkAddress address) {
+	Optional<Target> findForPressure(NetworkAddress address) {
 		return Optional.ofNullable(this.vms.get(address))
 			.filter((vm) -> !this.loads.isAvoided(vm, System.nanoTime()))
 			.map(Target::forPressure);
@@ -176,8 +176,8 @@
 	}
 
 	/**
-	 * Returns whether the first replies may still come.
-	 * @return true for a moment after this VM has begun to ask
+	 * Returns whether offers may still come.
+	 * @return true for a moment after VMs were asked, and while their list is being read
 	 */
 	boolean isAwaitingOffers() {
 		return this.wait.isOngoing(System.nanoTime());
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/RequestDispatch.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/RequestDispatch.java
@@ -83,7 +83,8 @@
 			return;
 		}
 		if (!this.owner.isResponseStarted() && this.targetSelector.isRejectedForPressure()) {
-			// The caller may come back over the same connection, to this VM.
+			// Precedes the check of the quarantine, which costs a saturated VM more. The
+			// caller may come back over the same connection, to this VM.
 			double spread = 1 + this.context.random().nextDouble();
 			this.owner.giveUp("VM is saturated", spread * this.owner.retryAfterSeconds());
 			return;
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/RunPreparation.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/RunPreparation.java
@@ -14,9 +14,9 @@
  * Secures what the next run of one request needs before anything is given up for it: the
  * quarantine allows it, a target can take it, the target responds if the request is
  * suspected of crashing replicas, and a retry is left in the budget. Invariants: a retry
- * is taken from the budget only for a run that can be sent at once; a run that can be
- * sent is allowed by all evidence known by then. Thread safety: confined to one event
- * loop.
+ * is taken from the budget only for a run that can be sent at once; the quarantine allows
+ * the run by the evidence known then. The upstreams to be spared are those known when the
+ * target was selected. Thread safety: confined to one event loop.
  */
 final class RunPreparation {
 
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/TargetSelector.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/TargetSelector.java
@@ -168,15 +168,10 @@
 
 	/**
 	 * Records that an attempt has failed. A request that another VM has not taken may be
-	 * handed to another one.
+	 * handed to one more, unless it may have run.
 	 * @param target where the request was sent
-	 * @param mayHaveRun whether it may have run there
 	 */
-	void recordFailure(Target target, boolean mayHaveRun) {
-		if (mayHaveRun) {
-			keepHere();
-			return;
-		}
+	void recordNotTaken(Target target) {
 		this.placement.filter((place) -> target.isRelay())
 			.ifPresent((place) -> place.recordNotTaken(target.replica().address(), System.nanoTime()));
 	}
@@ -190,17 +185,18 @@
 		return this.placement.map((place) -> place.get(System.nanoTime()))
 			.filter(Placement.AtVm.class::isInstance)
 			.map(Placement.AtVm.class::cast)
-			.flatMap((at) -> this.context.relays().find(at.vm()));
+			.flatMap((at) -> this.context.relays().findForPressure(at.vm()));
 	}
 
 	private boolean mayBeHandedTo(NetworkAddress vm) {
 		long nowNanos = System.nanoTime();
-		// Each VM may decline the request, and each attempt after that is a retry.
+		// A VM that declines after it has sent the request makes the next attempt a
+		// retry.
 		boolean mayRetry = this.context.retryBudget()
 			.hasRetries(RequestPlacement.MAX_VMS, this.service.name(), nowNanos);
 		return mayRetry && this.context.relayKey().value().isPresent()
 				&& this.context.relays()
-					.find(vm)
+					.findForPressure(vm)
 					.filter((target) -> !isExcluded(target.replica(), nowNanos))
 					.isPresent();
 	}
--- a/router/src/main/java/org/burdocktray/process/watch/WatchSources.java
+++ b/router/src/main/java/org/burdocktray/process/watch/WatchSources.java
@@ -251,9 +251,9 @@
 
 	private Optional<WatchVm> nextWatcher(Collection<WatchSource> tried, long nowNanos) {
 		Set<WatchVm> triedVms = watchersAmong(tried);
-		boolean isOneSearched = !triedVms.isEmpty() && this.watcherSearches.hasFailed()
+		boolean hasTriedOne = !triedVms.isEmpty() && this.watcherSearches.hasFailed()
 				&& this.storeFailures.isOver(nowNanos);
-		if (isOneSearched || !searchesWatcher(tried, nowNanos)) {
+		if (hasTriedOne || !searchesWatcher(tried, nowNanos)) {
 			return Optional.empty();
 		}
 		boolean isRemoteTried = triedVms.stream().anyMatch((vm) -> !vm.dataCentre().equals(this.localDataCentre));
--- a/router/src/main/java/org/burdocktray/request/overload/OverloadControl.java
+++ b/router/src/main/java/org/burdocktray/request/overload/OverloadControl.java
@@ -338,7 +338,8 @@
 	 * Returns whether a late request tells of lost capacity instead of too much demand.
 	 * @param service the name of its service
 	 * @param startNanos the time at which it came
-	 * @return true if the capacity has changed since then or there is none
+	 * @return true if the capacity has changed since then or shortly before, or there is
+	 * none
 	 */
 	boolean isLateByLoss(String service, long startNanos) {
 		ServiceState state = this.services.get(service);
--- a/router/src/test/java/org/burdocktray/process/serve/gateway/RelayHeadersTests.java
+++ b/router/src/test/java/org/burdocktray/process/serve/gateway/RelayHeadersTests.java
@@ -1,6 +1,7 @@
 package org.burdocktray.process.serve.gateway;
 
 import io.vertx.core.MultiMap;
+import org.burdocktray.model.Verdict;
 import org.burdocktray.process.serve.gateway.RelayHeaders.RelayedRequest;
 import org.burdocktray.request.forward.AttemptOutcome;
 import org.junit.jupiter.api.Test;
@@ -33,6 +34,15 @@
 			.contains(AttemptOutcome.DECLINED);
 	}
 
+	/** Guards against a second run of a request that may have run. */
+	@Test
+	void declinedRequestThatMayHaveRunIsLost() {
+		RelayHeaders.writeDeclined(true, this.headers);
+		RelayHeaders.writeVerdict(Verdict.MAY_HAVE_RUN, this.headers);
+		assertThat(RelayHeaders.readRefusal(502, this.headers).map(RelayRefusal::outcome))
+			.contains(AttemptOutcome.LOST);
+	}
+
 	@Test
 	void replicasSeeNoneOfTheHeaders() {
 		RelayHeaders.write("key", new RelayedRequest(7, "desk", 1), this.headers);
