Review case 6: silence begins while a watch waits

Cause: in its first form the gateways were pausing when their connections fell silent, so the case rested in part on the fault of review/5. Change: the silence begins 0.6 s after the last change; ten silences in place of eight, nine requests a second.

--- a/review/standins-2/SilentConnections.java
+++ b/review/standins-2/SilentConnections.java
@@ -12,19 +12,22 @@
 
 	private static final int REPLICAS = 36;
 
-	private static final int SILENCES = 8;
+	private static final int SILENCES = 10;
 
 	/** A quarter of the replicas. */
 	private static final int REPLACED = 9;
 
 	private static final long BETWEEN_NEW_MILLIS = 250;
 
+	/** Longer than a gateway pauses after a change, so that its next watch waits already. */
+	private static final long BEFORE_SILENCE_MILLIS = 350;
+
 	/** From one silence until the next replicas are added. */
 	private static final long ROUND_MILLIS = 6_000;
 
 	private static final long SERVES_MILLIS = LeavingCheck.DRAIN_MILLIS + 2_000;
 
-	private static final long BETWEEN_REQUESTS_MILLIS = 1_000;
+	private static final long BETWEEN_REQUESTS_MILLIS = 330;
 
 	private static final long WORK_MILLIS = 1_000;
 
@@ -59,6 +62,7 @@
 				fleet.addReplica();
 				Thread.sleep(BETWEEN_NEW_MILLIS);
 			}
+			Thread.sleep(BEFORE_SILENCE_MILLIS);
 			if (isTrouble) {
 				silencedMillis.set(Record.millis());
 				proxy.silence();
