--- a/review/standins-2/CutWatches.java
+++ b/review/standins-2/CutWatches.java
@@ -7,7 +7,7 @@
  */
 final class CutWatches {
 
-	private static final long WATCH_CUT_MILLIS = 700;
+	private static final long WATCH_CUT_MILLIS = 500;
 
 	private static final int REPLICAS = 36;
 
