DRAIN: know of replicas that leave while connections to the store are silent

Callers lost requests (502): after all open connections to the store had fallen silent, gateways that were in touch again sent to replicas that had reported draining meanwhile, until these exited.

Cause: the watch of the replicas waited contactMs and was given up 0.7 s later, so what a gateway knew could be older than contactMs. Beside it: calls after a timeout went to other silent connections, 1.5 s each, and a watch without an answer counted as an outage of the store, so that removed entries stayed usable for a grace period.

Change: watches wait contactMs less the time to give up and repeat a call (WatchWaits), counted from the last answer; a watch that ends without an answer is asked once more at once (RepeatingFeed); a call without an answer closes the other connections to that server that have brought nothing since it was due (KeptConnections), also between VMs.

--- a/router/src/main/java/org/burdocktray/connection/platform/ChangeFeed.java
+++ b/router/src/main/java/org/burdocktray/connection/platform/ChangeFeed.java
@@ -10,6 +10,12 @@
  */
 public interface ChangeFeed {
 
+	/**
+	 * How much longer than its wait a call for changes may take. After that its
+	 * connection counts as silent.
+	 */
+	long MAX_ANSWER_DELAY_MILLIS = 700;
+
 	/**
 	 * Lists all objects of a kind.
 	 * @param kind the kind
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayServer.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayServer.java
@@ -50,8 +50,10 @@
 import org.burdocktray.process.serve.watch.WatchEndpoint;
 import org.burdocktray.process.settings.GatewayOptions;
 import org.burdocktray.process.settings.GatewayOptions.WatchOptions;
+import org.burdocktray.process.watch.RepeatingFeed;
 import org.burdocktray.process.watch.StoreSharing;
 import org.burdocktray.process.watch.WatchVm;
+import org.burdocktray.process.watch.WatchWaits;
 import org.burdocktray.process.watch.WatchedKind;
 import org.burdocktray.request.hedge.HedgePolicy;
 import org.burdocktray.request.hedge.KnownLoadCapacity;
@@ -97,9 +99,6 @@
 	/** The share of the drain time limit for which changes of replicas are batched. */
 	private static final double REPLICAS_BATCH_SHARE = 0.25;
 
-	/** A drain must be known within the bound although a watcher may be lost. */
-	private static final long REPLICAS_WAITS_PER_DRAIN = 3;
-
 	/** Bounds the age of listings of VMs to about the interval of each VM. */
 	private static final long VM_LISTING_WAIT_MILLIS = 7_000;
 
@@ -117,6 +116,8 @@
 
 	private final RulesPollInterval rulesPollInterval;
 
+	private final WatchWaits watchWaits;
+
 	private final ReplicaDirectory directory = new ReplicaDirectory(LAPSE_GRACE_NANOS);
 
 	private final GatewayMetrics metrics = new GatewayMetrics();
@@ -166,16 +167,19 @@
 		this.quarantine = new Quarantine(QuarantineSettings.sharedThroughStore(),
 				settings.vmName() + "-" + System.currentTimeMillis());
 		this.rulesPollInterval = new RulesPollInterval(this.freshness, System.nanoTime());
+		this.watchWaits = new WatchWaits(settings.bounds().contactMillis(), settings.bounds().drainMillis());
 		this.vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1)
 			.setWorkerPoolSize(1)
 			.setInternalBlockingPoolSize(1)
 			.setFileSystemOptions(
 					new FileSystemOptions().setClassPathResolvingEnabled(false).setFileCachingEnabled(false)));
 		GatewayAdapter counted = CountedStore.count(adapterFactory.create(this.vertx, settings), this.metrics);
-		this.relayKey = new RelayKey(this.vertx, counted.store());
-		this.storeSharing = options.watch().map((watch) -> shareStore(watch, counted));
-		this.adapter = this.storeSharing.map((sharing) -> counted.withFeeds(sharing.feed(), sharing.hintFeed()))
-			.orElse(counted);
+		GatewayAdapter direct = counted.withFeeds(new RepeatingFeed(counted.feed()),
+				new RepeatingFeed(counted.hintFeed()));
+		this.relayKey = new RelayKey(this.vertx, direct.store());
+		this.storeSharing = options.watch().map((watch) -> shareStore(watch, direct));
+		this.adapter = this.storeSharing.map((sharing) -> direct.withFeeds(sharing.feed(), sharing.hintFeed()))
+			.orElse(direct);
 		this.gracefulStop = new GracefulStop(this.vertx, settings, this.requestsInProgress, this::close);
 	}
 
@@ -396,11 +400,10 @@
 	}
 
 	private StoreSharing shareStore(WatchOptions watch, GatewayAdapter direct) {
-		GatewaySettings.Bounds bounds = this.settings.bounds();
-		long replicasWaitMillis = Math.min(bounds.contactMillis(), bounds.drainMillis() / REPLICAS_WAITS_PER_DRAIN);
-		StoreSharing.Kinds kinds = new StoreSharing.Kinds(
-				List.of(new WatchedKind(direct.objects().rulesKind(), this.freshness.sharedWaitMillis(), true),
-						new WatchedKind(direct.objects().replicasKind(), replicasWaitMillis, false)),
+		StoreSharing.Kinds kinds = new StoreSharing.Kinds(List.of(
+				new WatchedKind(direct.objects().rulesKind(),
+						Math.min(this.watchWaits.maxMillis(), this.freshness.sharedWaitMillis()), true),
+				new WatchedKind(direct.objects().replicasKind(), this.watchWaits.sharedReplicasMillis(), false)),
 				List.of(new WatchedKind(QuarantineSync.KIND, QuarantineSync.WATCH_WAIT_MILLIS, false),
 						new WatchedKind(FleetRegistry.KIND, VM_LISTING_WAIT_MILLIS, false)));
 		StoreSharing.Platform platform = new StoreSharing.Platform(direct.feed(), direct.hintFeed(),
@@ -513,13 +516,13 @@
 
 	private void startWatchers() {
 		new StoreWatcher(this.vertx, this.adapter.feed(), this.adapter.hintFeed(), this.adapter.objects().rulesKind(),
-				() -> this.rulesPollInterval.nextWaitMillis(System.nanoTime()), RULES_BATCH_MILLIS,
-				StoreWatcher.Listener.ofObjects((objects) -> objects.forEach(this::applyRules),
+				() -> Math.min(this.watchWaits.maxMillis(), this.rulesPollInterval.nextWaitMillis(System.nanoTime())),
+				RULES_BATCH_MILLIS, StoreWatcher.Listener.ofObjects((objects) -> objects.forEach(this::applyRules),
 						this.freshness::recordConfirmation),
 				this.storeOutage, StoreWatcher.OutageRole.PROBES)
 			.start();
 		new StoreWatcher(this.vertx, this.adapter.feed(), this.adapter.hintFeed(),
-				this.adapter.objects().replicasKind(), this.settings.bounds()::contactMillis,
+				this.adapter.objects().replicasKind(), this.watchWaits::maxMillis,
 				(long) (REPLICAS_BATCH_SHARE * this.settings.bounds().drainMillis()),
 				new DirectoryListener(this.adapter.objects(), this.directory), this.storeOutage,
 				StoreWatcher.OutageRole.WAITS)
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/StoreWatcher.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/StoreWatcher.java
@@ -82,6 +82,9 @@
 
 	private int listingsUntilWatch;
 
+	/** How long this watcher has paused since the last answer. */
+	private long pausedMillis;
+
 	/**
 	 * Creates a watcher that is not started.
 	 * @param vertx runs the timers
@@ -156,7 +159,8 @@
 			this.feed.listObjects(this.kind).subscribe((result) -> handleListing(result, sentAt));
 			return;
 		}
-		long currentWaitMillis = this.waitMillis.getAsLong();
+		// The connection may have fallen silent in the pause.
+		long currentWaitMillis = Math.max(1, this.waitMillis.getAsLong() - this.pausedMillis);
 		this.feed.awaitChanges(this.kind, this.revision.get(), currentWaitMillis)
 			.subscribe((result) -> handleChanges(result, sentAt, currentWaitMillis));
 	}
@@ -232,6 +236,7 @@
 			this.outage.end();
 		}
 		this.backoffMillis = INITIAL_BACKOFF_MILLIS;
+		this.pausedMillis = delayMillis;
 		if (!notifyListener(notification)) {
 			this.revision = Optional.empty();
 			this.timers.schedule(MAX_BACKOFF_MILLIS, this::poll);
--- a/router/src/main/java/org/burdocktray/process/serve/watch/WatchClient.java
+++ b/router/src/main/java/org/burdocktray/process/serve/watch/WatchClient.java
@@ -13,8 +13,9 @@
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
-import io.vertx.core.http.PoolOptions;
 import io.vertx.core.http.RequestOptions;
+import org.burdocktray.connection.http.CheckedHttpClients;
+import org.burdocktray.connection.http.KeptConnections;
 import org.burdocktray.connection.peer.generated.WatchAnswer;
 import org.burdocktray.connection.peer.generated.WatchRequest;
 import org.burdocktray.model.NetworkAddress;
@@ -23,8 +24,9 @@
 
 /**
  * Asks other VMs for objects of the store. Invariants: each call ends once; a connection
- * whose call is abandoned is closed, so no later call gets its answer. Thread safety:
- * none, confined to one event loop.
+ * whose call is abandoned is closed, so no later call gets its answer, and so are the
+ * others to that VM that may be silent too. Thread safety: none, confined to one event
+ * loop.
  */
 public final class WatchClient implements WatchCalls {
 
@@ -43,6 +45,8 @@
 
 	private final Supplier<Optional<String>> key;
 
+	private final KeptConnections connections = new KeptConnections(System::nanoTime);
+
 	/**
 	 * Creates a client.
 	 * @param vertx runs the event loop
@@ -51,16 +55,18 @@
 	public WatchClient(Vertx vertx, Supplier<Optional<String>> key) {
 		this.vertx = vertx;
 		this.key = key;
-		this.client = vertx.createHttpClient(new HttpClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MILLIS)
-			.setTcpNoDelay(true)
-			.setKeepAliveTimeout(KEEP_ALIVE_SECONDS), new PoolOptions().setHttp1MaxSize(CONNECTIONS_PER_VM));
+		this.client = CheckedHttpClients.create(vertx,
+				new HttpClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MILLIS)
+					.setTcpNoDelay(true)
+					.setKeepAliveTimeout(KEEP_ALIVE_SECONDS),
+				CONNECTIONS_PER_VM, this.connections::add);
 	}
 
 	@Override
 	public void ask(NetworkAddress watcher, WatchRequest request, long timeoutMillis,
 			Consumer<Optional<WatchAnswer>> onEnd) {
 		Exchange exchange = new Exchange(onEnd);
-		exchange.timer = this.vertx.setTimer(timeoutMillis, (timer) -> exchange.end(Optional.empty()));
+		exchange.timer = this.vertx.setTimer(timeoutMillis, (timer) -> exchange.giveUp());
 		this.client
 			.request(new RequestOptions().setMethod(HttpMethod.POST)
 				.setHost(watcher.ip())
@@ -76,6 +82,7 @@
 			return;
 		}
 		exchange.sending = Optional.of(sending);
+		this.connections.recordCall(sending.connection(), Integer.toUnsignedLong(request.getWaitMillis()));
 		this.key.get().ifPresent((value) -> sending.putHeader(WatchEndpoint.KEY_HEADER, value));
 		sending.exceptionHandler((cause) -> exchange.end(Optional.empty()));
 		sending.response()
@@ -84,7 +91,7 @@
 		sending.end(Buffer.buffer(request.toByteArray()));
 	}
 
-	private static void receive(Exchange exchange, HttpClientResponse response) {
+	private void receive(Exchange exchange, HttpClientResponse response) {
 		Buffer body = Buffer.buffer();
 		response.exceptionHandler((cause) -> exchange.end(Optional.empty()));
 		response.handler((part) -> {
@@ -96,6 +103,7 @@
 		});
 		response.endHandler((end) -> {
 			exchange.sending = Optional.empty();
+			this.connections.recordAnswer(response.request().connection());
 			exchange.end((response.statusCode() == OK) ? decode(body) : Optional.empty());
 		});
 	}
@@ -126,6 +134,13 @@
 			this.onEnd = onEnd;
 		}
 
+		private void giveUp() {
+			if (!this.ended.get()) {
+				this.sending.map(HttpClientRequest::connection).ifPresent(WatchClient.this.connections::recordSilence);
+			}
+			end(Optional.empty());
+		}
+
 		private void end(Optional<WatchAnswer> answer) {
 			if (!this.ended.compareAndSet(false, true)) {
 				return;
--- a/standins/src/main/java/org/burdocktray/standins/network/LoopbackProxy.java
+++ b/standins/src/main/java/org/burdocktray/standins/network/LoopbackProxy.java
@@ -53,6 +53,8 @@
 
 	private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
 
+	private final Set<Socket> silentSockets = ConcurrentHashMap.newKeySet();
+
 	private volatile Mode mode = Mode.PASS;
 
 	/** Connections that wait in the queue of a listener that accepts none. */
@@ -91,6 +93,14 @@
 		this.mode = newMode;
 	}
 
+	/**
+	 * Forwards nothing more on the connections that are open now, and leaves them open.
+	 * New ones work.
+	 */
+	public void silenceOpenConnections() {
+		this.silentSockets.addAll(this.sockets);
+	}
+
 	/** Resets all connections. */
 	public void reset() {
 		this.sockets.forEach(LoopbackProxy::reset);
@@ -222,7 +232,7 @@
 
 	private void pump(Socket from, Socket to, Mode silentMode) {
 		try {
-			copy(from.getInputStream(), to.getOutputStream(), silentMode);
+			copy(from, to.getOutputStream(), silentMode);
 			from.close();
 			to.close();
 		}
@@ -238,14 +248,15 @@
 		}
 		finally {
 			this.sockets.remove(from);
+			this.silentSockets.remove(from);
 		}
 	}
 
-	private void copy(InputStream input, OutputStream output, Mode silentMode)
-			throws IOException, InterruptedException {
+	private void copy(Socket from, OutputStream output, Mode silentMode) throws IOException, InterruptedException {
+		InputStream input = from.getInputStream();
 		byte[] buffer = new byte[BUFFER_BYTES];
 		for (int count = input.read(buffer); count >= 0; count = input.read(buffer)) {
-			while (this.mode == Mode.SILENT || this.mode == silentMode) {
+			while (this.mode == Mode.SILENT || this.mode == silentMode || this.silentSockets.contains(from)) {
 				TimeUnit.MILLISECONDS.sleep(POLL_INTERVAL_MILLIS);
 			}
 			if (this.mode == Mode.SLOW) {
