--- a/router/src/main/java/org/burdocktray/process/serve/gateway/StoreWatcher.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/StoreWatcher.java
@@ -15,6 +15,7 @@
 import org.burdocktray.connection.platform.StoreError;
 import org.burdocktray.connection.platform.StoredObject;
 import org.burdocktray.process.freshness.RulesFreshness.Timestamp;
+import org.burdocktray.process.watch.ListedVersions;
 import org.burdocktray.process.watch.Timers;
 import org.jboss.logging.Logger;
 
@@ -68,6 +69,8 @@
 
 	private Optional<Long> revision = Optional.empty();
 
+	private ListedVersions listed = ListedVersions.NONE;
+
 	private long backoffMillis = INITIAL_BACKOFF_MILLIS;
 
 	private boolean unavailable;
@@ -184,6 +187,7 @@
 		this.listingsUntilWatch--;
 		boolean isWatchPutOff = this.listingsUntilWatch > 0;
 		this.revision = Optional.of(result.get().revision()).filter((listed) -> !isWatchPutOff);
+		this.listed = ListedVersions.of(result.get());
 		Timestamp confirmedAt = confirmedAt(sentAt, result.get().confirmation());
 		handleSuccess(() -> this.listener.onListing(result.get(), confirmedAt), isWatchPutOff ? RELIST_MILLIS : 0);
 	}
@@ -206,7 +210,8 @@
 				? sentAt.confirmedByWait(waitedMillis, this.clock.get()) : confirmedAt(sentAt, confirmation);
 		// Another VM that passes changes on has paused after them already.
 		boolean isPassedOn = confirmation.filter(Confirmation::passedOn).isPresent();
-		handleSuccess(() -> this.listener.onChanges(result.get(), confirmedAt),
+		ObjectChanges changes = this.listed.withoutEarlier(result.get());
+		handleSuccess(() -> this.listener.onChanges(changes, confirmedAt),
 				(isQuiet || isPassedOn) ? 0 : this.batchMillis);
 	}
 
--- a/router/src/main/java/org/burdocktray/process/watch/ChangeLog.java
+++ b/router/src/main/java/org/burdocktray/process/watch/ChangeLog.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Supplier;
 
 import org.burdocktray.connection.platform.ObjectChanges;
 import org.burdocktray.connection.platform.ObjectChanges.ObjectChange;
@@ -30,6 +31,8 @@
 
 	private final boolean linearizable;
 
+	private final Supplier<Timestamp> clock;
+
 	private final Deque<Batch> batches = new ArrayDeque<>();
 
 	private Map<String, StoredObject> objects = new HashMap<>();
@@ -43,6 +46,9 @@
 
 	private Optional<Timestamp> confirmedAt = Optional.empty();
 
+	/** When the revision was learned. */
+	private Optional<Timestamp> reachedAt = Optional.empty();
+
 	private boolean storeLost;
 
 	private int keptChanges;
@@ -53,9 +59,11 @@
 	 * Creates a log without objects.
 	 * @param linearizable whether an answer never shows a state before the one that held
 	 * when it was asked for
+	 * @param clock reads the clocks
 	 */
-	ChangeLog(boolean linearizable) {
+	ChangeLog(boolean linearizable, Supplier<Timestamp> clock) {
 		this.linearizable = linearizable;
+		this.clock = clock;
 	}
 
 	/**
@@ -65,16 +73,19 @@
 	 */
 	void recordListing(ObjectListing listing, Timestamp confirmedTime) {
 		this.storeLost = false;
+		Map<String, StoredObject> listed = new HashMap<>();
+		listing.objects().forEach((object) -> listed.put(object.key(), object));
 		if (isKnown() && listing.revision() < this.revision) {
-			// A later linearizable listing shows that the store was restored from a copy.
-			boolean isRestored = this.linearizable && confirmedTime.isAfter(this.confirmedAt.get());
+			// A linearizable listing that was asked for later shows that the store was
+			// restored from a copy. One that was asked for before was overtaken by
+			// changes.
+			boolean isRestored = this.linearizable && this.reachedAt.filter(confirmedTime::isAfter).isPresent();
 			if (!isRestored) {
+				completeWith(listed, listing.revision(), confirmedTime);
 				return;
 			}
 			clear();
 		}
-		Map<String, StoredObject> listed = new HashMap<>();
-		listing.objects().forEach((object) -> listed.put(object.key(), object));
 		if (this.complete) {
 			append(difference(listed), listing.revision());
 		}
@@ -86,6 +97,20 @@
 		confirm(confirmedTime);
 	}
 
+	// The present state is at least that of the listing, with the changes since then.
+	private void completeWith(Map<String, StoredObject> listed, long listedRevision, Timestamp confirmedTime) {
+		if (!this.complete && hasChangesAfter(listedRevision)) {
+			this.objects = listed;
+			this.complete = true;
+			this.batches.stream()
+				.filter((batch) -> batch.toRevision() > listedRevision)
+				.forEach((batch) -> withoutEarlier(batch.changes()).forEach(this::apply));
+		}
+		if (this.linearizable) {
+			confirm(confirmedTime);
+		}
+	}
+
 	private List<ObjectChange> difference(Map<String, StoredObject> listed) {
 		List<ObjectChange> changes = new ArrayList<>();
 		this.objects.values()
@@ -115,9 +140,10 @@
 			restart(afterRevision);
 		}
 		boolean isNext = afterRevision == this.revision;
-		changes.changes().forEach((change) -> apply(change, isNext));
+		List<ObjectChange> news = withoutEarlier(changes.changes());
+		news.forEach(this::apply);
 		if (isNext) {
-			append(changes.changes(), changes.revision());
+			append(news, changes.revision());
 		}
 		else {
 			// Some of the changes are known already and must not be repeated.
@@ -126,11 +152,15 @@
 		confirm(confirmedTime);
 	}
 
-	private void apply(ObjectChange change, boolean isNext) {
-		StoredObject known = this.objects.get(change.object().key());
-		if (!isNext && known != null && known.version() > change.object().version()) {
-			return;
-		}
+	// A listing shows some objects in a later state than that of its revision.
+	private List<ObjectChange> withoutEarlier(List<ObjectChange> changes) {
+		return changes.stream().filter((change) -> {
+			StoredObject known = this.objects.get(change.object().key());
+			return known == null || known.version() <= change.object().version();
+		}).toList();
+	}
+
+	private void apply(ObjectChange change) {
 		if (change.removed()) {
 			this.objects.remove(change.object().key());
 		}
@@ -146,7 +176,7 @@
 			this.keptChanges += changes.size();
 			this.keptCharacters += batch.characters();
 		}
-		this.revision = toRevision;
+		reach(toRevision);
 		while (this.keptChanges > MAX_CHANGES || this.keptCharacters > MAX_CHARACTERS) {
 			Batch oldest = this.batches.removeFirst();
 			this.keptChanges -= oldest.changes().size();
@@ -160,7 +190,14 @@
 		this.keptChanges = 0;
 		this.keptCharacters = 0;
 		this.oldestRevision = atRevision;
-		this.revision = atRevision;
+		reach(atRevision);
+	}
+
+	private void reach(long nextRevision) {
+		if (this.reachedAt.isEmpty() || nextRevision != this.revision) {
+			this.reachedAt = Optional.of(this.clock.get());
+		}
+		this.revision = nextRevision;
 	}
 
 	// A listing and a watch of the same VM may end in another order than they began.
--- a/router/src/main/java/org/burdocktray/process/watch/FollowerAnswers.java
+++ b/router/src/main/java/org/burdocktray/process/watch/FollowerAnswers.java
@@ -71,8 +71,8 @@
 	 */
 	FollowerAnswers(StoreSharing.Kinds kinds, WatchSources sources, Supplier<Timestamp> clock, Timers timers,
 			Consumer<String> lister, WatchListener listener) {
-		kinds.confirmed().forEach((kind) -> this.logs.put(kind.name(), new ChangeLog(true)));
-		kinds.hints().forEach((kind) -> this.logs.put(kind.name(), new ChangeLog(false)));
+		kinds.confirmed().forEach((kind) -> this.logs.put(kind.name(), new ChangeLog(true, clock)));
+		kinds.hints().forEach((kind) -> this.logs.put(kind.name(), new ChangeLog(false, clock)));
 		this.sources = sources;
 		this.clock = clock;
 		this.timers = timers;
--- a/router/src/test/java/org/burdocktray/process/watch/ChangeLogTests.java
+++ b/router/src/test/java/org/burdocktray/process/watch/ChangeLogTests.java
@@ -19,7 +19,7 @@
 
 	private static final Timestamp START = new Timestamp(1_000_000_000L, 50_000);
 
-	private final ChangeLog log = new ChangeLog(true);
+	private final ChangeLog log = new ChangeLog(true, () -> START);
 
 	@Test
 	void listingAfterAnOutageBecomesChanges() {
@@ -52,10 +52,42 @@
 		assertThat(this.log.hasChangesAfter(2)).isFalse();
 	}
 
+	/**
+	 * Guards against a listing that was overtaken by changes and is taken for that of a
+	 * restored store.
+	 */
+	@Test
+	void listingThatWasOvertakenIsNoRestore() {
+		Timestamp listed = later(300);
+		ChangeLog overtaking = new ChangeLog(true, () -> later(305));
+		overtaking.recordChanges(4, new ObjectChanges(List.of(new ObjectChange(object("a", 5), false)), 5), START);
+		overtaking.recordListing(new ObjectListing(List.of(object("a", 1), object("b", 2)), 4), listed);
+		assertThat(overtaking.revision()).isEqualTo(5);
+		assertThat(overtaking.isComplete()).isTrue();
+		assertThat(overtaking.objects()).containsExactlyInAnyOrder(object("a", 5), object("b", 2));
+		assertThat(overtaking.ageMillis(later(700))).isEqualTo(400);
+	}
+
+	/** Guards against objects that go back to a state before that of a listing. */
+	@Test
+	void changesBeforeTheStateOfAListedObjectAreNotPassedOn() {
+		this.log.recordListing(new ObjectListing(List.of(object("a", 1), object("z", 6)), 4), START);
+		this.log.recordChanges(4,
+				new ObjectChanges(
+						List.of(new ObjectChange(object("z", 5), false), new ObjectChange(object("a", 5), false)), 5),
+				START);
+		assertThat(this.log.objects()).containsExactlyInAnyOrder(object("a", 5), object("z", 6));
+		assertThat(this.log.changesAfter(4)).containsExactly(new ObjectChange(object("a", 5), false));
+	}
+
+	private static Timestamp later(long millis) {
+		return new Timestamp(START.monotonicNanos() + millis * 1_000_000, START.epochMillis() + millis);
+	}
+
 	/** Guards against objects of a listing that may be old. */
 	@Test
 	void laterListingThatMayBeOldBringsNothingBack() {
-		ChangeLog hints = new ChangeLog(false);
+		ChangeLog hints = new ChangeLog(false, () -> START);
 		hints.recordListing(new ObjectListing(List.of(object("b", 8)), 8), START);
 		Timestamp later = new Timestamp(START.monotonicNanos() + 700_000_000L, START.epochMillis() + 700);
 		hints.recordListing(new ObjectListing(List.of(object("a", 1)), 3), later);
--- a/standins/src/main/java/org/burdocktray/standins/HttpStandIn.java
+++ b/standins/src/main/java/org/burdocktray/standins/HttpStandIn.java
@@ -3,6 +3,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
 
+import io.vertx.core.Context;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import io.vertx.core.file.FileSystemOptions;
@@ -143,6 +144,11 @@
 	 * @param action the action
 	 */
 	protected final void runOnEventLoop(Runnable action) {
+		Context current = Vertx.currentContext();
+		if (current != null && current.owner() == this.vertx) {
+			action.run();
+			return;
+		}
 		Executor eventLoop = (task) -> this.vertx.runOnContext((ignored) -> task.run());
 		CompletableFuture.runAsync(action, eventLoop).join();
 	}
--- a/standins/src/main/java/org/burdocktray/standins/gateway/ObjectApiStandIn.java
+++ b/standins/src/main/java/org/burdocktray/standins/gateway/ObjectApiStandIn.java
@@ -3,7 +3,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.NavigableMap;
 import java.util.TreeMap;
+import java.util.function.BiConsumer;
 
 import io.vertx.core.json.Json;
 import io.vertx.core.json.JsonArray;
@@ -29,7 +31,7 @@
 
 	private static final int SERVICE_UNAVAILABLE = 503;
 
-	private final Map<String, Map<String, JsonObject>> objectsByKind = new TreeMap<>();
+	private final Map<String, NavigableMap<String, JsonObject>> objectsByKind = new TreeMap<>();
 
 	private final List<JsonObject> history = new ArrayList<>();
 
@@ -41,6 +43,11 @@
 
 	private volatile boolean losingWriteResponses;
 
+	private volatile int pageSize = Integer.MAX_VALUE;
+
+	private volatile BiConsumer<String, String> pageListener = (kind, after) -> {
+	};
+
 	/**
 	 * Creates or replaces an object, as an operator or a replica does.
 	 * @param kind the kind of the object
@@ -73,6 +80,17 @@
 		this.unavailable = isUnavailable;
 	}
 
+	/**
+	 * Sets how listings are divided.
+	 * @param objects the number of objects of a page
+	 * @param listener is told of each page that was read, before it is sent, with the
+	 * kind and the name behind which the page begins, which is empty for the first page
+	 */
+	public void setPages(int objects, BiConsumer<String, String> listener) {
+		this.pageSize = objects;
+		this.pageListener = listener;
+	}
+
 	/**
 	 * Sets whether the connection of a write is closed after the write is executed.
 	 * @param isLosing whether the responses to writes are lost
@@ -106,15 +124,22 @@
 	private void listOrWatch(RoutingContext context) {
 		String watch = context.request().getParam("watch");
 		if (watch == null) {
-			JsonArray items = new JsonArray(new ArrayList<>(objects(context.pathParam("kind")).values()));
-			respondJson(context, 200,
-					new JsonObject().put("items", items).put("hasMore", false).put("currentRev", this.revision));
+			list(context, context.pathParam("kind"), context.request().getParam("after", ""));
 			return;
 		}
 		long waitMillis = Long.parseLong(context.request().getParam("waitMs"));
 		watch(context, context.pathParam("kind"), Long.parseLong(watch), waitMillis);
 	}
 
+	private void list(RoutingContext context, String kind, String after) {
+		List<JsonObject> rest = new ArrayList<>(objects(kind).tailMap(after, false).values());
+		boolean hasMore = rest.size() > this.pageSize;
+		JsonArray items = new JsonArray(hasMore ? rest.subList(0, this.pageSize) : rest);
+		JsonObject page = new JsonObject().put("items", items).put("hasMore", hasMore).put("currentRev", this.revision);
+		this.pageListener.accept(kind, after);
+		respondJson(context, 200, page);
+	}
+
 	private void watch(RoutingContext context, String kind, long afterRevision, long waitMillis) {
 		if (this.unavailable) {
 			closeConnection(context);
@@ -193,7 +218,7 @@
 		return object;
 	}
 
-	private Map<String, JsonObject> objects(String kind) {
+	private NavigableMap<String, JsonObject> objects(String kind) {
 		return this.objectsByKind.computeIfAbsent(kind, (absentKind) -> new TreeMap<>());
 	}
 
