MIXED: an answer has a status from 100 to 599

Callers got answers with statuses that are none: 000, 099, 20, +20, 2000, 600 and 999 were passed on as HTTP/1.1 0 and so on. Answers with +200 and 0200 were successes, 102 and 150 final answers.

Cause: the codec reads any number in the second word of the first line as a status, and nothing of ours asked for more than the signature and the id. It is as lenient with transfer codings and the sizes of chunks.

Change: a check before the codec follows each connection by the grammar of RFC 9112 (AnswerGrammarCheck): status lines, lengths, transfer codings, chunks.

--- a/router/src/main/java/org/burdocktray/connection/http/AnswerBoundaries.java
+++ b/router/src/main/java/org/burdocktray/connection/http/AnswerBoundaries.java
@@ -12,9 +12,9 @@
 import org.burdocktray.model.NetworkAddress;
 
 /**
- * Makes sure that an answer on a connection begins where the one before it has ended. A
- * server may begin an answer that nobody waits for and never end it. Thread safety:
- * stateless.
+ * Makes sure that what is read on a connection are answers, and that each begins where
+ * the one before it has ended. A server may send bytes that are none, or begin an answer
+ * that nobody waits for and never end it. Thread safety: stateless.
  */
 public final class AnswerBoundaries {
 
@@ -41,10 +41,13 @@
 		NetworkAddress server = new NetworkAddress(remote.hostAddress(), remote.port());
 		TrailingBytesCheck trailingBytes = new TrailingBytesCheck(
 				(status) -> listener.accept(new MergedAnswer(server, local.port(), status, "status line in its body")));
+		AnswerGrammarCheck grammar = new AnswerGrammarCheck(server, local.port());
 		pipeline.addBefore(codec.name(), "trailing-bytes", trailingBytes);
+		pipeline.addBefore(codec.name(), "answer-grammar", grammar);
 		pipeline.addAfter(codec.name(), "request-progress", trailingBytes.progress());
 		pipeline.addAfter(codec.name(), HEAD_CHECK, new MergedAnswerCheck(server, local.port(), listener));
 		pipeline.addAfter(codec.name(), "answer-ends", trailingBytes.answerEnds());
+		pipeline.addAfter(codec.name(), "answer-messages", grammar.messages());
 		return Optional.of(pipeline);
 	}
 
--- a/router/src/main/java/org/burdocktray/connection/http/TrailingBytesCheck.java
+++ b/router/src/main/java/org/burdocktray/connection/http/TrailingBytesCheck.java
@@ -118,6 +118,9 @@
 
 		private final int begin;
 
+		/** Behind the last byte, also if the codec is given fewer. */
+		private final int end;
+
 		/** Whether no request was in progress when the bytes came. */
 		private final boolean idle;
 
@@ -135,6 +138,7 @@
 		Read(ByteBuf bytes, boolean idle) {
 			this.bytes = bytes;
 			this.begin = bytes.readerIndex();
+			this.end = bytes.writerIndex();
 			this.idle = idle && findStart() >= 0;
 		}
 
@@ -165,18 +169,18 @@
 
 		// Line ends between answers are allowed.
 		private int findStart() {
-			return this.bytes.forEachByte((value) -> value == '\r' || value == '\n');
+			int from = this.bytes.readerIndex();
+			return this.bytes.forEachByte(from, this.end - from, (value) -> value == '\r' || value == '\n');
 		}
 
 		private boolean mayBeginAnswer(int start) {
-			int length = Math.min(ANSWER_START.length, this.bytes.writerIndex() - start);
+			int length = Math.min(ANSWER_START.length, this.end - start);
 			return IntStream.range(0, length)
 				.allMatch((index) -> this.bytes.getByte(start + index) == ANSWER_START[index]);
 		}
 
 		private long countStatusLines() {
-			String text = this.bytes.toString(this.begin, this.bytes.writerIndex() - this.begin,
-					StandardCharsets.ISO_8859_1);
+			String text = this.bytes.toString(this.begin, this.end - this.begin, StandardCharsets.ISO_8859_1);
 			return StatusLines.countBefore(text, this.bytes.readerIndex() - this.begin);
 		}
 
--- a/router/src/main/java/org/burdocktray/process/cli/AdminScraper.java
+++ b/router/src/main/java/org/burdocktray/process/cli/AdminScraper.java
@@ -12,7 +12,9 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpMethod;
+import org.burdocktray.connection.http.CheckedHttpClients;
 import org.burdocktray.model.NetworkAddress;
 import org.burdocktray.process.burn.BurnNote;
 import org.burdocktray.process.burn.ScrapeReader;
@@ -27,6 +29,8 @@
 
 	private static final int STATUS_OK = 200;
 
+	private static final int CONNECTIONS_PER_VM = 1;
+
 	private final List<NetworkAddress> addresses;
 
 	private final Optional<ScrapeDirectory> saveDirectory;
@@ -49,7 +53,7 @@
 	void scrapeInto(int scrapeCount, long intervalSeconds, CollectedScrapes collected) throws IOException {
 		Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
 		try {
-			HttpClient client = vertx.createHttpClient();
+			HttpClient client = CheckedHttpClients.create(vertx, new HttpClientOptions(), CONNECTIONS_PER_VM);
 			Iterable<List<MetricsResponse>> rounds = Observable
 				.interval(0, Math.max(1, intervalSeconds), TimeUnit.SECONDS)
 				.take(scrapeCount)
--- a/router/src/main/java/org/burdocktray/process/cli/StatusCommand.java
+++ b/router/src/main/java/org/burdocktray/process/cli/StatusCommand.java
@@ -8,10 +8,12 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpMethod;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.Option;
 import org.apache.commons.cli.Options;
+import org.burdocktray.connection.http.CheckedHttpClients;
 import org.burdocktray.model.NetworkAddress;
 
 /**
@@ -25,6 +27,8 @@
 
 	private static final int STATUS_OK = 200;
 
+	private static final int CONNECTIONS_PER_VM = 1;
+
 	@Override
 	public String name() {
 		return "status";
@@ -70,7 +74,8 @@
 	private static Optional<String> fetchStatus(NetworkAddress address) {
 		Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
 		try {
-			return requestStatus(vertx.createHttpClient(), address).timeout(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
+			return requestStatus(CheckedHttpClients.create(vertx, new HttpClientOptions(), CONNECTIONS_PER_VM), address)
+				.timeout(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
 				.onErrorReturnItem(Optional.empty())
 				.blockingGet();
 		}
--- a/router/src/test/java/org/burdocktray/connection/http/CheckedChannel.java
+++ b/router/src/test/java/org/burdocktray/connection/http/CheckedChannel.java
@@ -56,8 +56,9 @@
 		NetworkAddress server = new NetworkAddress("127.0.0.1", 1);
 		TrailingBytesCheck trailingBytes = new TrailingBytesCheck(
 				(status) -> this.refused.add(new MergedAnswer(server, 2, status, "status line in its body")));
+		AnswerGrammarCheck grammar = new AnswerGrammarCheck(server, 2);
 		this.channel.pipeline()
-			.addLast(trailingBytes, new HttpClientCodec(), trailingBytes.answerEnds(),
+			.addLast(trailingBytes, grammar, new HttpClientCodec(), grammar.messages(), trailingBytes.answerEnds(),
 					new MergedAnswerCheck(server, 2, this.refused::add))
 			.addLast(behindHeadCheck)
 			.addLast(trailingBytes.progress(), this.client);
@@ -201,6 +202,12 @@
 			}
 		}
 
+		@Override
+		public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+			this.hasFailed = true;
+			context.close();
+		}
+
 		private static boolean isReadable(HttpObject message) {
 			boolean isOtherVersion = message instanceof HttpResponse response
 					&& !response.protocolVersion().equals(HttpVersion.HTTP_1_1)
--- a/router/src/test/java/org/burdocktray/process/serve/gateway/ReplicaConnectionsTests.java
+++ b/router/src/test/java/org/burdocktray/process/serve/gateway/ReplicaConnectionsTests.java
@@ -77,8 +77,8 @@
 				.stream()
 				.map((handler) -> handler.getClass().getSimpleName())
 				.toList();
-			assertThat(handlers).containsSubsequence("TrailingBytesCheck", "HttpClientCodec", "AnswerEnds",
-					"MergedAnswerCheck", "ForeignAnswerFilter", "Progress", "VertxHandler");
+			assertThat(handlers).containsSubsequence("TrailingBytesCheck", "AnswerGrammarCheck", "HttpClientCodec",
+					"Messages", "AnswerEnds", "MergedAnswerCheck", "ForeignAnswerFilter", "Progress", "VertxHandler");
 		}
 	}
 
