MIXED: names of fields in answers are tokens

Callers got answers in whose head the name of a field held a blank: "X Note: a" came through as another field, and "Content-Length : 3" in an answer that ends with its connection made a body of 3 bytes of a longer one.

Cause: for answers, the codec ends a name at the first blank and goes on behind the colon, as RFC 9112 lets a proxy remove blanks there. Folded lines are joined, and control bytes in values are passed on.

Change: field lines and trailers are checked by the grammar before the codec reads them: a name is a token right before its colon, a value has no control bytes, nothing is folded. What follows a fault is not read.

--- a/router/src/main/java/org/burdocktray/connection/http/AnswerGrammar.java
+++ b/router/src/main/java/org/burdocktray/connection/http/AnswerGrammar.java
@@ -10,9 +10,10 @@
 
 /**
  * Follows the answers on a connection by the grammar of HTTP/1.1. The codec takes more
- * than that for an answer: statuses of any number, sizes with bytes behind them. Lines
- * may end without a carriage return, but not those around chunks. Invariant: what follows
- * a fault is not read. Thread safety: confined to the event loop of its connection.
+ * than that for an answer: statuses of any number, names with blanks, sizes with bytes
+ * behind them. Lines may end without a carriage return, but not those around chunks.
+ * Invariant: what follows a fault is not read. Thread safety: confined to the event loop
+ * of its connection.
  */
 final class AnswerGrammar {
 
@@ -150,7 +151,9 @@
 	private void readTrailer(String text) {
 		if (text.isEmpty()) {
 			this.part = Part.STATUS_LINE;
+			return;
 		}
+		AnswerSyntax.checkField(text);
 	}
 
 	/**
--- a/router/src/main/java/org/burdocktray/connection/http/AnswerHead.java
+++ b/router/src/main/java/org/burdocktray/connection/http/AnswerHead.java
@@ -46,10 +46,11 @@
 	/**
 	 * Adds a field.
 	 * @param line the line without its end
+	 * @throws InvalidAnswerException if it is no field line
 	 */
 	void addField(String line) {
-		int colon = line.indexOf(':');
-		String name = line.substring(0, Math.max(0, colon)).strip();
+		int colon = AnswerSyntax.checkField(line);
+		String name = line.substring(0, colon);
 		if ("Content-Length".equalsIgnoreCase(name)) {
 			this.lengths.add(line.substring(colon + 1).strip());
 		}
--- a/router/src/main/java/org/burdocktray/connection/http/AnswerSyntax.java
+++ b/router/src/main/java/org/burdocktray/connection/http/AnswerSyntax.java
@@ -1,9 +1,10 @@
 package org.burdocktray.connection.http;
 
 /**
- * The grammar of the lines of an answer: status lines and sizes of chunks (RFC 9112,
- * sections 4 and 7.1; RFC 9110, section 15). A space that is missing behind a status is
- * no fault. Thread safety: stateless.
+ * The grammar of the lines of an answer: status lines, field lines and sizes of chunks
+ * (RFC 9112, sections 4, 5 and 7.1; RFC 9110, sections 5.1, 5.5, 5.6.2 and 15). Obsolete
+ * forms that are no longer generated, such as folded fields, count as faults. A space
+ * that is missing behind a status is not one. Thread safety: stateless.
  */
 final class AnswerSyntax {
 
@@ -18,6 +19,8 @@
 
 	private static final int MAX_STATUS = 599;
 
+	private static final String TOKEN_SYMBOLS = "!#$%&'*+-.^_`|~";
+
 	/** Leaves room below the range of a long. */
 	private static final int MAX_HEX_DIGITS = 15;
 
@@ -66,6 +69,28 @@
 		return line.charAt(VERSION_START.length()) == '0';
 	}
 
+	/**
+	 * Checks a field line.
+	 * @param line the line without its end
+	 * @return the index of the colon behind the name
+	 * @throws InvalidAnswerException if the line is no field line
+	 */
+	static int checkField(String line) {
+		int colon = line.indexOf(':');
+		if (colon <= 0) {
+			throw new InvalidAnswerException("field without a name");
+		}
+		for (int index = 0; index < colon; index++) {
+			if (!isTokenCharacter(line.charAt(index))) {
+				throw new InvalidAnswerException("name of a field");
+			}
+		}
+		if (!isText(line, colon + 1)) {
+			throw new InvalidAnswerException("value of a field");
+		}
+		return colon;
+	}
+
 	/**
 	 * Reads the value of {@code Content-Length}.
 	 * @param value the value without white space around it
@@ -123,6 +148,11 @@
 		return character == ' ' || character == '\t';
 	}
 
+	private static boolean isTokenCharacter(char character) {
+		return (character >= 'a' && character <= 'z') || (character >= 'A' && character <= 'Z') || isDigit(character)
+				|| TOKEN_SYMBOLS.indexOf(character) >= 0;
+	}
+
 	// Visible characters, blanks, and bytes beyond ASCII.
 	private static boolean isText(String line, int from) {
 		for (int index = from; index < line.length(); index++) {
--- a/router/src/test/java/org/burdocktray/connection/http/AnswerGrammarCheckTests.java
+++ b/router/src/test/java/org/burdocktray/connection/http/AnswerGrammarCheckTests.java
@@ -56,6 +56,14 @@
 		assertThat(this.channel.isOpen()).isFalse();
 	}
 
+	@Test
+	void nothingBehindAFaultIsRead() {
+		receive("HTTP/1.1 200 OK\r\nX Y: a\r\nContent-Length: 0\r\n\r\n");
+		receive("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+		assertThat(this.read).first().isEqualTo("InvalidAnswerException");
+		assertThat(this.read).doesNotContain("status 200", "end");
+	}
+
 	@Test
 	void interimAnswersAreThoseThatTheClientKnows() {
 		receive("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 199 Other\r\n\r\n");
--- a/router/src/test/java/org/burdocktray/connection/http/AnswerGrammarTests.java
+++ b/router/src/test/java/org/burdocktray/connection/http/AnswerGrammarTests.java
@@ -43,13 +43,31 @@
 		assertRefused(line + "\r\nContent-Length: 0\r\n\r\n");
 	}
 
+	@ParameterizedTest
+	@ValueSource(strings = { "a:b", "A: b", "!#$%&'*+-.^_`|~09: \t x \t", "x:", "Note: \u00e9\u00ff", "x: a:b" })
+	void acceptsField(String line) {
+		read(HEAD + line + "\r\nContent-Length: 0\r\n\r\n");
+		read(HEAD + "Transfer-Encoding: chunked\r\n\r\n0\r\n" + line + "\r\n\r\n");
+	}
+
+	@ParameterizedTest
+	@ValueSource(strings = { "X Note: a", "X\tNote: a", "X-Note : a", "X-Note\t: a", " X-Note: a", "\tX-Note: a", ": a",
+			"X-Note", "X\u0001Note: a", "X\u0000: a", "X\u007f: a", "X\u00e9: a", "X(y): a", "X/y: a", "\"X\": a",
+			"X-Note: a\u0000b", "X-Note: a\rb", "X-Note: a\u0001", "X-Note: a\u007f", "X-Note: a\r\n folded",
+			"X-Note: a\r\n\tfolded" })
+	void refusesField(String line) {
+		assertRefused(HEAD + line + "\r\nContent-Length: 0\r\n\r\n");
+		assertRefused(HEAD + "Transfer-Encoding: chunked\r\n\r\n0\r\n" + line + "\r\n\r\n");
+	}
+
 	@ParameterizedTest
 	@ValueSource(strings = { "Content-Length: +3", "Content-Length: -3", "Content-Length: 3 3", "Content-Length: 3, 3",
 			"Content-Length: 0x3", "Content-Length: 3.0", "Content-Length:", "Content-Length: 3a",
 			"Content-Length: 3\r\nContent-Length: 3", "Content-Length: 3\r\ncontent-length: 4",
-			"Content-Length: 9999999999999999999", "Content-Length: 3\r\nTransfer-Encoding: chunked",
-			"Transfer-Encoding: gzip", "Transfer-Encoding: gzip, chunked", "Transfer-Encoding: xchunked",
-			"Transfer-Encoding: identity", "Transfer-Encoding: chunked, chunked", "Transfer-Encoding:",
+			"Content-Length: 9999999999999999999", "Content-Length : 3",
+			"Content-Length: 3\r\nTransfer-Encoding: chunked", "Transfer-Encoding: gzip",
+			"Transfer-Encoding: gzip, chunked", "Transfer-Encoding: xchunked", "Transfer-Encoding: identity",
+			"Transfer-Encoding: chunked, chunked", "Transfer-Encoding:",
 			"Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked" })
 	void refusesLengthThatLeavesTheEndInDoubt(String fields) {
 		assertRefused(HEAD + fields + "\r\n\r\nabc");
