--- a/router/src/main/java/org/burdocktray/connection/http/AnswerBoundaries.java
+++ b/router/src/main/java/org/burdocktray/connection/http/AnswerBoundaries.java
@@ -4,6 +4,7 @@
 import java.util.function.Consumer;
 
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.ChannelPipeline;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.vertx.core.http.HttpConnection;
@@ -42,6 +43,7 @@
 		TrailingBytesCheck trailingBytes = new TrailingBytesCheck(
 				(status) -> listener.accept(new MergedAnswer(server, local.port(), status, "status line in its body")));
 		AnswerGrammarCheck grammar = new AnswerGrammarCheck(server, local.port());
+		pipeline.channel().config().setOption(ChannelOption.ALLOW_HALF_CLOSURE, true);
 		pipeline.addBefore(codec.name(), "trailing-bytes", trailingBytes);
 		pipeline.addBefore(codec.name(), "answer-grammar", grammar);
 		pipeline.addAfter(codec.name(), "request-progress", trailingBytes.progress());
--- a/router/src/main/java/org/burdocktray/connection/http/AnswerGrammar.java
+++ b/router/src/main/java/org/burdocktray/connection/http/AnswerGrammar.java
@@ -41,6 +41,14 @@
 		this.methods.add(method);
 	}
 
+	/**
+	 * Returns whether the end of the connection is the end of the answer.
+	 * @return whether the body in progress has neither a length nor chunks
+	 */
+	boolean endsWithConnection() {
+		return this.part == Part.REST;
+	}
+
 	/**
 	 * Reads on.
 	 * @param bytes the next bytes, whose indices are not changed
--- a/router/src/main/java/org/burdocktray/connection/http/AnswerGrammarCheck.java
+++ b/router/src/main/java/org/burdocktray/connection/http/AnswerGrammarCheck.java
@@ -1,22 +1,34 @@
 package org.burdocktray.connection.http;
 
+import java.io.IOException;
+
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelPromise;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
+import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.PrematureChannelClosureException;
+import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
 import org.burdocktray.model.NetworkAddress;
 import org.jboss.logging.Logger;
 
 /**
  * Ends a connection on which the server does not send valid answers. Stands before the
  * codec, which reads only what is valid; so no answer that holds a fault is complete for
- * the client, and one that was complete before is delivered. Thread safety: confined to
+ * the client, and one that was complete before is delivered. An answer without a length
+ * is complete only if the server has ended the connection in order: when a request is
+ * still being sent, a reset may show as a failed write, after which the connection is
+ * closed like one that the server has ended. The channel must allow half-closed
+ * connections, so that their end can be told from a failure. Thread safety: confined to
  * the event loop of its connection.
  */
 final class AnswerGrammarCheck extends ChannelInboundHandlerAdapter {
@@ -31,6 +43,10 @@
 
 	private boolean isRefused;
 
+	private boolean hasFailed;
+
+	private boolean isEndedByServer;
+
 	/**
 	 * Creates the check of a connection on which no request has been sent.
 	 * @param server the address of the server
@@ -81,8 +97,30 @@
 		context.close();
 	}
 
+	@Override
+	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+		this.hasFailed |= cause instanceof IOException;
+		context.fireExceptionCaught(cause);
+	}
+
+	// The event also follows a failed read.
+	@Override
+	public void userEventTriggered(ChannelHandlerContext context, Object event) {
+		if (!(event instanceof ChannelInputShutdownEvent)) {
+			context.fireUserEventTriggered(event);
+			return;
+		}
+		this.isEndedByServer = !this.hasFailed;
+		context.fireUserEventTriggered(event);
+		context.close();
+	}
+
+	private boolean isBrokenOff() {
+		return !this.isEndedByServer && this.grammar.endsWithConnection();
+	}
+
 	/**
-	 * Follows the requests, and names interim answers as the client knows them.
+	 * Follows the requests, and holds back the end of answers that were broken off.
 	 */
 	private final class Messages extends ChannelDuplexHandler {
 
@@ -99,7 +137,15 @@
 			if (message instanceof HttpResponse response) {
 				unifyInterimStatus(response);
 			}
-			context.fireChannelRead(message);
+			if (!(message instanceof LastHttpContent) || !isBrokenOff()) {
+				context.fireChannelRead(message);
+				return;
+			}
+			ReferenceCountUtil.release(message);
+			LastHttpContent brokenOff = new DefaultLastHttpContent();
+			brokenOff.setDecoderResult(DecoderResult
+				.failure(new PrematureChannelClosureException("the server has not ended the connection in order")));
+			context.fireChannelRead(brokenOff);
 		}
 
 		// The client takes interim answers that it does not know for final ones.
--- a/router/src/test/java/org/burdocktray/connection/http/AnswerGrammarCheckTests.java
+++ b/router/src/test/java/org/burdocktray/connection/http/AnswerGrammarCheckTests.java
@@ -1,5 +1,6 @@
 package org.burdocktray.connection.http;
 
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -8,6 +9,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpMethod;
@@ -23,10 +25,13 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * Guards against answers that are complete for the client although they are not valid.
+ * Guards against answers that are complete for the client although they are not valid, or
+ * were broken off.
  */
 class AnswerGrammarCheckTests {
 
+	private static final String WITHOUT_LENGTH = "HTTP/1.1 200 OK\r\n\r\npart";
+
 	private final List<String> read = new ArrayList<>();
 
 	private final EmbeddedChannel channel = new EmbeddedChannel();
@@ -64,6 +69,31 @@
 		assertThat(this.read).doesNotContain("status 200", "end");
 	}
 
+	@Test
+	void answerWithoutLengthThatTheServerEndsIsComplete() {
+		receive(WITHOUT_LENGTH);
+		this.channel.pipeline().fireUserEventTriggered(ChannelInputShutdownEvent.INSTANCE);
+		assertThat(this.read).containsExactly("status 200", "end");
+		assertThat(this.channel.isOpen()).isFalse();
+	}
+
+	/** A write that fails closes the channel before a reset is read. */
+	@Test
+	void answerWithoutLengthOnAChannelThatIsClosedIsBrokenOff() {
+		receive(WITHOUT_LENGTH);
+		this.channel.close();
+		assertThat(this.read).containsExactly("status 200", "PrematureChannelClosureException");
+	}
+
+	/** A channel that allows half-closed connections has this order. */
+	@Test
+	void answerWithoutLengthThatIsResetIsBrokenOff() {
+		receive(WITHOUT_LENGTH);
+		this.channel.pipeline().fireExceptionCaught(new IOException("Connection reset"));
+		this.channel.pipeline().fireUserEventTriggered(ChannelInputShutdownEvent.INSTANCE);
+		assertThat(this.read).containsExactly("status 200", "IOException", "PrematureChannelClosureException");
+	}
+
 	@Test
 	void interimAnswersAreThoseThatTheClientKnows() {
 		receive("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 199 Other\r\n\r\n");
--- a/router/src/test/java/org/burdocktray/connection/http/AnswerGrammarTests.java
+++ b/router/src/test/java/org/burdocktray/connection/http/AnswerGrammarTests.java
@@ -9,6 +9,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
+import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 /**
@@ -84,6 +85,7 @@
 	void acceptsChunk(String chunk) {
 		read(HEAD + "Transfer-Encoding: Chunked\r\n\r\n" + chunk + "0\r\n\r\n");
 		read(HEAD + "Content-Length: 0\r\n\r\n");
+		assertThat(this.grammar.endsWithConnection()).isFalse();
 	}
 
 	@ParameterizedTest
@@ -101,6 +103,7 @@
 		read(HEAD + "Content-Length: 12\r\n\r\n");
 		read("HTTP/1.1 204 No Content\r\n\r\nHTTP/1.1 304 Not Modified\r\nContent-Length: 12\r\n\r\n");
 		read("\r\n" + HEAD + "\r\nHTTP/1.1 000\r\n");
+		assertThat(this.grammar.endsWithConnection()).isTrue();
 	}
 
 	@Test
--- a/router/src/test/java/org/burdocktray/connection/http/CheckedChannel.java
+++ b/router/src/test/java/org/burdocktray/connection/http/CheckedChannel.java
@@ -13,6 +13,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPromise;
 import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpContent;
@@ -156,6 +157,9 @@
 	/** Ends the connection as the server would. */
 	@Override
 	public void close() {
+		if (this.channel.isOpen()) {
+			this.channel.pipeline().fireUserEventTriggered(ChannelInputShutdownEvent.INSTANCE);
+		}
 		this.channel.finishAndReleaseAll();
 	}
 
