--- a/router/src/main/java/org/burdocktray/connection/http/TrailingBytesCheck.java
+++ b/router/src/main/java/org/burdocktray/connection/http/TrailingBytesCheck.java
@@ -1,20 +1,15 @@
 package org.burdocktray.connection.http;
 
-import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 import java.util.function.IntConsumer;
-import java.util.stream.IntStream;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.ChannelPromise;
 import io.netty.handler.codec.DecoderException;
 import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.DefaultLastHttpContent;
-import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -31,15 +26,14 @@
  */
 final class TrailingBytesCheck extends ChannelInboundHandlerAdapter {
 
-	private static final byte[] ANSWER_START = "HTTP/".getBytes(StandardCharsets.US_ASCII);
-
 	private final AnswerEnds answerEnds = new AnswerEnds();
 
-	private final Progress progress = new Progress();
+	private final RequestProgress progress = new RequestProgress(
+			() -> this.present.ifPresent(AnswerRead::recordOwnEnd));
 
 	private final IntConsumer listener;
 
-	private Optional<Read> present = Optional.empty();
+	private Optional<AnswerRead> present = Optional.empty();
 
 	private boolean codecHoldsBytes;
 
@@ -74,14 +68,14 @@
 			context.fireChannelRead(message);
 			return;
 		}
-		Read read = new Read(bytes.retain(), !this.progress.requestInProgress);
+		AnswerRead read = new AnswerRead(bytes.retain(), !this.progress.isRequestInProgress());
 		this.present = Optional.of(read);
 		try {
 			forward(context, read);
 			if (read.endsWithinForeignAnswer()) {
 				context.close();
 			}
-			this.codecHoldsBytes = !read.ended && (this.codecHoldsBytes || read.isHeld());
+			this.codecHoldsBytes = !read.hasEnded() && (this.codecHoldsBytes || read.isHeld());
 		}
 		finally {
 			this.present = Optional.empty();
@@ -91,110 +85,19 @@
 
 	// Bytes that the codec copies behind those it holds can't be looked at when an answer
 	// ends; one that ends before the last part has bytes behind it.
-	private void forward(ChannelHandlerContext context, Read read) {
-		int lastPartLength = this.codecHoldsBytes ? read.lastPartLength() : 0;
-		if (lastPartLength == 0) {
-			context.fireChannelRead(read.bytes);
-			return;
-		}
-		ByteBuf lastPart = read.bytes.retainedSlice(read.bytes.writerIndex() - lastPartLength, lastPartLength);
-		read.part = Part.FIRST;
-		context.fireChannelRead(read.bytes.writerIndex(read.bytes.writerIndex() - lastPartLength));
-		read.part = Part.LAST;
-		context.fireChannelRead(lastPart);
+	private void forward(ChannelHandlerContext context, AnswerRead read) {
+		Optional<ByteBuf> lastPart = this.codecHoldsBytes ? read.splitLastPart() : Optional.empty();
+		context.fireChannelRead(read.bytes());
+		lastPart.ifPresent((part) -> {
+			read.beginLastPart();
+			context.fireChannelRead(part);
+		});
 	}
 
-	private static boolean isInterim(HttpResponse response) {
+	static boolean isInterim(HttpResponse response) {
 		return response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
 	}
 
-	/**
-	 * What one read has brought. Thread safety: none, confined to the event loop of its
-	 * connection.
-	 */
-	private static final class Read {
-
-		private final ByteBuf bytes;
-
-		private final int begin;
-
-		/** Behind the last byte, also if the codec is given fewer. */
-		private final int end;
-
-		/** Whether no request was in progress when the bytes came. */
-		private final boolean idle;
-
-		private int heads;
-
-		private boolean ended;
-
-		/** Whether the answer that was waited for has ended. */
-		private boolean ownEnded;
-
-		private boolean hasTrailingBytes;
-
-		private Part part = Part.WHOLE;
-
-		Read(ByteBuf bytes, boolean idle) {
-			this.bytes = bytes;
-			this.begin = bytes.readerIndex();
-			this.end = bytes.writerIndex();
-			this.idle = idle && findStart() >= 0;
-		}
-
-		void recordEnd() {
-			this.ended = true;
-			this.hasTrailingBytes = (this.part == Part.WHOLE) ? findStart() >= 0 : this.part == Part.FIRST;
-		}
-
-		// The codec releases bytes that it has read.
-		boolean isHeld() {
-			return this.bytes.refCnt() > 1 && this.bytes.isReadable();
-		}
-
-		// From the last byte that is no line end.
-		int lastPartLength() {
-			int last = this.bytes.forEachByteDesc((value) -> value == '\r' || value == '\n');
-			return (last > this.bytes.readerIndex()) ? this.bytes.writerIndex() - last : 0;
-		}
-
-		boolean endsWithinForeignAnswer() {
-			return this.idle ? (!this.ended || this.hasTrailingBytes) : (this.ownEnded && this.hasTrailingBytes);
-		}
-
-		boolean showsMergedBody() {
-			return this.part == Part.WHOLE && this.hasTrailingBytes && !mayBeginAnswer(findStart())
-					&& countStatusLines() > this.heads;
-		}
-
-		// Line ends between answers are allowed.
-		private int findStart() {
-			int from = this.bytes.readerIndex();
-			return this.bytes.forEachByte(from, this.end - from, (value) -> value == '\r' || value == '\n');
-		}
-
-		private boolean mayBeginAnswer(int start) {
-			int length = Math.min(ANSWER_START.length, this.end - start);
-			return IntStream.range(0, length)
-				.allMatch((index) -> this.bytes.getByte(start + index) == ANSWER_START[index]);
-		}
-
-		private long countStatusLines() {
-			String text = this.bytes.toString(this.begin, this.end - this.begin, StandardCharsets.ISO_8859_1);
-			return StatusLines.countBefore(text, this.bytes.readerIndex() - this.begin);
-		}
-
-	}
-
-	/**
-	 * The part of a read that the codec is given.
-	 */
-	private enum Part {
-
-		WHOLE, FIRST, LAST
-
-	}
-
 	/**
 	 * Looks behind each answer that ends. Interim answers have the real one behind them.
 	 */
@@ -206,13 +109,13 @@
 		public void channelRead(ChannelHandlerContext context, Object message) {
 			if (message instanceof HttpResponse response) {
 				this.head = response;
-				TrailingBytesCheck.this.present.ifPresent((read) -> read.heads++);
+				TrailingBytesCheck.this.present.ifPresent(AnswerRead::recordHead);
 			}
 			boolean isEnd = message instanceof LastHttpContent last && last.decoderResult().isSuccess()
 					&& !isInterim(this.head);
-			Optional<Read> read = TrailingBytesCheck.this.present.filter((present) -> isEnd);
-			read.ifPresent(Read::recordEnd);
-			if (read.filter(Read::showsMergedBody).isEmpty()) {
+			Optional<AnswerRead> read = TrailingBytesCheck.this.present.filter((present) -> isEnd);
+			read.ifPresent(AnswerRead::recordEnd);
+			if (read.filter(AnswerRead::showsMergedBody).isEmpty()) {
 				context.fireChannelRead(message);
 				return;
 			}
@@ -229,35 +132,4 @@
 
 	}
 
-	/**
-	 * Knows whether a request is in progress. Interim answers don't end it.
-	 */
-	private final class Progress extends ChannelDuplexHandler {
-
-		private boolean requestInProgress;
-
-		private boolean interim;
-
-		@Override
-		public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
-			if (message instanceof HttpRequest) {
-				this.requestInProgress = true;
-			}
-			context.write(message, promise);
-		}
-
-		@Override
-		public void channelRead(ChannelHandlerContext context, Object message) {
-			if (message instanceof HttpResponse response) {
-				this.interim = isInterim(response);
-			}
-			if (message instanceof LastHttpContent && !this.interim) {
-				this.requestInProgress = false;
-				TrailingBytesCheck.this.present.ifPresent((read) -> read.ownEnded = true);
-			}
-			context.fireChannelRead(message);
-		}
-
-	}
-
 }
--- a/router/src/test/java/org/burdocktray/process/serve/gateway/ReplicaConnectionsTests.java
+++ b/router/src/test/java/org/burdocktray/process/serve/gateway/ReplicaConnectionsTests.java
@@ -78,7 +78,8 @@
 				.map((handler) -> handler.getClass().getSimpleName())
 				.toList();
 			assertThat(handlers).containsSubsequence("TrailingBytesCheck", "AnswerGrammarCheck", "HttpClientCodec",
-					"Messages", "AnswerEnds", "MergedAnswerCheck", "ForeignAnswerFilter", "Progress", "VertxHandler");
+					"Messages", "AnswerEnds", "MergedAnswerCheck", "ForeignAnswerFilter", "RequestProgress",
+					"VertxHandler");
 		}
 	}
 
