--- a/review/standins-3/SharedWatchCase.java
+++ b/review/standins-3/SharedWatchCase.java
@@ -28,9 +28,10 @@
 import java.util.regex.Pattern;
 
 /**
- * Case 11 on real processes: a small fleet whose machines were replaced; the store turns the two
- * VMs of a zone away that watch it, silently, while a key is taken away. Clients of the third VM of
- * the zone, which is not disturbed, go on with that key.
+ * Cases 12 and 13 on real processes: a small fleet whose machines were replaced; the store turns the
+ * two VMs of a zone away that watch it, silently. Case 13: a key is taken away, and clients of the
+ * third VM of the zone, which is not disturbed, go on with it. Case 12, with a second argument: two
+ * replicas drain, and exit some time after the bound.
  */
 public final class SharedWatchCase {
 
@@ -80,35 +81,60 @@
 
 	static long configVersion;
 
+	static final long DRAIN_MILLIS = 2_000;
+
+	/** How much longer than the bound a replica serves before it exits. */
+	static final long LONGER_MILLIS = 350;
+
+	static final Map<String, HttpServer> REPLICAS = new ConcurrentHashMap<>();
+
+	static final Map<String, String> ENTRIES = new ConcurrentHashMap<>();
+
+	/** When requests reached replicas that run them, by replica. */
+	static final Map<String, List<Object[]>> ARRIVALS = new ConcurrentHashMap<>();
+
+	static int replicaCount;
+
+	/** Whether the store answers nobody. */
+	static volatile boolean away;
+
+	/** Rises when the store comes back from a copy. */
+	static volatile long era = 1;
+
 	public static void main(String[] arguments) throws Exception {
 		boolean isTrouble = !"0".equals(System.getenv("TROUBLE"));
 		record = new PrintWriter(Files.newBufferedWriter(Path.of(arguments[0], "record.txt")), true);
-		work = Files.createTempDirectory("case-11");
+		work = Files.createTempDirectory("case-12-13");
 		int result = 2;
 		try {
-			result = run(isTrouble);
+			result = run(isTrouble, arguments);
 		}
 		catch (Exception ex) {
 			note("could not run: " + ex);
 			ex.printStackTrace();
 		}
 		finally {
-			VMS.values().forEach(Process::destroyForcibly);
-			for (Process vm : VMS.values()) {
-				vm.waitFor(5, TimeUnit.SECONDS);
-			}
-			for (File file : work.toFile().listFiles()) {
-				file.delete();
-			}
-			work.toFile().delete();
+			endAll();
 		}
 		note("exit " + result);
 		System.exit(result);
 	}
 
-	static int run(boolean isTrouble) throws Exception {
-		for (int index = 1; index <= 3; index++) {
-			startReplica("desk-" + index);
+	static void endAll() throws InterruptedException {
+		VMS.values().forEach(Process::destroyForcibly);
+		for (Process vm : VMS.values()) {
+			vm.waitFor(5, TimeUnit.SECONDS);
+		}
+		for (File file : work.toFile().listFiles()) {
+			file.delete();
+		}
+		work.toFile().delete();
+	}
+
+	static int run(boolean isTrouble, String[] arguments) throws Exception {
+		boolean isDrain = arguments.length > 1;
+		for (int index = 1; index <= (isDrain ? 8 : 3); index++) {
+			startReplica("desk-" + ++replicaCount);
 		}
 		putConfig(0);
 		List<String> gone = new ArrayList<>();
@@ -143,7 +169,13 @@
 		List<String> watchers = ankara.stream().filter((vm) -> !vm.equals(follower)).toList();
 		int late = 0;
 		for (int round = 1; round <= ROUNDS; round++) {
-			late += playRound(round, follower, watchers, isTrouble);
+			late += isDrain ? playDrain(round, follower, watchers, isTrouble)
+					: playRound(round, follower, watchers, isTrouble);
+		}
+		if (isDrain) {
+			note("requests that reached a replica more than " + DRAIN_MILLIS
+					+ " ms after the acknowledgement that it drains, sent on by a machine in touch: " + late);
+			return (late > 0) ? 1 : 0;
 		}
 		note("requests that ran with a removed key, sent more than " + CONFIG_APPLY_MILLIS
 				+ " ms after the acknowledgement, at a machine in touch: " + late);
@@ -197,6 +229,77 @@
 		return late;
 	}
 
+	static int playDrain(int round, String follower, List<String> watchers, boolean isTrouble) throws Exception {
+		long beginNanos = System.nanoTime();
+		List<long[]> answered = new ArrayList<>();
+		AtomicInteger open = new AtomicInteger(6);
+		long clientEnd = beginNanos + TimeUnit.MILLISECONDS.toNanos(8_000);
+		for (int index = 0; index < 6; index++) {
+			int client = index;
+			new Thread(() -> {
+				callRepeatedly(IPS.get(follower), CALLER_PORTS.get(follower), "key-0", "d" + round + "c" + client,
+						clientEnd, answered);
+				open.decrementAndGet();
+			}).start();
+		}
+		Thread.sleep(2_000);
+		List<String> leaving = List.of("desk-" + (2 * round - 1), "desk-" + (2 * round));
+		Map<String, Long> acknowledged = new HashMap<>();
+		acknowledged.put(leaving.get(0), drain(leaving.get(0)));
+		Thread.sleep(100);
+		if (isTrouble) {
+			TURNED_AWAY.addAll(watchers);
+			note("the store turns away, silently: " + watchers);
+		}
+		Thread.sleep(50);
+		acknowledged.put(leaving.get(1), drain(leaving.get(1)));
+		note("round " + round + ": acknowledged: drain " + leaving);
+		Thread.sleep(TURNED_AWAY_MILLIS);
+		TURNED_AWAY.clear();
+		while (open.get() > 0) {
+			Thread.sleep(20);
+		}
+		int late = 0;
+		for (String replica : leaving) {
+			long last = 0;
+			int lateHere = 0;
+			for (Object[] arrival : List.copyOf(ARRIVALS.get(replica))) {
+				long after = TimeUnit.NANOSECONDS.toMillis((long) arrival[0] - acknowledged.get(replica));
+				last = Math.max(last, after);
+				lateHere += (after > DRAIN_MILLIS) ? 1 : 0;
+			}
+			late += lateHere;
+			note("round " + round + ": " + replica + ": the last request came " + last
+					+ " ms after the acknowledgement, " + lateHere + " came late");
+		}
+		synchronized (answered) {
+			note("round " + round + ": requests=" + answered.size() + " answered with 502="
+					+ answered.stream().filter((answer) -> answer[1] == 502).count());
+		}
+		startReplica("desk-" + ++replicaCount);
+		startReplica("desk-" + ++replicaCount);
+		Thread.sleep(Math.max(0, ROUND_MILLIS - TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - beginNanos)));
+		return late;
+	}
+
+	// Returns when the store has accepted it. The replica serves on for the bound and a little longer.
+	static long drain(String replica) {
+		put("servers", replica, ENTRIES.get(replica).replace("\"ready\"", "\"draining\""));
+		long ackNanos = System.nanoTime();
+		daemon(() -> {
+			sleep(DRAIN_MILLIS + LONGER_MILLIS);
+			REPLICAS.get(replica).stop(0);
+			record.println(millis(System.nanoTime()) + " " + replica + " has exited");
+			sleep(500);
+			synchronized (STORE_LOCK) {
+				String[] gone = OBJECTS.get("servers").remove(replica);
+				HISTORY.add(new String[] { "servers", Long.toString(++revision), json(replica, gone), "gone" });
+				STORE_LOCK.notifyAll();
+			}
+		}).start();
+		return ackNanos;
+	}
+
 	// ---- clients
 
 	static void callRepeatedly(String ip, int port, String key, String prefix, long endNanos, List<long[]> answered) {
@@ -212,7 +315,8 @@
 				}
 				long sentNanos = System.nanoTime();
 				socket.getOutputStream()
-					.write(("GET /check/1 HTTP/1.1\r\nHost: " + HOST + "\r\nX-Burdocktray-Request-Id: " + id
+					.write((((prefix.startsWith("d")) ? "POST /book/1 HTTP/1.1\r\nContent-Length: 0\r\nHost: "
+							: "GET /check/1 HTTP/1.1\r\nHost: ") + HOST + "\r\nX-Burdocktray-Request-Id: " + id
 							+ "\r\nX-Burdocktray-Deadline-Ms: 600\r\nAuthorization: Bearer " + key + "\r\n\r\n")
 						.getBytes(StandardCharsets.ISO_8859_1));
 				int status = readAnswer(socket.getInputStream());
@@ -271,17 +375,21 @@
 				respond(exchange, "/health".equals(exchange.getRequestURI().getPath()) ? 200 : 404, "");
 				return;
 			}
-			sleep(15);
+			ARRIVALS.get(id).add(new Object[] { System.nanoTime(), request });
+			sleep(request.startsWith("d") ? 60 : 15);
 			record.println(millis(System.nanoTime()) + " " + id + " ran " + request);
 			exchange.getResponseHeaders().set("X-Burdocktray-Request-Id", request);
 			exchange.getResponseHeaders().set("X-Burdocktray-Response-Signature", id + "." + runs.incrementAndGet());
 			respond(exchange, 200, "in stock");
 		});
 		server.start();
-		put("servers", id,
+		REPLICAS.put(id, server);
+		ARRIVALS.put(id, java.util.Collections.synchronizedList(new ArrayList<>()));
+		ENTRIES.put(id,
 				"{\"service\":\"desk\",\"address\":\"127.0.0.1:" + server.getAddress().getPort()
 						+ "\",\"zone\":\"ankara-depo\",\"version\":1,\"slots\":6,\"state\":\"ready\",\"coldLeftMs\":0,"
 						+ "\"sequence\":1,\"born\":" + System.currentTimeMillis() + "}");
+		put("servers", id, ENTRIES.get(id));
 	}
 
 	// ---- the platform's store: one address for each machine, so that some can be turned away
@@ -291,15 +399,17 @@
 		server.setExecutor(Executors.newCachedThreadPool(SharedWatchCase::daemon));
 		server.createContext("/objects/", (exchange) -> {
 			String body = new String(exchange.getRequestBody().readAllBytes(), StandardCharsets.UTF_8);
-			if (TURNED_AWAY.contains(vm)) {
+			long eraAtStart = era;
+			if (TURNED_AWAY.contains(vm) || away) {
 				beSilent();
 			}
 			String[] path = exchange.getRequestURI().getPath().substring("/objects/".length()).split("/");
 			Map<String, String> query = query(exchange.getRequestURI().getRawQuery());
 			String[] answer = answer(exchange.getRequestMethod(), path, query, body);
-			if (TURNED_AWAY.contains(vm)) {
+			if (TURNED_AWAY.contains(vm) || away || era != eraAtStart) {
 				beSilent();
 			}
+			exchange.getResponseHeaders().set("Store-Era", Long.toString(era));
 			respond(exchange, Integer.parseInt(answer[0]), answer[1]);
 		});
 		server.start();
@@ -329,6 +439,9 @@
 				String[] found = kind.get(path[1]);
 				return (found != null) ? new String[] { "200", json(path[1], found) } : new String[] { "404", "{}" };
 			}
+			if ("GET".equals(method) && Long.parseLong(query.getOrDefault("watch", "0")) > revision) {
+				return new String[] { "410", "{\"currentRev\":" + revision + "}" };
+			}
 			if ("GET".equals(method) && query.containsKey("watch")) {
 				return new String[] { "200", watch(path[0], query) };
 			}
@@ -364,7 +477,7 @@
 			List<String> events = new ArrayList<>();
 			for (String[] event : HISTORY) {
 				if (event[0].equals(kind) && Long.parseLong(event[1]) > after) {
-					events.add("{\"object\":" + event[2] + ",\"tombstone\":false}");
+					events.add("{\"object\":" + event[2] + ",\"tombstone\":" + (event.length > 3) + "}");
 				}
 			}
 			long leftMillis = TimeUnit.NANOSECONDS.toMillis(endNanos - System.nanoTime());
@@ -410,7 +523,9 @@
 		put("config", "main", "{\"version\":" + configVersion
 				+ ",\"routes\":[{\"name\":\"check\",\"host\":\"" + HOST + "\",\"pathPrefix\":\"/check/\",\"kind\":"
 				+ "\"idempotent\",\"timeoutMs\":" + (600 + configVersion) + ",\"targetLatencyMs\":121,\"priority\":2,"
-				+ "\"service\":\"desk\",\"maxAttempts\":2}],\"services\":[{\"name\":\"desk\",\"healthPath\":\"/health\","
+				+ "\"service\":\"desk\",\"maxAttempts\":2},{\"name\":\"book\",\"host\":\"" + HOST
+				+ "\",\"pathPrefix\":\"/book/\",\"kind\":\"non_idempotent\",\"timeoutMs\":600,\"targetLatencyMs\":"
+				+ "121,\"priority\":2,\"service\":\"desk\",\"maxAttempts\":1}],\"services\":[{\"name\":\"desk\",\"healthPath\":\"/health\","
 				+ "\"maxConnections\":96}],\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,"
 				+ "\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000},\"tenants\":[{\"name\":\"acme\",\"priority\":1,"
 				+ "\"apiKeys\":[" + String.join(",", keys) + "]}]}");
