--- a/review/standins-3/EraCase.java
+++ b/review/standins-3/EraCase.java
@@ -27,7 +27,7 @@
 
 	public static void main(String[] arguments) throws Exception {
 		boolean isTrouble = !"0".equals(System.getenv("TROUBLE"));
-		SharedWatchCase.record = new PrintWriter(Files.newBufferedWriter(Path.of(arguments[0], "record.txt")), true);
+		SharedWatchCase.record = new PrintWriter(Files.newBufferedWriter(Path.of(arguments[0])), true);
 		SharedWatchCase.work = Files.createTempDirectory("case-11");
 		int result = 2;
 		try {
--- a/review/standins-3/SharedWatchCase.java
+++ b/review/standins-3/SharedWatchCase.java
@@ -103,7 +103,7 @@
 
 	public static void main(String[] arguments) throws Exception {
 		boolean isTrouble = !"0".equals(System.getenv("TROUBLE"));
-		record = new PrintWriter(Files.newBufferedWriter(Path.of(arguments[0], "record.txt")), true);
+		record = new PrintWriter(Files.newBufferedWriter(Path.of(arguments[0])), true);
 		work = Files.createTempDirectory("case-12-13");
 		int result = 2;
 		try {
