--- a/review/standins-3/SharedWatchCase.java
+++ b/review/standins-3/SharedWatchCase.java
@@ -37,7 +37,7 @@
 
 	static final long CONFIG_APPLY_MILLIS = 2_000;
 
-	static final int ROUNDS = 3;
+	static final int ROUNDS = 5;
 
 	static final long ROUND_MILLIS = 14_000;
 
