--- a/bench/src/main/java/org/burdocktray/bench/bundle/SimulatedStore.java
+++ b/bench/src/main/java/org/burdocktray/bench/bundle/SimulatedStore.java
@@ -19,6 +19,7 @@
 import io.vavr.control.Either;
 import org.burdocktray.connection.platform.PlatformStore;
 import org.burdocktray.connection.platform.StoreError;
+import org.burdocktray.connection.platform.StoreRevision;
 import org.burdocktray.connection.platform.StoredObject;
 import org.burdocktray.process.bundle.BundleKeys;
 
@@ -103,12 +104,12 @@
 		return Either.right(put(key, value));
 	}
 
-	private Either<StoreError, StoredObject> update(String key, long expectedVersion, String value) {
+	private Either<StoreError, StoredObject> update(String key, StoreRevision expectedVersion, String value) {
 		StoredObject current = this.objects.get(key);
 		if (current == null) {
 			return Either.left(StoreError.NOT_FOUND);
 		}
-		return (current.version() == expectedVersion) ? Either.right(put(key, value))
+		return (current.version().equals(expectedVersion)) ? Either.right(put(key, value))
 				: Either.left(StoreError.CONFLICT);
 	}
 
@@ -207,7 +208,8 @@
 		}
 
 		@Override
-		public Single<Either<StoreError, StoredObject>> update(String key, long expectedVersion, String value) {
+		public Single<Either<StoreError, StoredObject>> update(String key, StoreRevision expectedVersion,
+				String value) {
 			return call(() -> SimulatedStore.this.update(key, expectedVersion, value), StoreError.UNRESOLVED);
 		}
 
@@ -224,7 +226,7 @@
 				SimulatedStore.this.watches.add(watch);
 				SimulatedStore.this.objects.values()
 					.stream()
-					.filter((object) -> object.version() > afterVersion)
+					.filter((object) -> object.version().number() > afterVersion)
 					.toList()
 					.forEach(watch::deliver);
 			}, BackpressureStrategy.BUFFER);
--- a/bench/src/main/java/org/burdocktray/bench/claim/CountingStore.java
+++ b/bench/src/main/java/org/burdocktray/bench/claim/CountingStore.java
@@ -13,6 +13,7 @@
 import io.vavr.control.Either;
 import org.burdocktray.connection.platform.PlatformStore;
 import org.burdocktray.connection.platform.StoreError;
+import org.burdocktray.connection.platform.StoreRevision;
 import org.burdocktray.connection.platform.StoredObject;
 
 /**
@@ -95,7 +96,7 @@
 	}
 
 	@Override
-	public Single<Either<StoreError, StoredObject>> update(String key, long expectedVersion, String value) {
+	public Single<Either<StoreError, StoredObject>> update(String key, StoreRevision expectedVersion, String value) {
 		return call(() -> put(key, Optional.of(expectedVersion), value));
 	}
 
@@ -104,7 +105,7 @@
 		return Flowable.empty();
 	}
 
-	private Either<StoreError, StoredObject> put(String key, Optional<Long> expectedVersion, String value) {
+	private Either<StoreError, StoredObject> put(String key, Optional<StoreRevision> expectedVersion, String value) {
 		this.writes++;
 		this.writtenBytes += value.length();
 		if (!Optional.ofNullable(this.objects.get(key)).map(StoredObject::version).equals(expectedVersion)) {
--- a/bench/src/main/java/org/burdocktray/bench/claim/ObjectPerClaimRegistry.java
+++ b/bench/src/main/java/org/burdocktray/bench/claim/ObjectPerClaimRegistry.java
@@ -2,6 +2,7 @@
 
 import io.reactivex.rxjava3.core.Single;
 import org.burdocktray.connection.platform.PlatformStore;
+import org.burdocktray.connection.platform.StoreRevision;
 import org.burdocktray.model.Refusal;
 import org.burdocktray.model.RefusalReason;
 import org.burdocktray.process.claim.ClaimDecision;
@@ -28,7 +29,7 @@
 			.map((result) -> result.<ClaimDecision>fold(
 					(error) -> new ClaimDecision.Refused(Refusal.notRun(RefusalReason.KEY_IN_PROGRESS, "")),
 					(object) -> new ClaimDecision.Granted(new ClaimTicket(request.organisation(),
-							request.idempotencyKey(), Long.toString(object.version())))));
+							request.idempotencyKey(), Long.toString(object.version().number())))));
 	}
 
 	@Override
@@ -47,7 +48,7 @@
 	}
 
 	private Single<Boolean> replace(ClaimTicket ticket, String value) {
-		return this.store.update(ticket.idempotencyKey(), Long.parseLong(ticket.claimId()), value)
+		return this.store.update(ticket.idempotencyKey(), StoreRevision.of(Long.parseLong(ticket.claimId())), value)
 			.map((result) -> result.isRight());
 	}
 
--- a/router/src/main/java/org/burdocktray/connection/platform/ChangeFeed.java
+++ b/router/src/main/java/org/burdocktray/connection/platform/ChangeFeed.java
@@ -30,8 +30,8 @@
 	 * @param waitMillis the maximum time to wait for the first change
 	 * @return the changes, none if there were none within the wait time; or the error,
 	 * {@link StoreError#NOT_FOUND} if the store no longer has the changes after the
-	 * revision
+	 * revision, or has returned from a copy since
 	 */
-	Single<Either<StoreError, ObjectChanges>> awaitChanges(String kind, long afterRevision, long waitMillis);
+	Single<Either<StoreError, ObjectChanges>> awaitChanges(String kind, StoreRevision afterRevision, long waitMillis);
 
 }
--- a/router/src/main/java/org/burdocktray/connection/platform/HttpPlatformStore.java
+++ b/router/src/main/java/org/burdocktray/connection/platform/HttpPlatformStore.java
@@ -77,8 +77,8 @@
 	}
 
 	@Override
-	public Single<Either<StoreError, StoredObject>> update(String key, long expectedVersion, String value) {
-		Buffer body = new JsonObject().put("expectedVersion", expectedVersion).put("value", value).toBuffer();
+	public Single<Either<StoreError, StoredObject>> update(String key, StoreRevision expectedVersion, String value) {
+		Buffer body = new JsonObject().put("expectedVersion", expectedVersion.number()).put("value", value).toBuffer();
 		return call(HttpMethod.PUT, OBJECTS_PATH + key, body, HttpPlatformStore::toObject);
 	}
 
--- a/router/src/main/java/org/burdocktray/connection/platform/ObjectChanges.java
+++ b/router/src/main/java/org/burdocktray/connection/platform/ObjectChanges.java
@@ -11,7 +11,7 @@
  * further changes
  * @param confirmation when the state was confirmed, empty if that follows from the call
  */
-public record ObjectChanges(List<ObjectChange> changes, long revision, Optional<Confirmation> confirmation) {
+public record ObjectChanges(List<ObjectChange> changes, StoreRevision revision, Optional<Confirmation> confirmation) {
 
 	public ObjectChanges {
 		changes = List.copyOf(changes);
@@ -22,7 +22,7 @@
 	 * @param changes the changes
 	 * @param revision the revision of the store
 	 */
-	public ObjectChanges(List<ObjectChange> changes, long revision) {
+	public ObjectChanges(List<ObjectChange> changes, StoreRevision revision) {
 		this(changes, revision, Optional.empty());
 	}
 
--- a/router/src/main/java/org/burdocktray/connection/platform/ObjectListing.java
+++ b/router/src/main/java/org/burdocktray/connection/platform/ObjectListing.java
@@ -13,7 +13,7 @@
  * to watch for changes
  * @param confirmation when the state was confirmed, empty if that follows from the call
  */
-public record ObjectListing(List<StoredObject> objects, long revision, Optional<Confirmation> confirmation) {
+public record ObjectListing(List<StoredObject> objects, StoreRevision revision, Optional<Confirmation> confirmation) {
 
 	public ObjectListing {
 		objects = List.copyOf(objects);
@@ -24,7 +24,7 @@
 	 * @param objects the objects
 	 * @param revision the revision of the store
 	 */
-	public ObjectListing(List<StoredObject> objects, long revision) {
+	public ObjectListing(List<StoredObject> objects, StoreRevision revision) {
 		this(objects, revision, Optional.empty());
 	}
 
--- a/router/src/main/java/org/burdocktray/connection/platform/PlatformStore.java
+++ b/router/src/main/java/org/burdocktray/connection/platform/PlatformStore.java
@@ -43,9 +43,10 @@
 	 * @param key the key
 	 * @param expectedVersion the version that was read
 	 * @param value the new value
-	 * @return the stored object, or the error
+	 * @return the stored object, or the error; {@link StoreError#ERA_CHANGED} if the
+	 * store has returned from a copy since the version was read
 	 */
-	Single<Either<StoreError, StoredObject>> update(String key, long expectedVersion, String value);
+	Single<Either<StoreError, StoredObject>> update(String key, StoreRevision expectedVersion, String value);
 
 	/**
 	 * Watches the objects whose keys have a prefix. The stream completes when the watch
--- a/router/src/main/java/org/burdocktray/connection/platform/StoreError.java
+++ b/router/src/main/java/org/burdocktray/connection/platform/StoreError.java
@@ -17,6 +17,12 @@
 	/** The call was rejected or not sent; the write was not applied. */
 	UNAVAILABLE,
 
+	/**
+	 * The store has returned from a copy since the expected version was read, so that the
+	 * version may belong to another value; the write may have been applied.
+	 */
+	ERA_CHANGED,
+
 	/**
 	 * The call was sent, but no valid response was received; the write may have been
 	 * applied.
--- a/router/src/main/java/org/burdocktray/process/bundle/BundleFollower.java
+++ b/router/src/main/java/org/burdocktray/process/bundle/BundleFollower.java
@@ -11,6 +11,7 @@
 
 import io.vavr.control.Either;
 import org.burdocktray.connection.platform.StoreError;
+import org.burdocktray.connection.platform.StoreRevision;
 import org.burdocktray.connection.platform.StoredObject;
 import org.burdocktray.model.DataCentre;
 import org.burdocktray.model.NetworkAddress;
@@ -69,7 +70,7 @@
 
 	private boolean isWatching;
 
-	private long storeRevision;
+	private StoreRevision storeRevision = StoreRevision.NONE;
 
 	private long pollAtNanos;
 
@@ -310,7 +311,7 @@
 	}
 
 	private void acceptStored(StoredObject object, List<FollowerAction> actions) {
-		this.storeRevision = Math.max(this.storeRevision, object.version());
+		this.storeRevision = StoreRevision.max(this.storeRevision, object.version());
 		// Recorded even if refused, otherwise the scan would read the refused bundle
 		// again and again.
 		BundleKeys.rolledVersion(object.key()).ifPresent(this.scan::recordRolled);
@@ -379,7 +380,7 @@
 	private void openWatchIfDue(long nowNanos, List<FollowerAction> actions) {
 		if (this.isWatcher && !this.isWatching && !this.isStarting && nowNanos - this.watchAtNanos >= 0) {
 			this.isWatching = true;
-			actions.add(new FollowerAction.OpenWatch(this.storeRevision));
+			actions.add(new FollowerAction.OpenWatch(this.storeRevision.number()));
 			beginScan(actions);
 		}
 	}
--- a/router/src/main/java/org/burdocktray/process/claim/ClaimAction.java
+++ b/router/src/main/java/org/burdocktray/process/claim/ClaimAction.java
@@ -1,6 +1,8 @@
 package org.burdocktray.process.claim;
 
-import java.util.OptionalLong;
+import java.util.Optional;
+
+import org.burdocktray.connection.platform.StoreRevision;
 
 /**
  * An action that {@link ClaimShard} requests from its {@link ShardDriver}. Thread safety:
@@ -21,7 +23,7 @@
 	 * @param expectedVersion the version to replace; empty to create the object
 	 * @param value the new value
 	 */
-	record WriteObject(OptionalLong expectedVersion, String value) implements ClaimAction {
+	record WriteObject(Optional<StoreRevision> expectedVersion, String value) implements ClaimAction {
 
 	}
 
--- a/router/src/main/java/org/burdocktray/process/claim/ClaimEvent.java
+++ b/router/src/main/java/org/burdocktray/process/claim/ClaimEvent.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 
 import org.burdocktray.connection.platform.StoreError;
+import org.burdocktray.connection.platform.StoreRevision;
 import org.burdocktray.connection.platform.StoredObject;
 
 /**
@@ -55,7 +56,7 @@
 	 *
 	 * @param version the new version
 	 */
-	record WriteApplied(long version) implements ClaimEvent {
+	record WriteApplied(StoreRevision version) implements ClaimEvent {
 
 	}
 
--- a/router/src/main/java/org/burdocktray/process/claim/ClaimShard.java
+++ b/router/src/main/java/org/burdocktray/process/claim/ClaimShard.java
@@ -10,6 +10,7 @@
 
 import io.vavr.control.Either;
 import org.burdocktray.connection.platform.StoreError;
+import org.burdocktray.connection.platform.StoreRevision;
 import org.burdocktray.connection.platform.StoredObject;
 import org.burdocktray.model.Refusal;
 import org.burdocktray.model.RefusalReason;
@@ -54,7 +55,7 @@
 
 	private OptionalLong readStartedNanos = OptionalLong.empty();
 
-	private Optional<OptionalLong> unresolvedWriteVersion = Optional.empty();
+	private Optional<Optional<StoreRevision>> unresolvedWriteVersion = Optional.empty();
 
 	private boolean mustRead;
 
@@ -123,7 +124,7 @@
 			onCallFailed(now);
 			return;
 		}
-		OptionalLong version = object.map((stored) -> OptionalLong.of(stored.version())).orElse(OptionalLong.empty());
+		Optional<StoreRevision> version = object.map(StoredObject::version);
 		ShardView newView = new ShardView(version, table.get(), asOfNanos);
 		this.view.ifPresent((previous) -> this.throttle.onObjectRead(!previous.hasVersion(version)));
 		this.view = Optional.of(newView);
@@ -139,7 +140,7 @@
 		if (object.isEmpty()) {
 			return Either.right(ClaimTable.empty(this.retention));
 		}
-		OptionalLong version = OptionalLong.of(object.get().version());
+		Optional<StoreRevision> version = object.map(StoredObject::version);
 		Optional<ShardView> cached = this.view.filter((current) -> current.hasVersion(version));
 		return cached.<Either<String, ClaimTable>>map((current) -> Either.right(current.table()))
 			.orElseGet(() -> ClaimTable.decode(this.retention, object.get().value()));
@@ -151,14 +152,14 @@
 			.isPresent();
 	}
 
-	private void onWriteApplied(long version, ClaimTime now) {
+	private void onWriteApplied(StoreRevision version, ClaimTime now) {
 		Evaluation evaluation = this.writeInFlight.orElseThrow();
 		this.writeInFlight = Optional.empty();
 		this.unresolvedWriteVersion = Optional.empty();
 		this.consecutiveFailures = 0;
 		this.cycleActive = false;
 		this.throttle.onWriteApplied();
-		this.view = Optional.of(new ShardView(OptionalLong.of(version), evaluation.table(), evaluation.asOfNanos()));
+		this.view = Optional.of(new ShardView(Optional.of(version), evaluation.table(), evaluation.asOfNanos()));
 		deliverResults(evaluation, now);
 	}
 
@@ -325,8 +326,8 @@
 	 * reflects it
 	 * @param asOfNanos a time at or after which the stored object has this state
 	 */
-	private record Evaluation(OptionalLong expectedVersion, ClaimTable table, Map<String, ClaimDecision> decisions,
-			Map<Long, Boolean> recorded, long asOfNanos) {
+	private record Evaluation(Optional<StoreRevision> expectedVersion, ClaimTable table,
+			Map<String, ClaimDecision> decisions, Map<Long, Boolean> recorded, long asOfNanos) {
 
 	}
 
--- a/router/src/main/java/org/burdocktray/process/claim/ShardDriver.java
+++ b/router/src/main/java/org/burdocktray/process/claim/ShardDriver.java
@@ -2,7 +2,6 @@
 
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
@@ -17,6 +16,7 @@
 import io.vavr.control.Either;
 import org.burdocktray.connection.platform.PlatformStore;
 import org.burdocktray.connection.platform.StoreError;
+import org.burdocktray.connection.platform.StoreRevision;
 import org.burdocktray.connection.platform.StoredObject;
 import org.jboss.logging.Logger;
 
@@ -135,11 +135,11 @@
 					(object) -> new ClaimEvent.WriteApplied(object.version()))));
 	}
 
-	private Single<Either<StoreError, StoredObject>> sendWrite(OptionalLong expectedVersion, String value) {
+	private Single<Either<StoreError, StoredObject>> sendWrite(Optional<StoreRevision> expectedVersion, String value) {
 		if (expectedVersion.isEmpty()) {
 			return this.store.create(this.objectKey, value);
 		}
-		return this.store.update(this.objectKey, expectedVersion.getAsLong(), value);
+		return this.store.update(this.objectKey, expectedVersion.get(), value);
 	}
 
 	// Timeouts and unexpected errors leave a call unresolved.
--- a/router/src/main/java/org/burdocktray/process/claim/ShardView.java
+++ b/router/src/main/java/org/burdocktray/process/claim/ShardView.java
@@ -1,6 +1,8 @@
 package org.burdocktray.process.claim;
 
-import java.util.OptionalLong;
+import java.util.Optional;
+
+import org.burdocktray.connection.platform.StoreRevision;
 
 /**
  * The last known state of a shard's object. Thread safety: confined to its shard.
@@ -9,7 +11,7 @@
  * @param table the entries
  * @param asOfNanos a time at or after which the object had this state
  */
-record ShardView(OptionalLong version, ClaimTable table, long asOfNanos) {
+record ShardView(Optional<StoreRevision> version, ClaimTable table, long asOfNanos) {
 
 	/**
 	 * Returns whether the object is newer than a version, so that a write that expects
@@ -17,12 +19,12 @@
 	 * @param expectedVersion the version; empty for a write that creates the object
 	 * @return whether the object is newer
 	 */
-	boolean isNewerThan(OptionalLong expectedVersion) {
+	boolean isNewerThan(Optional<StoreRevision> expectedVersion) {
 		return this.version.isPresent()
-				&& (expectedVersion.isEmpty() || this.version.getAsLong() > expectedVersion.getAsLong());
+				&& (expectedVersion.isEmpty() || this.version.get().isAfter(expectedVersion.get()));
 	}
 
-	boolean hasVersion(OptionalLong expectedVersion) {
+	boolean hasVersion(Optional<StoreRevision> expectedVersion) {
 		return this.version.equals(expectedVersion);
 	}
 
--- a/router/src/main/java/org/burdocktray/process/order/GroupDriver.java
+++ b/router/src/main/java/org/burdocktray/process/order/GroupDriver.java
@@ -121,7 +121,7 @@
 
 	private void writeLease(OrderAction.WriteLease write) {
 		Single<Either<StoreError, StoredObject>> sent = (write.expectedVersion().isPresent())
-				? this.store.update(this.leaseKey, write.expectedVersion().getAsLong(), write.value())
+				? this.store.update(this.leaseKey, write.expectedVersion().get(), write.value())
 				: this.store.create(this.leaseKey, write.value());
 		callWithTimeout(sent, STORE_CALL_TIMEOUT_MILLIS, Either.left(StoreError.UNRESOLVED),
 				(result) -> result.fold(OrderEvent.LeaseWriteFailed::new, OrderEvent.LeaseWritten::new));
--- a/router/src/main/java/org/burdocktray/process/order/LeaseKeeper.java
+++ b/router/src/main/java/org/burdocktray/process/order/LeaseKeeper.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.TimeUnit;
 
 import org.burdocktray.connection.platform.StoreError;
+import org.burdocktray.connection.platform.StoreRevision;
 import org.burdocktray.connection.platform.StoredObject;
 
 /**
@@ -75,8 +76,7 @@
 			return Optional.of(new OrderAction.ReadLease());
 		}
 		this.writeSentNanos = nowNanos;
-		OptionalLong expected = this.observed.map((lease) -> OptionalLong.of(lease.fencingNumber()))
-			.orElse(OptionalLong.empty());
+		Optional<StoreRevision> expected = this.observed.map(OrderLease::version);
 		return Optional.of(new OrderAction.WriteLease(expected,
 				OrderLease.toStoredValue(this.holder, this.settings.ttlMillis(), ++this.writeCount)));
 	}
@@ -115,7 +115,7 @@
 		// An earlier unresolved write expected an older version and can no longer be
 		// applied.
 		this.unresolvedSinceNanos = OptionalLong.empty();
-		markHeld(object.version(), this.writeSentNanos);
+		markHeld(object.version().number(), this.writeSentNanos);
 		this.nextCallNanos = this.writeSentNanos + nanos(this.settings.renewMillis());
 	}
 
--- a/router/src/main/java/org/burdocktray/process/order/LeaseLoop.java
+++ b/router/src/main/java/org/burdocktray/process/order/LeaseLoop.java
@@ -71,7 +71,7 @@
 	private void perform(OrderAction action) {
 		if (action instanceof OrderAction.WriteLease write) {
 			var call = write.expectedVersion().isPresent()
-					? this.store.update(this.key, write.expectedVersion().getAsLong(), write.value())
+					? this.store.update(this.key, write.expectedVersion().get(), write.value())
 					: this.store.create(this.key, write.value());
 			call.subscribe(this::onWritten);
 			return;
--- a/router/src/main/java/org/burdocktray/process/order/OrderAction.java
+++ b/router/src/main/java/org/burdocktray/process/order/OrderAction.java
@@ -1,8 +1,9 @@
 package org.burdocktray.process.order;
 
-import java.util.OptionalLong;
+import java.util.Optional;
 
 import org.burdocktray.connection.engine.EngineOrder;
+import org.burdocktray.connection.platform.StoreRevision;
 import org.burdocktray.version.bundle.Engine;
 
 /**
@@ -23,7 +24,7 @@
 	 * @param expectedVersion the version to replace; empty when the lease is created
 	 * @param value the value to store
 	 */
-	record WriteLease(OptionalLong expectedVersion, String value) implements OrderAction {
+	record WriteLease(Optional<StoreRevision> expectedVersion, String value) implements OrderAction {
 
 	}
 
--- a/router/src/main/java/org/burdocktray/process/order/OrderLease.java
+++ b/router/src/main/java/org/burdocktray/process/order/OrderLease.java
@@ -6,6 +6,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.burdocktray.connection.platform.StoreRevision;
 import org.burdocktray.connection.platform.StoredObject;
 
 /**
@@ -15,10 +16,10 @@
  * orders of its new holder. Thread safety: immutable.
  *
  * @param holder the id of the holding process, unique across restarts
- * @param fencingNumber the version of the stored lease
+ * @param version the version of the stored lease
  * @param ttlMillis how long one write is valid, counted from before it was sent
  */
-record OrderLease(String holder, long fencingNumber, long ttlMillis) {
+record OrderLease(String holder, StoreRevision version, long ttlMillis) {
 
 	/** Prefix of the keys of the leases. */
 	static final String KEY_PREFIX = "leases/orders/";
@@ -37,6 +38,10 @@
 				root.path("ttlMillis").asLong(defaultTtlMillis));
 	}
 
+	long fencingNumber() {
+		return this.version.number();
+	}
+
 	/**
 	 * Returns the value to store. The store assigns the fencing number.
 	 * @param holder the holder
--- a/router/src/main/java/org/burdocktray/process/quarantine/QuarantineStore.java
+++ b/router/src/main/java/org/burdocktray/process/quarantine/QuarantineStore.java
@@ -17,6 +17,7 @@
 import org.burdocktray.connection.peer.generated.QuarantineEntry;
 import org.burdocktray.connection.platform.PlatformStore;
 import org.burdocktray.connection.platform.StoreError;
+import org.burdocktray.connection.platform.StoreRevision;
 import org.burdocktray.connection.platform.StoredObject;
 import org.jboss.logging.Logger;
 
@@ -53,9 +54,9 @@
 	 * The versions of stored objects whose content the quarantine knows, by key, so that
 	 * a change of one takes a single call.
 	 */
-	private final Map<String, Long> knownVersions = Collections.synchronizedMap(new LinkedHashMap<>() {
+	private final Map<String, StoreRevision> knownVersions = Collections.synchronizedMap(new LinkedHashMap<>() {
 		@Override
-		protected boolean removeEldestEntry(Map.Entry<String, Long> eldest) {
+		protected boolean removeEldestEntry(Map.Entry<String, StoreRevision> eldest) {
 			return size() > MAX_VERSIONS;
 		}
 	});
@@ -137,7 +138,7 @@
 		Gossip.Builder entries = Gossip.newBuilder();
 		for (StoredObject object : objects) {
 			// A watch may show an older state than that which this VM has written.
-			this.knownVersions.merge(object.key(), object.version(), Math::max);
+			this.knownVersions.merge(object.key(), object.version(), StoreRevision::max);
 			decode(object).ifPresent(entries::addQuarantine);
 		}
 		this.quarantine.merge(entries.build(), this.nanoClock.getAsLong());
@@ -146,7 +147,7 @@
 	private Single<Boolean> write(QuarantineEntry entry) {
 		String key = this.format.keyPrefix() + QuarantineCodec.fingerprint(entry).bodyDigest() + '-'
 				+ Base64.getUrlEncoder().withoutPadding().encodeToString(entry.getOrganisationBytes().toByteArray());
-		Long knownVersion = this.knownVersions.get(key);
+		StoreRevision knownVersion = this.knownVersions.get(key);
 		Single<Either<StoreError, StoredObject>> firstWrite = (knownVersion != null) ? replace(key, entry, knownVersion)
 				: this.store.create(key, encode(entry));
 		return firstWrite
@@ -179,7 +180,7 @@
 		});
 	}
 
-	private Single<Either<StoreError, StoredObject>> replace(String key, QuarantineEntry entry, long version) {
+	private Single<Either<StoreError, StoredObject>> replace(String key, QuarantineEntry entry, StoreRevision version) {
 		return this.quarantine.entry(QuarantineCodec.fingerprint(entry), this.nanoClock.getAsLong())
 			.map((merged) -> this.store.update(key, version, encode(merged)))
 			.orElseGet(() -> Single.just(Either.left(StoreError.NOT_FOUND)));
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/CountedStore.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/CountedStore.java
@@ -11,6 +11,7 @@
 import org.burdocktray.connection.platform.ObjectListing;
 import org.burdocktray.connection.platform.PlatformStore;
 import org.burdocktray.connection.platform.StoreError;
+import org.burdocktray.connection.platform.StoreRevision;
 import org.burdocktray.connection.platform.StoredObject;
 
 /**
@@ -37,7 +38,7 @@
 	 */
 	static GatewayAdapter count(GatewayAdapter adapter, GatewayMetrics metrics) {
 		return new GatewayAdapter(adapter.headers(), adapter.objects(), new CountedStore(adapter.store(), metrics),
-				new CountedFeed(adapter.feed(), metrics), new CountedFeed(adapter.hintFeed(), metrics),
+				new CountedFeed(adapter.feed(), metrics), new CountedFeed(adapter.hintFeed(), metrics), adapter.eras(),
 				adapter.engineControl());
 	}
 
@@ -60,7 +61,7 @@
 	}
 
 	@Override
-	public Single<Either<StoreError, StoredObject>> update(String key, long expectedVersion, String value) {
+	public Single<Either<StoreError, StoredObject>> update(String key, StoreRevision expectedVersion, String value) {
 		recordCall(key, "write");
 		return this.store.update(key, expectedVersion, value);
 	}
@@ -84,7 +85,7 @@
 		}
 
 		@Override
-		public Single<Either<StoreError, ObjectChanges>> awaitChanges(String kind, long afterRevision,
+		public Single<Either<StoreError, ObjectChanges>> awaitChanges(String kind, StoreRevision afterRevision,
 				long waitMillis) {
 			this.metrics.recordStoreCall(kind, "watch");
 			return this.feed.awaitChanges(kind, afterRevision, waitMillis);
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayAdapter.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayAdapter.java
@@ -3,6 +3,7 @@
 import io.vertx.core.Vertx;
 import org.burdocktray.connection.platform.ChangeFeed;
 import org.burdocktray.connection.platform.PlatformStore;
+import org.burdocktray.process.restore.StoreEras;
 
 /**
  * The parts that communicate with one platform. Thread safety: that of its parts, which
@@ -13,10 +14,11 @@
  * @param store reads and writes objects of the gateway's own kinds
  * @param feed lists objects and returns their changes
  * @param hintFeed the same, but what it returns may be seconds old, at a lower cost
+ * @param eras the eras of the store, as its answers show them
  * @param engineControl requests load reports from engines and sends them orders
  */
 public record GatewayAdapter(HeaderCodec headers, ObjectCodec objects, PlatformStore store, ChangeFeed feed,
-		ChangeFeed hintFeed, EngineControl engineControl) {
+		ChangeFeed hintFeed, StoreEras eras, EngineControl engineControl) {
 
 	/**
 	 * Returns an adapter with other feeds.
@@ -25,7 +27,8 @@
 	 * @return the adapter
 	 */
 	GatewayAdapter withFeeds(ChangeFeed nextFeed, ChangeFeed nextHintFeed) {
-		return new GatewayAdapter(this.headers, this.objects, this.store, nextFeed, nextHintFeed, this.engineControl);
+		return new GatewayAdapter(this.headers, this.objects, this.store, nextFeed, nextHintFeed, this.eras,
+				this.engineControl);
 	}
 
 	/**
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayMetrics.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayMetrics.java
@@ -317,6 +317,11 @@
 		.help("The version of the rules in force")
 		.register(this.registry);
 
+	private final Gauge storeEra = Gauge.builder()
+		.name("burdocktray_gateway_store_era")
+		.help("Latest era of the platform's store that this VM has seen, 0 until it has returned from a copy")
+		.register(this.registry);
+
 	void recordRequest(int status, String ran) {
 		this.requests.labelValues(Integer.toString(status), ran).inc();
 	}
@@ -480,6 +485,10 @@
 		this.dataCentreShare.labelValues(service, dataCentre).set(load.share());
 	}
 
+	void setStoreEra(long era) {
+		this.storeEra.set(era);
+	}
+
 	void setRulesVersion(long version) {
 		this.rulesVersion.set(version);
 	}
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayServer.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayServer.java
@@ -47,6 +47,7 @@
 import org.burdocktray.process.pressure.VmPressure;
 import org.burdocktray.process.quarantine.Quarantine;
 import org.burdocktray.process.quarantine.QuarantineSettings;
+import org.burdocktray.process.restore.StoreEras;
 import org.burdocktray.process.serve.watch.WatchClient;
 import org.burdocktray.process.serve.watch.WatchEndpoint;
 import org.burdocktray.process.settings.GatewayOptions;
@@ -130,6 +131,8 @@
 
 	private final StoreOutage storeOutage = new StoreOutage();
 
+	private final StoreEras storeEras;
+
 	private final Quarantine quarantine;
 
 	private final EventLoopDelay eventLoopDelay = new EventLoopDelay(TimeUnit.MILLISECONDS.toNanos(TICK_MILLIS),
@@ -180,6 +183,7 @@
 		GatewayAdapter counted = CountedStore.count(adapterFactory.create(this.vertx, settings), this.metrics);
 		GatewayAdapter direct = counted.withFeeds(new RepeatingFeed(counted.feed()),
 				new RepeatingFeed(counted.hintFeed()));
+		this.storeEras = direct.eras();
 		this.relayKey = new RelayKey(this.vertx, direct.store());
 		this.storeSharing = options.watch().map((watch) -> shareStore(watch, direct));
 		this.adapter = this.storeSharing.map((sharing) -> direct.withFeeds(sharing.feed(), sharing.hintFeed()))
@@ -367,6 +371,7 @@
 		demand.ifPresent((exchange) -> exchangeDemand(exchange, pressure, datagrams));
 		overload.ifPresent((control) -> this.vertx.setPeriodic(OVERLOAD_UPDATE_MILLIS, (timer) -> runTick("overload",
 				() -> this.rules.current().ifPresent((current) -> control.update(current, System.nanoTime())))));
+		this.storeEras.addListener(() -> this.metrics.setStoreEra(this.storeEras.current()));
 		startWatchers();
 		fleetRegistry.start();
 		this.relayKey.start();
@@ -413,7 +418,7 @@
 				new WatchedKind(direct.objects().replicasKind(), this.watchWaits.sharedReplicasMillis(), false)),
 				List.of(new WatchedKind(QuarantineSync.KIND, QuarantineSync.WATCH_WAIT_MILLIS, false),
 						new WatchedKind(FleetRegistry.KIND, VM_LISTING_WAIT_MILLIS, false)));
-		StoreSharing.Platform platform = new StoreSharing.Platform(direct.feed(), direct.hintFeed(),
+		StoreSharing.Platform platform = new StoreSharing.Platform(direct.feed(), direct.hintFeed(), direct.eras(),
 				new WatchClient(this.vertx, this.relayKey::value), Timestamp::now,
 				(delayMillis, action) -> this.vertx.setTimer(delayMillis, (timer) -> action.run()),
 				new SplittableRandom());
@@ -524,25 +529,33 @@
 	private void startWatchers() {
 		new StoreWatcher(this.vertx, this.adapter.feed(), this.adapter.hintFeed(), this.adapter.objects().rulesKind(),
 				() -> Math.min(this.watchWaits.maxMillis(), this.rulesPollInterval.nextWaitMillis(System.nanoTime())),
-				RULES_BATCH_MILLIS, StoreWatcher.Listener.ofObjects((objects) -> objects.forEach(this::applyRules),
-						this.freshness::recordConfirmation),
-				this.storeOutage, StoreWatcher.OutageRole.PROBES)
+				RULES_BATCH_MILLIS,
+				StoreWatcher.Listener.ofObjects((objects) -> objects.forEach(this::applyRules),
+						this::recordConfirmation),
+				this.storeOutage, this.storeEras, StoreWatcher.OutageRole.PROBES)
 			.start();
 		new StoreWatcher(this.vertx, this.adapter.feed(), this.adapter.hintFeed(),
 				this.adapter.objects().replicasKind(), this.watchWaits::maxMillis,
 				(long) (REPLICAS_BATCH_SHARE * this.settings.bounds().drainMillis()),
-				new DirectoryListener(this.adapter.objects(), this.directory), this.storeOutage,
+				new DirectoryListener(this.adapter.objects(), this.directory), this.storeOutage, this.storeEras,
 				StoreWatcher.OutageRole.WAITS)
 			.start();
 	}
 
+	// A copy of the store may lack rules that it had acknowledged.
+	private void recordConfirmation(Timestamp confirmedAt) {
+		if (this.storeEras.isSettledAt(confirmedAt)) {
+			this.freshness.recordConfirmation(confirmedAt);
+		}
+	}
+
 	private void applyRules(StoredObject object) {
 		this.adapter.objects()
 			.readRules(object)
-			.peekLeft((fault) -> LOGGER.errorf("Rules cannot be read, the present ones stay: revision=%d fault=%s",
+			.peekLeft((fault) -> LOGGER.errorf("Rules cannot be read, the present ones stay: revision=%s fault=%s",
 					object.version(), fault))
 			.peek((decoded) -> decoded.filter(this.rules::offer).ifPresent((next) -> {
-				LOGGER.infof("Rules in force: version=%d revision=%d", next.version(), object.version());
+				LOGGER.infof("Rules in force: version=%d revision=%s", next.version(), object.version());
 				this.metrics.setRulesVersion(next.version());
 			}));
 	}
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/QuarantineSync.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/QuarantineSync.java
@@ -68,7 +68,7 @@
 				adapter.store(), System::nanoTime, System::currentTimeMillis);
 		this.watcher = new StoreWatcher(vertx, adapter.hintFeed(), adapter.hintFeed(), KIND, () -> WATCH_WAIT_MILLIS,
 				WATCH_BATCH_MILLIS, StoreWatcher.Listener.ofObjects(this.store::merge, (sentAt) -> {
-				}), outage, StoreWatcher.OutageRole.WAITS);
+				}), outage, adapter.eras(), StoreWatcher.OutageRole.WAITS);
 	}
 
 	void start() {
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/StoreWatcher.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/StoreWatcher.java
@@ -13,17 +13,20 @@
 import org.burdocktray.connection.platform.ObjectChanges;
 import org.burdocktray.connection.platform.ObjectListing;
 import org.burdocktray.connection.platform.StoreError;
+import org.burdocktray.connection.platform.StoreRevision;
 import org.burdocktray.connection.platform.StoredObject;
 import org.burdocktray.process.freshness.RulesFreshness.Timestamp;
+import org.burdocktray.process.restore.StoreEras;
 import org.burdocktray.process.watch.ListedVersions;
 import org.burdocktray.process.watch.Timers;
 import org.jboss.logging.Logger;
 
 /**
  * Watches the objects of one kind: lists them, then waits for changes, and lists them
- * again when a change may have been missed. Invariants: one call is in progress at a
- * time; no fault of the listener ends the watch. Thread safety: none, confined to one
- * event loop.
+ * again when a change may have been missed. When the store returns from a copy, it lists
+ * them at once, and once more when that has settled. Invariants: the result of one call
+ * at a time is used; no fault of the listener ends the watch. Thread safety: none,
+ * confined to one event loop.
  */
 final class StoreWatcher {
 
@@ -42,6 +45,9 @@
 	 */
 	private static final long RELIST_MILLIS = 500;
 
+	/** After the answer that is being handled. */
+	private static final long NEXT_TICK_MILLIS = 1;
+
 	/** The listings in place of a watch after which the watch is tried again. */
 	private static final int LISTINGS_PER_WATCH = 4;
 
@@ -64,10 +70,12 @@
 
 	private final StoreOutage outage;
 
+	private final StoreEras eras;
+
 	/** Whether this watcher calls during outages, to find out when they end. */
 	private final boolean probesOutage;
 
-	private Optional<Long> revision = Optional.empty();
+	private Optional<StoreRevision> revision = Optional.empty();
 
 	private ListedVersions listed = ListedVersions.NONE;
 
@@ -88,6 +96,9 @@
 	/** How long this watcher has paused since the last answer. */
 	private long pausedMillis;
 
+	/** Counts the calls that were abandoned; their results are not used. */
+	private long abandonedCalls;
+
 	/**
 	 * Creates a watcher that is not started.
 	 * @param vertx runs the timers
@@ -100,12 +111,13 @@
 	 * returns several changes
 	 * @param listener receives the objects and changes
 	 * @param outage the outage of the store that all watchers share
+	 * @param eras the eras of the store
 	 * @param role whether this watcher calls during an outage
 	 */
 	StoreWatcher(Vertx vertx, ChangeFeed feed, ChangeFeed probeFeed, String kind, LongSupplier waitMillis,
-			long batchMillis, Listener listener, StoreOutage outage, OutageRole role) {
+			long batchMillis, Listener listener, StoreOutage outage, StoreEras eras, OutageRole role) {
 		this((delayMillis, action) -> vertx.setTimer(delayMillis, (timer) -> action.run()), Timestamp::now, feed,
-				probeFeed, kind, waitMillis, batchMillis, listener, outage, role);
+				probeFeed, kind, waitMillis, batchMillis, listener, outage, eras, role);
 	}
 
 	/**
@@ -121,10 +133,12 @@
 	 * returns several changes
 	 * @param listener receives the objects and changes
 	 * @param outage the outage of the store that all watchers share
+	 * @param eras the eras of the store
 	 * @param role whether this watcher calls during an outage
 	 */
 	StoreWatcher(Timers timers, Supplier<Timestamp> clock, ChangeFeed feed, ChangeFeed probeFeed, String kind,
-			LongSupplier waitMillis, long batchMillis, Listener listener, StoreOutage outage, OutageRole role) {
+			LongSupplier waitMillis, long batchMillis, Listener listener, StoreOutage outage, StoreEras eras,
+			OutageRole role) {
 		this.timers = timers;
 		this.clock = clock;
 		this.feed = feed;
@@ -134,10 +148,12 @@
 		this.batchMillis = batchMillis;
 		this.listener = listener;
 		this.outage = outage;
+		this.eras = eras;
 		this.probesOutage = role == OutageRole.PROBES;
 	}
 
 	void start() {
+		this.eras.addListener(this::onNewEra);
 		poll();
 	}
 
@@ -145,12 +161,47 @@
 		this.stopped = true;
 	}
 
+	// The answer that shows the era is used first; it may be a listing.
+	private void onNewEra() {
+		this.timers.schedule(NEXT_TICK_MILLIS, () -> {
+			boolean isListed = this.revision.filter((listed) -> listed.era() == this.eras.current()).isPresent();
+			if (!isListed) {
+				listAgain();
+			}
+		});
+		this.timers.schedule(StoreEras.SETTLE_MILLIS, this::listAgain);
+	}
+
+	private void listAgain() {
+		this.abandonedCalls++;
+		this.revision = Optional.empty();
+		poll();
+	}
+
+	private void schedulePoll(long delayMillis) {
+		long abandonedBefore = this.abandonedCalls;
+		this.timers.schedule(delayMillis, () -> {
+			if (abandonedBefore == this.abandonedCalls) {
+				poll();
+			}
+		});
+	}
+
+	private <T> Consumer<T> unlessAbandoned(Consumer<T> handler) {
+		long abandonedBefore = this.abandonedCalls;
+		return (result) -> {
+			if (abandonedBefore == this.abandonedCalls) {
+				handler.accept(result);
+			}
+		};
+	}
+
 	private void poll() {
 		if (this.stopped) {
 			return;
 		}
 		if (this.outage.isOngoing() && !this.probesOutage) {
-			this.timers.schedule(OUTAGE_CHECK_MILLIS, this::poll);
+			schedulePoll(OUTAGE_CHECK_MILLIS);
 			return;
 		}
 		if (this.unavailable && !this.probed) {
@@ -159,17 +210,20 @@
 		}
 		Timestamp sentAt = this.clock.get();
 		if (this.revision.isEmpty()) {
-			this.feed.listObjects(this.kind).subscribe((result) -> handleListing(result, sentAt));
+			Consumer<Either<StoreError, ObjectListing>> handler = unlessAbandoned(
+					(result) -> handleListing(result, sentAt));
+			this.feed.listObjects(this.kind).subscribe(handler::accept);
 			return;
 		}
 		// The connection may have fallen silent in the pause.
 		long currentWaitMillis = Math.max(1, this.waitMillis.getAsLong() - this.pausedMillis);
-		this.feed.awaitChanges(this.kind, this.revision.get(), currentWaitMillis)
-			.subscribe((result) -> handleChanges(result, sentAt, currentWaitMillis));
+		Consumer<Either<StoreError, ObjectChanges>> handler = unlessAbandoned(
+				(result) -> handleChanges(result, sentAt, currentWaitMillis));
+		this.feed.awaitChanges(this.kind, this.revision.get(), currentWaitMillis).subscribe(handler::accept);
 	}
 
 	private void probe() {
-		this.probeFeed.listObjects(this.kind).subscribe((result) -> {
+		Consumer<Either<StoreError, ObjectListing>> handler = unlessAbandoned((result) -> {
 			if (result.isLeft()) {
 				handleFailure(result.getLeft());
 				return;
@@ -177,6 +231,7 @@
 			this.probed = true;
 			poll();
 		});
+		this.probeFeed.listObjects(this.kind).subscribe(handler::accept);
 	}
 
 	private void handleListing(Either<StoreError, ObjectListing> result, Timestamp sentAt) {
@@ -229,7 +284,7 @@
 			return;
 		}
 		this.listingsUntilWatch = LISTINGS_PER_WATCH;
-		this.timers.schedule(RELIST_MILLIS, this::poll);
+		schedulePoll(RELIST_MILLIS);
 	}
 
 	private void handleSuccess(Runnable notification, long delayMillis) {
@@ -244,14 +299,14 @@
 		this.pausedMillis = delayMillis;
 		if (!notifyListener(notification)) {
 			this.revision = Optional.empty();
-			this.timers.schedule(MAX_BACKOFF_MILLIS, this::poll);
+			schedulePoll(MAX_BACKOFF_MILLIS);
 			return;
 		}
 		if (delayMillis == 0) {
 			poll();
 			return;
 		}
-		this.timers.schedule(delayMillis, this::poll);
+		schedulePoll(delayMillis);
 	}
 
 	// The watch must go on whatever the objects hold.
@@ -278,7 +333,7 @@
 		this.listener.onUnavailable();
 		long delayMillis = this.backoffMillis;
 		this.backoffMillis = Math.min(MAX_BACKOFF_MILLIS, 2 * delayMillis);
-		this.timers.schedule(delayMillis, this::poll);
+		schedulePoll(delayMillis);
 	}
 
 	/**
--- a/router/src/main/java/org/burdocktray/process/watch/ChangeLog.java
+++ b/router/src/main/java/org/burdocktray/process/watch/ChangeLog.java
@@ -13,15 +13,17 @@
 import org.burdocktray.connection.platform.ObjectChanges;
 import org.burdocktray.connection.platform.ObjectChanges.ObjectChange;
 import org.burdocktray.connection.platform.ObjectListing;
+import org.burdocktray.connection.platform.StoreRevision;
 import org.burdocktray.connection.platform.StoredObject;
 import org.burdocktray.process.freshness.RulesFreshness.Timestamp;
 
 /**
  * What this VM has from the store itself of one kind of objects: the objects, the recent
- * changes, and since when they are confirmed. Invariants: the revision decreases only
- * when the store was restored from a copy; the changes kept are all changes between the
- * oldest revision kept and the present one; they are bounded in number and size. Thread
- * safety: none, confined to one event loop.
+ * changes, and since when they are confirmed. Invariants: all objects and changes are of
+ * one era of the store; within an era the revision decreases only when a store that has
+ * no eras was restored from a copy; the changes kept are all changes between the oldest
+ * revision kept and the present one; they are bounded in number and size. Thread safety:
+ * none, confined to one event loop.
  */
 final class ChangeLog {
 
@@ -40,9 +42,9 @@
 	/** Whether all objects are known, not only the changed ones. */
 	private boolean complete;
 
-	private long oldestRevision;
+	private StoreRevision oldestRevision = StoreRevision.NONE;
 
-	private long revision;
+	private StoreRevision revision = StoreRevision.NONE;
 
 	private Optional<Timestamp> confirmedAt = Optional.empty();
 
@@ -75,7 +77,13 @@
 		this.storeLost = false;
 		Map<String, StoredObject> listed = new HashMap<>();
 		listing.objects().forEach((object) -> listed.put(object.key(), object));
-		if (isKnown() && listing.revision() < this.revision) {
+		if (isKnown() && !listing.revision().isSameEra(this.revision)) {
+			if (listing.revision().isBefore(this.revision)) {
+				return;
+			}
+			clear();
+		}
+		if (isKnown() && listing.revision().isBefore(this.revision)) {
 			// A linearizable listing that was asked for later shows that the store was
 			// restored from a copy. One that was asked for before was overtaken by
 			// changes.
@@ -98,12 +106,12 @@
 	}
 
 	// The present state is at least that of the listing, with the changes since then.
-	private void completeWith(Map<String, StoredObject> listed, long listedRevision, Timestamp confirmedTime) {
+	private void completeWith(Map<String, StoredObject> listed, StoreRevision listedRevision, Timestamp confirmedTime) {
 		if (!this.complete && hasChangesAfter(listedRevision)) {
 			this.objects = listed;
 			this.complete = true;
 			this.batches.stream()
-				.filter((batch) -> batch.toRevision() > listedRevision)
+				.filter((batch) -> batch.toRevision().isAfter(listedRevision))
 				.forEach((batch) -> withoutEarlier(batch.changes()).forEach(this::apply));
 		}
 		if (this.linearizable) {
@@ -119,7 +127,7 @@
 			.forEach((object) -> changes.add(new ObjectChange(object, true)));
 		listed.values().stream().filter((object) -> {
 			StoredObject known = this.objects.get(object.key());
-			return known == null || known.version() != object.version();
+			return known == null || !known.version().equals(object.version());
 		}).forEach((object) -> changes.add(new ObjectChange(object, false)));
 		return changes;
 	}
@@ -130,16 +138,16 @@
 	 * @param changes the changes
 	 * @param confirmedTime the time whose state they show at least
 	 */
-	void recordChanges(long afterRevision, ObjectChanges changes, Timestamp confirmedTime) {
+	void recordChanges(StoreRevision afterRevision, ObjectChanges changes, Timestamp confirmedTime) {
 		this.storeLost = false;
-		if (isKnown() && changes.revision() < this.revision) {
+		if (isKnown() && changes.revision().isBefore(this.revision)) {
 			return;
 		}
-		if (!isKnown() || afterRevision > this.revision) {
+		if (!isKnown() || afterRevision.isAfter(this.revision)) {
 			clear();
 			restart(afterRevision);
 		}
-		boolean isNext = afterRevision == this.revision;
+		boolean isNext = afterRevision.equals(this.revision);
 		List<ObjectChange> news = withoutEarlier(changes.changes());
 		news.forEach(this::apply);
 		if (isNext) {
@@ -156,7 +164,7 @@
 	private List<ObjectChange> withoutEarlier(List<ObjectChange> changes) {
 		return changes.stream().filter((change) -> {
 			StoredObject known = this.objects.get(change.object().key());
-			return known == null || known.version() <= change.object().version();
+			return known == null || !known.version().isAfter(change.object().version());
 		}).toList();
 	}
 
@@ -169,7 +177,7 @@
 		}
 	}
 
-	private void append(List<ObjectChange> changes, long toRevision) {
+	private void append(List<ObjectChange> changes, StoreRevision toRevision) {
 		if (!changes.isEmpty()) {
 			Batch batch = new Batch(toRevision, List.copyOf(changes));
 			this.batches.addLast(batch);
@@ -185,7 +193,7 @@
 		}
 	}
 
-	private void restart(long atRevision) {
+	private void restart(StoreRevision atRevision) {
 		this.batches.clear();
 		this.keptChanges = 0;
 		this.keptCharacters = 0;
@@ -193,8 +201,8 @@
 		reach(atRevision);
 	}
 
-	private void reach(long nextRevision) {
-		if (this.reachedAt.isEmpty() || nextRevision != this.revision) {
+	private void reach(StoreRevision nextRevision) {
+		if (this.reachedAt.isEmpty() || !nextRevision.equals(this.revision)) {
 			this.reachedAt = Optional.of(this.clock.get());
 		}
 		this.revision = nextRevision;
@@ -212,9 +220,12 @@
 		this.storeLost = true;
 	}
 
-	/** Forgets everything, since this VM no longer watches. */
+	/**
+	 * Forgets everything, since this VM no longer watches or the store has returned from
+	 * a copy.
+	 */
 	void clear() {
-		restart(0);
+		restart(StoreRevision.NONE);
 		this.objects = new HashMap<>();
 		this.complete = false;
 		this.confirmedAt = Optional.empty();
@@ -233,7 +244,7 @@
 		return this.storeLost;
 	}
 
-	long revision() {
+	StoreRevision revision() {
 		return this.revision;
 	}
 
@@ -251,8 +262,8 @@
 	 * @param afterRevision the revision, at most the present one
 	 * @return false if they are no longer kept
 	 */
-	boolean hasChangesAfter(long afterRevision) {
-		return isKnown() && afterRevision >= this.oldestRevision;
+	boolean hasChangesAfter(StoreRevision afterRevision) {
+		return isKnown() && afterRevision.isSameEra(this.revision) && !afterRevision.isBefore(this.oldestRevision);
 	}
 
 	/**
@@ -260,10 +271,10 @@
 	 * @param afterRevision the revision
 	 * @return the changes, possibly with some that were made before
 	 */
-	List<ObjectChange> changesAfter(long afterRevision) {
+	List<ObjectChange> changesAfter(StoreRevision afterRevision) {
 		Map<String, ObjectChange> last = new LinkedHashMap<>();
 		for (Batch batch : this.batches) {
-			if (batch.toRevision() > afterRevision) {
+			if (batch.toRevision().isAfter(afterRevision)) {
 				batch.changes().forEach((change) -> {
 					last.remove(change.object().key());
 					last.put(change.object().key(), change);
@@ -283,7 +294,7 @@
 	 * @param toRevision the revision after them
 	 * @param changes the changes
 	 */
-	private record Batch(long toRevision, List<ObjectChange> changes) {
+	private record Batch(StoreRevision toRevision, List<ObjectChange> changes) {
 
 		private long characters() {
 			return this.changes.stream().mapToLong((change) -> change.object().value().length()).sum();
--- a/router/src/main/java/org/burdocktray/process/watch/FollowerAnswers.java
+++ b/router/src/main/java/org/burdocktray/process/watch/FollowerAnswers.java
@@ -19,14 +19,16 @@
 import org.burdocktray.connection.platform.ObjectChanges;
 import org.burdocktray.connection.platform.ObjectChanges.ObjectChange;
 import org.burdocktray.connection.platform.ObjectListing;
+import org.burdocktray.connection.platform.StoreRevision;
 import org.burdocktray.process.freshness.RulesFreshness.Timestamp;
+import org.burdocktray.process.restore.StoreEras;
 
 /**
  * Answers the requests of other VMs from what this VM has from the store itself. A
  * request waits for the next answer of the store, but no longer than it asks for.
  * Invariants: each request is answered once; no answer holds what this VM has from
- * another VM; the number of waiting requests is bounded. Thread safety: none, confined to
- * one event loop.
+ * another VM, or what is of an earlier era of the store than this VM knows; the number of
+ * waiting requests is bounded. Thread safety: none, confined to one event loop.
  */
 public final class FollowerAnswers {
 
@@ -52,6 +54,8 @@
 
 	private final WatchSources sources;
 
+	private final StoreEras eras;
+
 	private final Supplier<Timestamp> clock;
 
 	private final Timers timers;
@@ -64,20 +68,23 @@
 	 * Creates an instance without any objects.
 	 * @param kinds the kinds that are answered
 	 * @param sources learns that this VM was asked
+	 * @param eras the eras of the store
 	 * @param clock reads the clocks
 	 * @param timers ends the wait of requests
 	 * @param lister lists the objects of a kind from the store, and records them here
 	 * @param listener counts the answers
 	 */
-	FollowerAnswers(StoreSharing.Kinds kinds, WatchSources sources, Supplier<Timestamp> clock, Timers timers,
-			Consumer<String> lister, WatchListener listener) {
+	FollowerAnswers(StoreSharing.Kinds kinds, WatchSources sources, StoreEras eras, Supplier<Timestamp> clock,
+			Timers timers, Consumer<String> lister, WatchListener listener) {
 		kinds.confirmed().forEach((kind) -> this.logs.put(kind.name(), new ChangeLog(true, clock)));
 		kinds.hints().forEach((kind) -> this.logs.put(kind.name(), new ChangeLog(false, clock)));
 		this.sources = sources;
+		this.eras = eras;
 		this.clock = clock;
 		this.timers = timers;
 		this.lister = lister;
 		this.listener = listener;
+		eras.addListener(() -> this.logs.values().forEach(ChangeLog::clear));
 	}
 
 	/**
@@ -86,6 +93,9 @@
 	 * @param response receives the answer once
 	 */
 	public void handle(WatchRequest request, Consumer<WatchAnswer> response) {
+		if (request.hasAfterEra()) {
+			this.eras.record(request.getAfterEra());
+		}
 		ChangeLog log = this.logs.get(request.getKind());
 		if (log == null || !this.sources.isActive() || this.waiting.size() >= MAX_WAITING) {
 			respond(request, response, Status.STATUS_DECLINED);
@@ -116,7 +126,7 @@
 		}
 		Status status = status(log, request);
 		boolean isNews = (request.getListing() && status == Status.STATUS_OK) || status == Status.STATUS_HISTORY_GONE
-				|| (status == Status.STATUS_OK && !log.changesAfter(request.getAfterRevision()).isEmpty());
+				|| (status == Status.STATUS_OK && !log.changesAfter(afterRevision(request)).isEmpty());
 		if (isNews || request.getAtOnce()) {
 			respond(request, response, status);
 			return;
@@ -129,7 +139,7 @@
 			return false;
 		}
 		return isTooOld(log, request)
-				|| (request.getListing() && (!log.isComplete() || log.revision() < request.getAfterRevision()));
+				|| (request.getListing() && (!log.isComplete() || log.revision().isBefore(afterRevision(request))));
 	}
 
 	private void await(WatchRequest request, Consumer<WatchAnswer> response) {
@@ -147,14 +157,19 @@
 		if (log.isStoreLost()) {
 			return Status.STATUS_STORE_UNAVAILABLE;
 		}
-		if (isTooOld(log, request) || log.revision() < request.getAfterRevision()
+		if (isTooOld(log, request) || log.revision().isBefore(afterRevision(request))
 				|| (request.getListing() && !log.isComplete())) {
 			return Status.STATUS_BEHIND;
 		}
-		boolean isServed = request.getListing() || log.hasChangesAfter(request.getAfterRevision());
+		boolean isServed = request.getListing() || log.hasChangesAfter(afterRevision(request));
 		return isServed ? Status.STATUS_OK : Status.STATUS_HISTORY_GONE;
 	}
 
+	private StoreRevision afterRevision(WatchRequest request) {
+		long era = request.hasAfterEra() ? request.getAfterEra() : this.eras.eraOfOlderBuilds();
+		return new StoreRevision(era, request.getAfterRevision());
+	}
+
 	private boolean isTooOld(ChangeLog log, WatchRequest request) {
 		return log.ageMillis(this.clock.get()) > maxAgeMillis(request);
 	}
@@ -165,6 +180,9 @@
 
 	private void respond(WatchRequest request, Consumer<WatchAnswer> response, Status status) {
 		WatchAnswer.Builder answer = WatchAnswer.newBuilder().setRequestId(request.getRequestId());
+		if (this.eras.isKnown()) {
+			answer.setEra(this.eras.current());
+		}
 		Status sent = (status == Status.STATUS_OK) ? addContent(answer, request) : status;
 		this.listener.onAnswer(this.logs.containsKey(request.getKind()) ? request.getKind() : "", label(sent));
 		response.accept(answer.setStatus(sent).build());
@@ -184,12 +202,12 @@
 		ChangeLog log = this.logs.get(request.getKind());
 		Optional<ByteString> content = this.contents.computeIfAbsent(
 				new ContentKey(request.getKind(), request.getListing(),
-						request.getListing() ? 0 : request.getAfterRevision(), log.revision()),
+						request.getListing() ? StoreRevision.NONE : afterRevision(request), log.revision()),
 				(key) -> encode(log, key));
 		if (content.isEmpty()) {
 			return Status.STATUS_DECLINED;
 		}
-		answer.setContent(content.get()).setRevision(log.revision());
+		answer.setContent(content.get()).setRevision(log.revision().number());
 		// The time that encoding has taken counts as well.
 		answer.setAgeMillis((int) Math.min(Integer.MAX_VALUE, Math.max(0, log.ageMillis(this.clock.get()))));
 		return Status.STATUS_OK;
@@ -211,9 +229,9 @@
 	void recordListing(String kind, ObjectListing listing, Timestamp confirmedAt) {
 		this.listings.remove(kind);
 		ChangeLog log = this.logs.get(kind);
-		long knownRevision = log.revision();
+		StoreRevision knownRevision = log.revision();
 		log.recordListing(listing, confirmedAt);
-		if (log.revision() < knownRevision) {
+		if (log.revision().isBefore(knownRevision)) {
 			// A restored store uses the revisions of the cached contents again.
 			this.contents.clear();
 		}
@@ -227,7 +245,7 @@
 	 * @param changes the changes
 	 * @param confirmedAt the time whose state they show at least
 	 */
-	void recordChanges(String kind, long afterRevision, ObjectChanges changes, Timestamp confirmedAt) {
+	void recordChanges(String kind, StoreRevision afterRevision, ObjectChanges changes, Timestamp confirmedAt) {
 		this.logs.get(kind).recordChanges(afterRevision, changes, confirmedAt);
 		resolve(kind);
 		listForWaiting(kind);
@@ -280,7 +298,7 @@
 		}
 	}
 
-	private record ContentKey(String kind, boolean listing, long afterRevision, long revision) {
+	private record ContentKey(String kind, boolean listing, StoreRevision afterRevision, StoreRevision revision) {
 
 	}
 
--- a/router/src/main/java/org/burdocktray/process/watch/ListedVersions.java
+++ b/router/src/main/java/org/burdocktray/process/watch/ListedVersions.java
@@ -7,6 +7,7 @@
 import org.burdocktray.connection.platform.ObjectChanges;
 import org.burdocktray.connection.platform.ObjectChanges.ObjectChange;
 import org.burdocktray.connection.platform.ObjectListing;
+import org.burdocktray.connection.platform.StoreRevision;
 import org.burdocktray.connection.platform.StoredObject;
 
 /**
@@ -19,9 +20,9 @@
 	/** The versions before any listing. */
 	public static final ListedVersions NONE = new ListedVersions(Map.of());
 
-	private final Map<String, Long> versions;
+	private final Map<String, StoreRevision> versions;
 
-	private ListedVersions(Map<String, Long> versions) {
+	private ListedVersions(Map<String, StoreRevision> versions) {
 		this.versions = versions;
 	}
 
@@ -33,8 +34,8 @@
 	public static ListedVersions of(ObjectListing listing) {
 		return new ListedVersions(listing.objects()
 			.stream()
-			.filter((object) -> object.version() > listing.revision())
-			.collect(Collectors.toMap(StoredObject::key, StoredObject::version, Math::max)));
+			.filter((object) -> object.version().isAfter(listing.revision()))
+			.collect(Collectors.toMap(StoredObject::key, StoredObject::version, StoreRevision::max)));
 	}
 
 	/**
@@ -51,7 +52,7 @@
 	}
 
 	private boolean isEarlier(StoredObject object) {
-		return object.version() < this.versions.getOrDefault(object.key(), Long.MIN_VALUE);
+		return object.version().isBefore(this.versions.getOrDefault(object.key(), StoreRevision.NONE));
 	}
 
 }
--- a/router/src/main/java/org/burdocktray/process/watch/RepeatingFeed.java
+++ b/router/src/main/java/org/burdocktray/process/watch/RepeatingFeed.java
@@ -6,6 +6,7 @@
 import org.burdocktray.connection.platform.ObjectChanges;
 import org.burdocktray.connection.platform.ObjectListing;
 import org.burdocktray.connection.platform.StoreError;
+import org.burdocktray.connection.platform.StoreRevision;
 
 /**
  * Repeats a call for changes that has ended without an answer. Such an end tells of its
@@ -26,7 +27,8 @@
 	}
 
 	@Override
-	public Single<Either<StoreError, ObjectChanges>> awaitChanges(String kind, long afterRevision, long waitMillis) {
+	public Single<Either<StoreError, ObjectChanges>> awaitChanges(String kind, StoreRevision afterRevision,
+			long waitMillis) {
 		return this.feed.awaitChanges(kind, afterRevision, waitMillis).flatMap((result) -> {
 			if (result.isLeft() && result.getLeft() == StoreError.UNRESOLVED) {
 				return this.feed.awaitChanges(kind, afterRevision, NO_WAIT);
--- a/router/src/main/java/org/burdocktray/process/watch/SharedFeed.java
+++ b/router/src/main/java/org/burdocktray/process/watch/SharedFeed.java
@@ -22,16 +22,18 @@
 import org.burdocktray.connection.platform.ObjectChanges.ObjectChange;
 import org.burdocktray.connection.platform.ObjectListing;
 import org.burdocktray.connection.platform.StoreError;
+import org.burdocktray.connection.platform.StoreRevision;
 import org.burdocktray.model.DataCentre;
 import org.burdocktray.process.freshness.RulesFreshness.Timestamp;
+import org.burdocktray.process.restore.StoreEras;
 import org.jboss.logging.Logger;
 
 /**
  * Gets objects from the store, or from a VM that watches it. Invariants: an answer of
  * another VM is used only if it is an answer to the request, if its revision is at least
- * the one known here, and with the age that its sender states counted from the sending of
- * the request; only answers of the store itself are recorded for other VMs. Thread
- * safety: none, confined to one event loop.
+ * the one known here in the latest era of the store, and with the age that its sender
+ * states counted from the sending of the request; only answers of the store itself are
+ * recorded for other VMs. Thread safety: none, confined to one event loop.
  */
 final class SharedFeed implements ChangeFeed {
 
@@ -62,6 +64,8 @@
 
 	private final FollowerAnswers answers;
 
+	private final StoreEras eras;
+
 	private final WatchCalls calls;
 
 	private final Supplier<Timestamp> clock;
@@ -72,7 +76,7 @@
 
 	private final WatchListener listener;
 
-	private final Map<String, Long> revisions = new HashMap<>();
+	private final Map<String, StoreRevision> revisions = new HashMap<>();
 
 	private final Map<String, WatchSource> lastSources = new HashMap<>();
 
@@ -84,13 +88,14 @@
 	private final Set<String> unservedKinds = new HashSet<>();
 
 	SharedFeed(ChangeFeed store, List<WatchedKind> kinds, DataCentre localDataCentre, WatchSources sources,
-			FollowerAnswers answers, WatchCalls calls, Supplier<Timestamp> clock, Timers timers, RandomGenerator random,
-			WatchListener listener) {
+			FollowerAnswers answers, StoreEras eras, WatchCalls calls, Supplier<Timestamp> clock, Timers timers,
+			RandomGenerator random, WatchListener listener) {
 		this.store = store;
 		kinds.forEach((kind) -> this.kinds.put(kind.name(), kind));
 		this.localDataCentre = localDataCentre;
 		this.sources = sources;
 		this.answers = answers;
+		this.eras = eras;
 		this.calls = calls;
 		this.clock = clock;
 		this.timers = timers;
@@ -108,7 +113,11 @@
 	}
 
 	@Override
-	public Single<Either<StoreError, ObjectChanges>> awaitChanges(String kind, long afterRevision, long waitMillis) {
+	public Single<Either<StoreError, ObjectChanges>> awaitChanges(String kind, StoreRevision afterRevision,
+			long waitMillis) {
+		if (afterRevision.era() < this.eras.current()) {
+			return Single.just(Either.left(StoreError.NOT_FOUND));
+		}
 		return Single.create((emitter) -> next(new ChangesCall(kind, emitter, afterRevision, waitMillis)));
 	}
 
@@ -192,7 +201,11 @@
 			.setWaitMillis((int) waitMillis)
 			.setMaxAgeMillis((int) kind.maxAgeMillis())
 			.setAtOnce(atOnce);
-		call.describe(request);
+		StoreRevision minRevision = call.minRevision();
+		request.setListing(call.isListing()).setAfterRevision(minRevision.number());
+		if (this.eras.isKnown()) {
+			request.setAfterEra(minRevision.era());
+		}
 		WatchRequest sent = request.build();
 		Timestamp sentAt = this.clock.get();
 		this.calls.ask(source.watcher().orElseThrow().address(), sent, waitMillis + TIMEOUT_MARGIN_MILLIS,
@@ -202,6 +215,7 @@
 	private <T> void handleAnswer(Call<T> call, WatchSource source, WatchRequest request, Timestamp sentAt,
 			Optional<WatchAnswer> received) {
 		Optional<WatchAnswer> answer = received.filter((found) -> found.getRequestId() == request.getRequestId());
+		answer.filter(WatchAnswer::hasEra).ifPresent((found) -> this.eras.record(found.getEra()));
 		WatchAnswer.Status status = answer.map(WatchAnswer::getStatus).orElse(WatchAnswer.Status.STATUS_UNKNOWN);
 		switch (status) {
 			case STATUS_OK -> handleContent(call, source, request.getAtOnce(), sentAt, answer.get());
@@ -236,8 +250,15 @@
 
 	private <T> void handleContent(Call<T> call, WatchSource source, boolean isAtOnce, Timestamp sentAt,
 			WatchAnswer answer) {
-		boolean isStepBack = answer.getRevision() < call.minRevision();
-		Optional<List<ObjectChange>> content = isStepBack ? Optional.empty() : WatchCodec.decode(answer.getContent());
+		StoreRevision revision = new StoreRevision(era(answer), answer.getRevision());
+		if (revision.era() > call.minRevision().era() && !call.isListing()) {
+			recordCall(call, source, "gap");
+			call.fail(StoreError.NOT_FOUND);
+			return;
+		}
+		boolean isStepBack = revision.era() < this.eras.current() || revision.isBefore(call.minRevision());
+		Optional<List<ObjectChange>> content = isStepBack ? Optional.empty()
+				: WatchCodec.decode(answer.getContent(), revision.era());
 		if (content.isEmpty() || answer.getAgeMillis() < 0) {
 			handleFailure(call, source);
 			return;
@@ -255,9 +276,13 @@
 			this.answers.clear(call.kind);
 		}
 		this.listener.onConfirmation(call.kind, this.clock.get().millisSince(sentAt) + answer.getAgeMillis());
-		this.revisions.put(call.kind, answer.getRevision());
+		this.revisions.put(call.kind, revision);
 		Timestamp confirmedAt = sentAt.minusMillis(answer.getAgeMillis());
-		call.succeed(call.toResult(content.get(), answer.getRevision(), confirmation(call, confirmedAt, true)));
+		call.succeed(call.toResult(content.get(), revision, confirmation(call, confirmedAt, true)));
+	}
+
+	private long era(WatchAnswer answer) {
+		return answer.hasEra() ? answer.getEra() : this.eras.eraOfOlderBuilds();
 	}
 
 	// What is confirmed later than a time counts as later by the clock that shows less.
@@ -339,8 +364,9 @@
 			return false;
 		}
 
-		long minRevision() {
-			return SharedFeed.this.revisions.getOrDefault(this.kind, 0L);
+		StoreRevision minRevision() {
+			StoreRevision known = SharedFeed.this.revisions.getOrDefault(this.kind, StoreRevision.NONE);
+			return StoreRevision.max(known, new StoreRevision(SharedFeed.this.eras.current(), 0));
 		}
 
 		/**
@@ -365,7 +391,7 @@
 			this.emitter.onSuccess(result.map(recording));
 		}
 
-		void recordRevision(long revision) {
+		void recordRevision(StoreRevision revision) {
 			SharedFeed.this.revisions.put(this.kind, revision);
 		}
 
@@ -375,7 +401,7 @@
 
 		abstract void callStore();
 
-		abstract void describe(WatchRequest.Builder request);
+		abstract boolean isListing();
 
 		/**
 		 * Returns how long to pause before a watcher is asked.
@@ -386,7 +412,7 @@
 			return 0;
 		}
 
-		abstract T toResult(List<ObjectChange> content, long revision, Confirmation confirmation);
+		abstract T toResult(List<ObjectChange> content, StoreRevision revision, Confirmation confirmation);
 
 	}
 
@@ -414,12 +440,12 @@
 		}
 
 		@Override
-		void describe(WatchRequest.Builder request) {
-			request.setListing(true).setAfterRevision(minRevision());
+		boolean isListing() {
+			return true;
 		}
 
 		@Override
-		ObjectListing toResult(List<ObjectChange> content, long revision, Confirmation confirmation) {
+		ObjectListing toResult(List<ObjectChange> content, StoreRevision revision, Confirmation confirmation) {
 			return new ObjectListing(content.stream().map(ObjectChange::object).toList(), revision,
 					Optional.of(confirmation));
 		}
@@ -431,11 +457,11 @@
 	 */
 	private final class ChangesCall extends Call<ObjectChanges> {
 
-		private final long afterRevision;
+		private final StoreRevision afterRevision;
 
 		private final long waitMillis;
 
-		ChangesCall(String kind, SingleEmitter<Either<StoreError, ObjectChanges>> emitter, long afterRevision,
+		ChangesCall(String kind, SingleEmitter<Either<StoreError, ObjectChanges>> emitter, StoreRevision afterRevision,
 				long waitMillis) {
 			super(kind, emitter);
 			this.afterRevision = afterRevision;
@@ -466,13 +492,13 @@
 		}
 
 		@Override
-		long minRevision() {
+		StoreRevision minRevision() {
 			return this.afterRevision;
 		}
 
 		@Override
-		void describe(WatchRequest.Builder request) {
-			request.setAfterRevision(this.afterRevision);
+		boolean isListing() {
+			return false;
 		}
 
 		@Override
@@ -486,7 +512,7 @@
 		}
 
 		@Override
-		ObjectChanges toResult(List<ObjectChange> content, long revision, Confirmation confirmation) {
+		ObjectChanges toResult(List<ObjectChange> content, StoreRevision revision, Confirmation confirmation) {
 			return new ObjectChanges(content, revision, Optional.of(confirmation));
 		}
 
--- a/router/src/main/java/org/burdocktray/process/watch/StoreSharing.java
+++ b/router/src/main/java/org/burdocktray/process/watch/StoreSharing.java
@@ -11,8 +11,10 @@
 import org.burdocktray.connection.platform.ObjectChanges;
 import org.burdocktray.connection.platform.ObjectListing;
 import org.burdocktray.connection.platform.StoreError;
+import org.burdocktray.connection.platform.StoreRevision;
 import org.burdocktray.model.DataCentre;
 import org.burdocktray.process.freshness.RulesFreshness.Timestamp;
+import org.burdocktray.process.restore.StoreEras;
 import org.burdocktray.process.settings.GatewayOptions.WatchOptions;
 import org.jboss.logging.Logger;
 
@@ -53,12 +55,13 @@
 		this.listener = listener;
 		this.hintStore = platform.hintStore();
 		this.sources = new WatchSources(options, own.name(), own.dataCentre(), platform.random());
-		this.answers = new FollowerAnswers(kinds, this.sources, platform.clock(), platform.timers(),
+		this.answers = new FollowerAnswers(kinds, this.sources, platform.eras(), platform.clock(), platform.timers(),
 				this::listForOthers, listener);
 		this.feed = new SharedFeed(platform.store(), kinds.confirmed(), own.dataCentre(), this.sources, this.answers,
-				platform.calls(), platform.clock(), platform.timers(), platform.random(), listener);
+				platform.eras(), platform.calls(), platform.clock(), platform.timers(), platform.random(), listener);
 		this.hintFeed = new SharedFeed(platform.hintStore(), kinds.hints(), own.dataCentre(), this.sources,
-				this.answers, platform.calls(), platform.clock(), platform.timers(), platform.random(), listener);
+				this.answers, platform.eras(), platform.calls(), platform.clock(), platform.timers(), platform.random(),
+				listener);
 		listener.onWatching(true);
 	}
 
@@ -88,7 +91,7 @@
 			}
 
 			@Override
-			public Single<Either<StoreError, ObjectChanges>> awaitChanges(String kind, long afterRevision,
+			public Single<Either<StoreError, ObjectChanges>> awaitChanges(String kind, StoreRevision afterRevision,
 					long waitMillis) {
 				return StoreSharing.this.hintFeed.has(kind)
 						? StoreSharing.this.hintFeed.awaitChanges(kind, afterRevision, waitMillis)
@@ -99,7 +102,7 @@
 
 	private Single<Either<StoreError, ObjectListing>> probe(String kind) {
 		if (!this.feed.callsStoreNext()) {
-			return Single.just(Either.right(new ObjectListing(List.of(), 0)));
+			return Single.just(Either.right(new ObjectListing(List.of(), StoreRevision.NONE)));
 		}
 		return this.hintStore.listObjects(kind).doOnSuccess((result) -> {
 			if (result.isLeft()) {
@@ -163,13 +166,14 @@
 	 *
 	 * @param store the store
 	 * @param hintStore the store, for calls that may show an old state
+	 * @param eras the eras of the store
 	 * @param calls asks other VMs
 	 * @param clock reads the clocks
 	 * @param timers runs actions later
 	 * @param random spreads calls in time
 	 */
-	public record Platform(ChangeFeed store, ChangeFeed hintStore, WatchCalls calls, Supplier<Timestamp> clock,
-			Timers timers, RandomGenerator random) {
+	public record Platform(ChangeFeed store, ChangeFeed hintStore, StoreEras eras, WatchCalls calls,
+			Supplier<Timestamp> clock, Timers timers, RandomGenerator random) {
 
 	}
 
--- a/router/src/main/java/org/burdocktray/process/watch/WatchCodec.java
+++ b/router/src/main/java/org/burdocktray/process/watch/WatchCodec.java
@@ -12,6 +12,7 @@
 import org.burdocktray.connection.peer.generated.WatchedObject;
 import org.burdocktray.connection.peer.generated.WatchedObjects;
 import org.burdocktray.connection.platform.ObjectChanges.ObjectChange;
+import org.burdocktray.connection.platform.StoreRevision;
 import org.burdocktray.connection.platform.StoredObject;
 
 /**
@@ -52,7 +53,7 @@
 	private static WatchedObject encode(ObjectChange change) {
 		WatchedObject.Builder message = WatchedObject.newBuilder()
 			.setKey(change.object().key())
-			.setVersion(change.object().version())
+			.setVersion(change.object().version().number())
 			.setRemoved(change.removed());
 		return change.removed() ? message.build() : message.setValue(change.object().value()).build();
 	}
@@ -72,12 +73,17 @@
 		return output.toByteString();
 	}
 
+	private static StoredObject toObject(WatchedObject message, long era) {
+		return new StoredObject(message.getKey(), new StoreRevision(era, message.getVersion()), message.getValue());
+	}
+
 	/**
 	 * Decodes changes.
 	 * @param content the content of an answer
+	 * @param era the era of the store to which the versions belong
 	 * @return the changes, empty if it cannot be read
 	 */
-	static Optional<List<ObjectChange>> decode(ByteString content) {
+	static Optional<List<ObjectChange>> decode(ByteString content, long era) {
 		if (content.isEmpty()) {
 			return Optional.of(List.of());
 		}
@@ -89,8 +95,7 @@
 			return Optional.of(WatchedObjects.parseFrom(bytes)
 				.getObjectsList()
 				.stream()
-				.map((object) -> new ObjectChange(
-						new StoredObject(object.getKey(), object.getVersion(), object.getValue()), object.getRemoved()))
+				.map((object) -> new ObjectChange(toObject(object, era), object.getRemoved()))
 				.toList());
 		}
 		catch (IOException ex) {
--- a/router/src/test/java/org/burdocktray/connection/EndlessResponseTests.java
+++ b/router/src/test/java/org/burdocktray/connection/EndlessResponseTests.java
@@ -14,6 +14,7 @@
 import org.burdocktray.connection.engine.HttpEngineClient;
 import org.burdocktray.connection.platform.HttpPlatformStore;
 import org.burdocktray.connection.platform.StoreError;
+import org.burdocktray.connection.platform.StoreRevision;
 import org.burdocktray.connection.service.HttpServiceClient;
 import org.burdocktray.connection.service.ServiceCall;
 import org.burdocktray.connection.service.ServiceFailure;
@@ -104,7 +105,7 @@
 	void platformBodyWithoutEndLeavesAWriteUnresolved() {
 		try (EndlessServer server = EndlessServer.endlessBody()) {
 			HttpPlatformStore store = new HttpPlatformStore(this.http, server.address(), CALL_TIMEOUT_MILLIS);
-			assertThat(await(store.update("a/b", 1, "v")).getLeft()).isEqualTo(StoreError.UNRESOLVED);
+			assertThat(await(store.update("a/b", StoreRevision.of(1), "v")).getLeft()).isEqualTo(StoreError.UNRESOLVED);
 			assertThat(server.awaitClosedByPeer(TEST_TIMEOUT_SECONDS)).isTrue();
 		}
 	}
--- a/router/src/test/java/org/burdocktray/process/claim/ClaimShardTests.java
+++ b/router/src/test/java/org/burdocktray/process/claim/ClaimShardTests.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.TimeUnit;
 
 import org.burdocktray.connection.platform.StoreError;
+import org.burdocktray.connection.platform.StoreRevision;
 import org.burdocktray.connection.platform.StoredObject;
 import org.burdocktray.model.Refusal;
 import org.burdocktray.model.RefusalReason;
@@ -40,7 +41,8 @@
 	void grantsClaimOnlyAfterWriteIsApplied() {
 		handle(request("c1", "k1"));
 		assertThat(deliveries(handle(read(Optional.empty())))).isEmpty();
-		assertThat(deliveries(handle(new ClaimEvent.WriteApplied(7)))).containsExactly(granted("c1", "k1"));
+		assertThat(deliveries(handle(new ClaimEvent.WriteApplied(StoreRevision.of(7)))))
+			.containsExactly(granted("c1", "k1"));
 	}
 
 	@Test
@@ -48,8 +50,8 @@
 		handle(request("c1", "k1"));
 		handle(request("c2", "k2"));
 		handle(read(Optional.empty()));
-		assertThat(deliveries(handle(new ClaimEvent.WriteApplied(7)))).containsExactly(granted("c1", "k1"),
-				granted("c2", "k2"));
+		assertThat(deliveries(handle(new ClaimEvent.WriteApplied(StoreRevision.of(7)))))
+			.containsExactly(granted("c1", "k1"), granted("c2", "k2"));
 	}
 
 	@Test
@@ -65,7 +67,7 @@
 		handle(request("c1", "k1"));
 		handle(request("c2", "k1"));
 		handle(read(Optional.empty()));
-		Refusal refusal = refusal(handle(new ClaimEvent.WriteApplied(7)), "c2");
+		Refusal refusal = refusal(handle(new ClaimEvent.WriteApplied(StoreRevision.of(7))), "c2");
 		assertThat(refusal.reason()).isEqualTo(RefusalReason.KEY_IN_PROGRESS);
 		assertThat(refusal.verdict()).isEqualTo(Verdict.MAY_HAVE_RUN);
 	}
@@ -126,7 +128,7 @@
 		handle(request("c1", "k1"));
 		handle(read(Optional.empty()));
 		this.nowMillis += 10_000;
-		List<ClaimAction> actions = handle(new ClaimEvent.WriteApplied(7));
+		List<ClaimAction> actions = handle(new ClaimEvent.WriteApplied(StoreRevision.of(7)));
 		assertThat(refusal(actions, "c1").verdict()).isEqualTo(Verdict.NOT_RUN);
 		assertThat(deliveries(actions)).hasSize(1);
 	}
@@ -137,7 +139,7 @@
 		handle(new ClaimEvent.ClaimRequested(proposal, deadlineNanos(), ClaimOrigin.FROM_PEER));
 		handle(read(Optional.empty()));
 		this.nowMillis += 10_000;
-		handle(new ClaimEvent.WriteApplied(7));
+		handle(new ClaimEvent.WriteApplied(StoreRevision.of(7)));
 		assertThat(storeCalls(timerAfter(1_000))).isEmpty();
 	}
 
--- a/router/src/test/java/org/burdocktray/process/claim/FakeStore.java
+++ b/router/src/test/java/org/burdocktray/process/claim/FakeStore.java
@@ -19,6 +19,7 @@
 import io.vavr.control.Either;
 import org.burdocktray.connection.platform.PlatformStore;
 import org.burdocktray.connection.platform.StoreError;
+import org.burdocktray.connection.platform.StoreRevision;
 import org.burdocktray.connection.platform.StoredObject;
 
 /**
@@ -82,8 +83,8 @@
 		return !this.outage && !this.disconnectedDataCentres.contains(dataCentre);
 	}
 
-	private Either<StoreError, StoredObject> put(String key, Optional<Long> expectedVersion, String value) {
-		Optional<Long> current = Optional.ofNullable(this.objects.get(key)).map(StoredObject::version);
+	private Either<StoreError, StoredObject> put(String key, Optional<StoreRevision> expectedVersion, String value) {
+		Optional<StoreRevision> current = Optional.ofNullable(this.objects.get(key)).map(StoredObject::version);
 		if (!current.equals(expectedVersion)) {
 			return Either.left((current.isEmpty()) ? StoreError.NOT_FOUND : StoreError.CONFLICT);
 		}
@@ -120,7 +121,8 @@
 		}
 
 		@Override
-		public Single<Either<StoreError, StoredObject>> update(String key, long expectedVersion, String value) {
+		public Single<Either<StoreError, StoredObject>> update(String key, StoreRevision expectedVersion,
+				String value) {
 			return write(() -> put(key, Optional.of(expectedVersion), value));
 		}
 
--- a/router/src/test/java/org/burdocktray/process/claim/LeaseRegistry.java
+++ b/router/src/test/java/org/burdocktray/process/claim/LeaseRegistry.java
@@ -7,6 +7,7 @@
 import io.vavr.control.Either;
 import org.burdocktray.connection.platform.PlatformStore;
 import org.burdocktray.connection.platform.StoreError;
+import org.burdocktray.connection.platform.StoreRevision;
 import org.burdocktray.connection.platform.StoredObject;
 import org.burdocktray.model.Refusal;
 import org.burdocktray.model.RefusalReason;
@@ -87,7 +88,8 @@
 		String key = key(ticket.organisation(), ticket.idempotencyKey());
 		return this.store.read(key)
 			.flatMap((result) -> result.fold((error) -> Single.just(false),
-					(object) -> this.store.update(key, object.map(StoredObject::version).orElse(0L), value)
+					(object) -> this.store
+						.update(key, object.map(StoredObject::version).orElse(StoreRevision.NONE), value)
 						.map(Either::isRight)));
 	}
 
--- a/router/src/test/java/org/burdocktray/process/order/LeaseKeeperTests.java
+++ b/router/src/test/java/org/burdocktray/process/order/LeaseKeeperTests.java
@@ -54,13 +54,11 @@
 	}
 
 	private void write(LeaseKeeper keeper, OrderAction.WriteLease write, long nowNanos) {
-		boolean versionMatches = this.stored.isPresent()
-				? write.expectedVersion().orElse(-1) == this.stored.get().version() : write.expectedVersion().isEmpty();
-		if (!versionMatches) {
+		if (!write.expectedVersion().equals(this.stored.map(StoredObject::version))) {
 			keeper.onWriteFailed(StoreError.CONFLICT, nowNanos);
 			return;
 		}
-		long version = this.stored.map(StoredObject::version).orElse(0L);
+		long version = this.stored.map((object) -> object.version().number()).orElse(0L);
 		boolean valueChanged = this.stored.map(StoredObject::value).filter(write.value()::equals).isEmpty();
 		this.stored = Optional.of(new StoredObject("lease", valueChanged ? version + 1 : version, write.value()));
 		keeper.onWritten(this.stored.get(), nowNanos);
--- a/router/src/test/java/org/burdocktray/process/order/LeasePollingTests.java
+++ b/router/src/test/java/org/burdocktray/process/order/LeasePollingTests.java
@@ -174,11 +174,11 @@
 	}
 
 	private Either<StoreError, StoredObject> write(OrderAction.WriteLease write) {
-		long version = this.stored.map(StoredObject::version).orElse(-1L);
-		if (write.expectedVersion().orElse(-1) != version) {
+		if (!write.expectedVersion().equals(this.stored.map(StoredObject::version))) {
 			return Either.left(StoreError.CONFLICT);
 		}
-		this.stored = Optional.of(new StoredObject("lease", Math.max(1, version + 1), write.value()));
+		this.stored = Optional.of(new StoredObject("lease",
+				this.stored.map((object) -> object.version().number() + 1).orElse(1L), write.value()));
 		return Either.right(this.stored.get());
 	}
 
--- a/router/src/test/java/org/burdocktray/process/order/OrderFaultSimulation.java
+++ b/router/src/test/java/org/burdocktray/process/order/OrderFaultSimulation.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
@@ -16,6 +15,7 @@
 import org.burdocktray.connection.engine.EngineOrder;
 import org.burdocktray.connection.engine.OrderFailure;
 import org.burdocktray.connection.platform.StoreError;
+import org.burdocktray.connection.platform.StoreRevision;
 import org.burdocktray.connection.platform.StoredObject;
 import org.burdocktray.model.DataCentre;
 import org.burdocktray.model.NetworkAddress;
@@ -174,8 +174,7 @@
 	}
 
 	OrderEvent applyWrite(OrderAction.WriteLease write) {
-		OptionalLong current = this.lease.map((object) -> OptionalLong.of(object.version()))
-			.orElse(OptionalLong.empty());
+		Optional<StoreRevision> current = this.lease.map(StoredObject::version);
 		if (!current.equals(write.expectedVersion())) {
 			return new OrderEvent.LeaseWriteFailed(StoreError.CONFLICT);
 		}
--- a/router/src/test/java/org/burdocktray/process/quarantine/QuarantineStoreTests.java
+++ b/router/src/test/java/org/burdocktray/process/quarantine/QuarantineStoreTests.java
@@ -15,6 +15,7 @@
 import org.burdocktray.connection.peer.generated.QuarantineEntry;
 import org.burdocktray.connection.platform.PlatformStore;
 import org.burdocktray.connection.platform.StoreError;
+import org.burdocktray.connection.platform.StoreRevision;
 import org.burdocktray.connection.platform.StoredObject;
 import org.junit.jupiter.api.Test;
 
@@ -250,15 +251,16 @@
 		}
 
 		@Override
-		public Single<Either<StoreError, StoredObject>> update(String key, long expectedVersion, String value) {
+		public Single<Either<StoreError, StoredObject>> update(String key, StoreRevision expectedVersion,
+				String value) {
 			this.calls++;
 			if (!this.objects.containsKey(key)) {
 				return Single.just(Either.left(StoreError.NOT_FOUND));
 			}
-			if (this.objects.get(key).version() != expectedVersion) {
+			if (!this.objects.get(key).version().equals(expectedVersion)) {
 				return Single.just(Either.left(StoreError.CONFLICT));
 			}
-			return put(key, expectedVersion + 1, value);
+			return put(key, expectedVersion.number() + 1, value);
 		}
 
 		@Override
--- a/router/src/test/java/org/burdocktray/process/serve/gateway/CountedStoreTests.java
+++ b/router/src/test/java/org/burdocktray/process/serve/gateway/CountedStoreTests.java
@@ -8,6 +8,7 @@
 import io.vavr.control.Either;
 import org.burdocktray.connection.platform.PlatformStore;
 import org.burdocktray.connection.platform.StoreError;
+import org.burdocktray.connection.platform.StoreRevision;
 import org.burdocktray.connection.platform.StoredObject;
 import org.junit.jupiter.api.Test;
 
@@ -24,7 +25,7 @@
 		this.store.read("leases/placement");
 		this.store.read("leases/other");
 		this.store.create("leases/placement", "{}");
-		this.store.update("leases/placement", 1, "{}");
+		this.store.update("leases/placement", StoreRevision.of(1), "{}");
 		this.store.list("vms/");
 		assertThat(this.metrics.scrape().toString())
 			.contains("burdocktray_gateway_store_calls_total{call=\"read\",kind=\"leases\"} 2.0")
@@ -50,7 +51,8 @@
 		}
 
 		@Override
-		public Single<Either<StoreError, StoredObject>> update(String key, long expectedVersion, String value) {
+		public Single<Either<StoreError, StoredObject>> update(String key, StoreRevision expectedVersion,
+				String value) {
 			return Single.just(Either.left(StoreError.UNAVAILABLE));
 		}
 
--- a/router/src/test/java/org/burdocktray/process/serve/gateway/FleetRegistryTests.java
+++ b/router/src/test/java/org/burdocktray/process/serve/gateway/FleetRegistryTests.java
@@ -16,6 +16,7 @@
 import org.burdocktray.connection.platform.ObjectListing;
 import org.burdocktray.connection.platform.PlatformStore;
 import org.burdocktray.connection.platform.StoreError;
+import org.burdocktray.connection.platform.StoreRevision;
 import org.burdocktray.connection.platform.StoredObject;
 import org.burdocktray.model.DataCentre;
 import org.burdocktray.model.NetworkAddress;
@@ -127,11 +128,11 @@
 			return Single.just(Either.right(new ObjectListing(this.objects.stream()
 				.map((object) -> new StoredObject(object.key().substring(kind.length() + 1), object.version(),
 						object.value()))
-				.toList(), 2)));
+				.toList(), StoreRevision.of(2))));
 		}
 
 		@Override
-		public Single<Either<StoreError, ObjectChanges>> awaitChanges(String kind, long afterRevision,
+		public Single<Either<StoreError, ObjectChanges>> awaitChanges(String kind, StoreRevision afterRevision,
 				long waitMillis) {
 			throw new UnsupportedOperationException();
 		}
@@ -147,11 +148,12 @@
 		}
 
 		@Override
-		public Single<Either<StoreError, StoredObject>> update(String key, long expectedVersion, String value) {
+		public Single<Either<StoreError, StoredObject>> update(String key, StoreRevision expectedVersion,
+				String value) {
 			this.updates++;
-			StoredObject updated = new StoredObject(key, expectedVersion + 1, value);
-			this.objects.replaceAll(
-					(object) -> (object.key().equals(key) && object.version() == expectedVersion) ? updated : object);
+			StoredObject updated = new StoredObject(key, expectedVersion.number() + 1, value);
+			this.objects.replaceAll((object) -> (object.key().equals(key) && object.version().equals(expectedVersion))
+					? updated : object);
 			return Single.just(Either.right(updated));
 		}
 
--- a/router/src/test/java/org/burdocktray/process/serve/gateway/QuarantineSyncTests.java
+++ b/router/src/test/java/org/burdocktray/process/serve/gateway/QuarantineSyncTests.java
@@ -13,11 +13,13 @@
 import org.burdocktray.connection.peer.generated.SharedLoads;
 import org.burdocktray.connection.platform.PlatformStore;
 import org.burdocktray.connection.platform.StoreError;
+import org.burdocktray.process.freshness.RulesFreshness.Timestamp;
 import org.burdocktray.process.quarantine.Fingerprint;
 import org.burdocktray.process.quarantine.Quarantine;
 import org.burdocktray.process.quarantine.QuarantineSettings;
 import org.burdocktray.process.quarantine.RequestIdentity;
 import org.burdocktray.process.quarantine.RunOutcome;
+import org.burdocktray.process.restore.StoreEras;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -110,8 +112,9 @@
 		crash("desk-1");
 		PlatformStore store = (PlatformStore) Proxy.newProxyInstance(PlatformStore.class.getClassLoader(),
 				new Class<?>[] { PlatformStore.class }, (proxy, method, arguments) -> answer.get());
-		return new QuarantineSync(this.vertx, this.quarantine, new GatewayAdapter(null, null, store, null, null, null),
-				null, this.datagrams::add);
+		return new QuarantineSync(this.vertx, this.quarantine,
+				new GatewayAdapter(null, null, store, null, null, new StoreEras(Timestamp::now), null), null,
+				this.datagrams::add);
 	}
 
 }
--- a/router/src/test/java/org/burdocktray/process/serve/gateway/StoreWatcherTests.java
+++ b/router/src/test/java/org/burdocktray/process/serve/gateway/StoreWatcherTests.java
@@ -11,6 +11,9 @@
 import org.burdocktray.connection.platform.ObjectChanges;
 import org.burdocktray.connection.platform.ObjectListing;
 import org.burdocktray.connection.platform.StoreError;
+import org.burdocktray.connection.platform.StoreRevision;
+import org.burdocktray.process.freshness.RulesFreshness.Timestamp;
+import org.burdocktray.process.restore.StoreEras;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -124,7 +127,7 @@
 
 	private void start(StoreWatcher.OutageRole role, String kind, StoreWatcher.Listener listener) {
 		StoreWatcher watcher = new StoreWatcher(this.vertx, this.feed, this.probeFeed, kind, () -> TIMEOUT_MILLIS, 0,
-				listener, this.outage, role);
+				listener, this.outage, new StoreEras(Timestamp::now), role);
 		this.vertx.getOrCreateContext().runOnContext((now) -> watcher.start());
 	}
 
@@ -160,12 +163,12 @@
 		public Single<Either<StoreError, ObjectListing>> listObjects(String kind) {
 			(kind.equals("rules") ? this.rulesCalls : this.replicasCalls).incrementAndGet();
 			boolean isFailing = !this.available || kind.equals(this.failingKind);
-			return Single
-				.just(isFailing ? Either.left(StoreError.UNAVAILABLE) : Either.right(new ObjectListing(List.of(), 1)));
+			return Single.just(isFailing ? Either.left(StoreError.UNAVAILABLE)
+					: Either.right(new ObjectListing(List.of(), StoreRevision.of(1))));
 		}
 
 		@Override
-		public Single<Either<StoreError, ObjectChanges>> awaitChanges(String kind, long afterRevision,
+		public Single<Either<StoreError, ObjectChanges>> awaitChanges(String kind, StoreRevision afterRevision,
 				long waitMillis) {
 			this.watches.incrementAndGet();
 			if (this.historyLost) {
--- a/router/src/test/java/org/burdocktray/process/serve/gateway/VirtualStore.java
+++ b/router/src/test/java/org/burdocktray/process/serve/gateway/VirtualStore.java
@@ -14,11 +14,12 @@
 import org.burdocktray.connection.platform.ObjectChanges.ObjectChange;
 import org.burdocktray.connection.platform.ObjectListing;
 import org.burdocktray.connection.platform.StoreError;
+import org.burdocktray.connection.platform.StoreRevision;
 import org.burdocktray.connection.platform.StoredObject;
 
 /**
  * A store in virtual time with the state of its objects, their changes, and watches that
- * wait. Thread safety: none.
+ * wait. It may return from a copy, which begins an era. Thread safety: none.
  */
 final class VirtualStore {
 
@@ -38,13 +39,44 @@
 
 	private long revision = 1;
 
+	long era = 1;
+
 	VirtualStore(VirtualTime time) {
 		this.time = time;
 	}
 
+	/** Returns the state to which {@link #returnFrom} goes back. */
+	Copy copy() {
+		Map<String, Map<String, StoredObject>> copied = new HashMap<>();
+		this.objects.forEach((kind, stored) -> copied.put(kind, new TreeMap<>(stored)));
+		return new Copy(copied, this.revision);
+	}
+
+	/** Falls silent for all callers; calls in progress get no answer. */
+	void leave() {
+		this.available = false;
+		this.watches.clear();
+	}
+
+	/** Answers again, from a copy. */
+	void returnFrom(Copy copy) {
+		this.revision = copy.revision();
+		this.era++;
+		this.objects.clear();
+		copy.objects().forEach((kind, stored) -> {
+			Map<String, StoredObject> returned = new TreeMap<>(stored);
+			returned.replaceAll((key, object) -> ofPresentEra(object));
+			this.objects.put(kind, returned);
+		});
+		this.history.removeIf((change) -> change.revision() > copy.revision());
+		this.history.replaceAll((change) -> new Change(change.kind(), change.revision(),
+				new ObjectChange(ofPresentEra(change.change().object()), change.change().removed())));
+		this.available = true;
+	}
+
 	void put(String kind, String key, String value) {
 		this.revision++;
-		StoredObject object = new StoredObject(key, this.revision, value);
+		StoredObject object = new StoredObject(key, currentRevision(), value);
 		this.objects.computeIfAbsent(kind, (absent) -> new TreeMap<>()).put(key, object);
 		record(kind, new ObjectChange(object, false));
 	}
@@ -54,6 +86,15 @@
 		record(kind, new ObjectChange(this.objects.get(kind).remove(key), true));
 	}
 
+	// Answers tell the era of the store, not that of the write.
+	private StoredObject ofPresentEra(StoredObject object) {
+		return new StoredObject(object.key(), new StoreRevision(this.era, object.version().number()), object.value());
+	}
+
+	private StoreRevision currentRevision() {
+		return new StoreRevision(this.era, this.revision);
+	}
+
 	private void record(String kind, ObjectChange change) {
 		this.history.add(new Change(kind, this.revision, change));
 		List<Watch> waiting = this.watches.stream().filter((watch) -> watch.kind().equals(kind)).toList();
@@ -71,8 +112,8 @@
 			onEnd.accept(Either.left(StoreError.UNAVAILABLE));
 			return;
 		}
-		onEnd.accept(Either
-			.right(new ObjectListing(List.copyOf(this.objects.getOrDefault(kind, Map.of()).values()), this.revision)));
+		onEnd.accept(Either.right(
+				new ObjectListing(List.copyOf(this.objects.getOrDefault(kind, Map.of()).values()), currentRevision())));
 	}
 
 	void await(String vm, String kind, long after, long waitMillis, Consumer<Either<StoreError, ObjectChanges>> onEnd) {
@@ -100,7 +141,7 @@
 	private void answer(Watch watch) {
 		watch.onEnd()
 			.accept(rejects(watch.vm()) ? Either.left(StoreError.UNAVAILABLE)
-					: Either.right(new ObjectChanges(changesAfter(watch.kind(), watch.after()), this.revision)));
+					: Either.right(new ObjectChanges(changesAfter(watch.kind(), watch.after()), currentRevision())));
 	}
 
 	private List<ObjectChange> changesAfter(String kind, long after) {
@@ -110,6 +151,13 @@
 			.toList();
 	}
 
+	/**
+	 * A state of the store.
+	 */
+	record Copy(Map<String, Map<String, StoredObject>> objects, long revision) {
+
+	}
+
 	private record Change(String kind, long revision, ObjectChange change) {
 
 	}
--- a/router/src/test/java/org/burdocktray/process/serve/gateway/WatchFleet.java
+++ b/router/src/test/java/org/burdocktray/process/serve/gateway/WatchFleet.java
@@ -21,11 +21,13 @@
 import org.burdocktray.connection.platform.ObjectChanges;
 import org.burdocktray.connection.platform.ObjectListing;
 import org.burdocktray.connection.platform.StoreError;
+import org.burdocktray.connection.platform.StoreRevision;
 import org.burdocktray.connection.platform.StoredObject;
 import org.burdocktray.model.DataCentre;
 import org.burdocktray.model.NetworkAddress;
 import org.burdocktray.process.freshness.RulesFreshness;
 import org.burdocktray.process.freshness.RulesFreshness.Timestamp;
+import org.burdocktray.process.restore.StoreEras;
 import org.burdocktray.process.settings.GatewayOptions.WatchOptions;
 import org.burdocktray.process.watch.StoreSharing;
 import org.burdocktray.process.watch.WatchListener;
@@ -77,6 +79,8 @@
 
 	private final Map<String, Long> changedMillis = new HashMap<>();
 
+	private final Map<String, String> lastWritten = new HashMap<>();
+
 	/** Changes answers on their way; identity unless a fault is planted. */
 	UnaryOperator<WatchAnswer> answerFault = UnaryOperator.identity();
 
@@ -110,15 +114,22 @@
 		this.version++;
 		this.withdrawnMillis = this.time.millis();
 		this.store.put(RULES, "main", Long.toString(this.version));
+		this.lastWritten.put(RULES, Long.toString(this.version));
 		this.changedMillis.put(RULES, this.time.millis());
 	}
 
 	void changeReplica() {
 		this.version++;
 		this.store.put(REPLICAS, "r", Long.toString(this.version));
+		this.lastWritten.put(REPLICAS, Long.toString(this.version));
 		this.changedMillis.put(REPLICAS, this.time.millis());
 	}
 
+	/** Writes what the operator and the replica have written before once more. */
+	void writeAgain() {
+		this.lastWritten.forEach((kind, written) -> this.store.put(kind, kind.equals(RULES) ? "main" : "r", written));
+	}
+
 	void freeze(Vm vm, long millis) {
 		vm.frozenUntilMillis = this.time.millis() + millis;
 		vm.disturbedUntilMillis = vm.frozenUntilMillis + CHANGE_MILLIS;
@@ -180,6 +191,13 @@
 
 		private final Map<String, Long> known = new HashMap<>();
 
+		/** The values that were learned last. */
+		private final Map<String, Long> learned = new HashMap<>();
+
+		private final Map<String, Long> learnedEras = new HashMap<>();
+
+		private StoreEras eras = new StoreEras(this::clock);
+
 		private StoreSharing sharing;
 
 		private int incarnation;
@@ -221,6 +239,12 @@
 					&& this.freshness.isFresh(clock());
 		}
 
+		@Override
+		public String toString() {
+			return this.name + " " + this.known + " of " + WatchFleet.this.version + ", age " + rulesAgeMillis()
+					+ ", era " + this.eras.current();
+		}
+
 		long rulesAgeMillis() {
 			return this.freshness.ageMillis(clock());
 		}
@@ -253,6 +277,9 @@
 			this.killed = false;
 			this.incarnation++;
 			this.known.clear();
+			this.learned.clear();
+			this.learnedEras.clear();
+			this.eras = new StoreEras(this::clock);
 			this.freshness = new RulesFreshness(MAX_AGE_MILLIS);
 			this.disturbedUntilMillis = WatchFleet.this.time.millis() + CHANGE_MILLIS;
 			this.watching = true;
@@ -262,7 +289,7 @@
 					new WatchedKind(VMS, 7_000, false));
 			this.sharing = new StoreSharing(WatchFleet.this.options, new StoreSharing.Own(this.name, this.dataCentre),
 					new StoreSharing.Kinds(confirmed, hints), new StoreSharing.Platform(directFeed(), directFeed(),
-							this::ask, this::clock, this::schedule, WatchFleet.this.random.split()),
+							this.eras, this::ask, this::clock, this::schedule, WatchFleet.this.random.split()),
 					new Listener());
 			ChangeFeed feed = this.older ? directFeed() : this.sharing.feed();
 			ChangeFeed hintFeed = this.older ? directFeed() : this.sharing.hintFeed();
@@ -291,21 +318,34 @@
 
 		private void watch(ChangeFeed feed, ChangeFeed hintFeed, String kind, LongSupplier waitMillis, long batchMillis,
 				StoreOutage outage, StoreWatcher.OutageRole role) {
-			Consumer<Timestamp> onResponse = kind.equals(RULES) ? this.freshness::recordConfirmation : (time) -> {
+			Consumer<Timestamp> onResponse = kind.equals(RULES) ? this::recordConfirmation : (time) -> {
 			};
 			new StoreWatcher(
 					this::schedule, this::clock, feed, hintFeed, kind, waitMillis, batchMillis, StoreWatcher.Listener
 						.ofObjects((objects) -> objects.forEach((object) -> learn(kind, object)), onResponse),
-					outage, role)
+					outage, this.eras, role)
 				.start();
 		}
 
+		private void recordConfirmation(Timestamp confirmedAt) {
+			if (this.eras.isSettledAt(confirmedAt)) {
+				this.freshness.recordConfirmation(confirmedAt);
+			}
+		}
+
+		// The copy from which the store returns may show an earlier state than the VM
+		// knows, which does not take its place.
 		private void learn(String kind, StoredObject object) {
 			long value = Long.parseLong(object.value());
-			if (value < this.known.getOrDefault(kind, -1L)) {
+			long era = object.version().era();
+			long latestOfEra = (era == this.learnedEras.getOrDefault(kind, era)) ? this.learned.getOrDefault(kind, -1L)
+					: -1;
+			if (value < latestOfEra) {
 				WatchFleet.this.violations.add("step back: " + this.name + " " + kind);
 			}
-			this.known.put(kind, value);
+			this.learnedEras.put(kind, era);
+			this.learned.put(kind, value);
+			this.known.merge(kind, value, Math::max);
 		}
 
 		/** Runs an action on this VM, later if it is frozen, never if it has ended. */
@@ -333,20 +373,30 @@
 			return new ChangeFeed() {
 				@Override
 				public Single<Either<StoreError, ObjectListing>> listObjects(String kind) {
-					return counted(kind, "listing",
-							call(1_500, (onEnd) -> WatchFleet.this.store.list(Vm.this.name, kind, onEnd)));
+					Single<Either<StoreError, ObjectListing>> call = call(1_500,
+							(onEnd) -> WatchFleet.this.store.list(Vm.this.name, kind, onEnd));
+					return counted(kind, "listing", call)
+						.map((result) -> result.flatMap((listing) -> checkEra(listing, listing.revision())));
 				}
 
 				@Override
-				public Single<Either<StoreError, ObjectChanges>> awaitChanges(String kind, long afterRevision,
+				public Single<Either<StoreError, ObjectChanges>> awaitChanges(String kind, StoreRevision after,
 						long waitMillis) {
-					return counted(kind, "watch",
-							call(waitMillis + STORE_TIMEOUT_MARGIN_MILLIS, (onEnd) -> WatchFleet.this.store
-								.await(Vm.this.name, kind, afterRevision, waitMillis, onEnd)));
+					Single<Either<StoreError, ObjectChanges>> call = call(waitMillis + STORE_TIMEOUT_MARGIN_MILLIS,
+							(onEnd) -> WatchFleet.this.store.await(Vm.this.name, kind, after.number(), waitMillis,
+									onEnd));
+					return counted(kind, "watch", call)
+						.map((result) -> result.flatMap((changes) -> checkEra(changes, changes.revision()))
+							.flatMap((changes) -> changes.revision().isSameEra(after) ? Either.right(changes)
+									: Either.left(StoreError.NOT_FOUND)));
 				}
 			};
 		}
 
+		private <T> Either<StoreError, T> checkEra(T answer, StoreRevision revision) {
+			return this.eras.record(revision.era()) ? Either.right(answer) : Either.left(StoreError.UNRESOLVED);
+		}
+
 		// A call after one of this VM and kind that has failed is a retry.
 		private <T> Single<Either<StoreError, T>> counted(String kind, String purpose,
 				Single<Either<StoreError, T>> call) {
--- a/router/src/test/java/org/burdocktray/process/watch/FollowerAnswersTests.java
+++ b/router/src/test/java/org/burdocktray/process/watch/FollowerAnswersTests.java
@@ -7,9 +7,11 @@
 import org.burdocktray.connection.peer.generated.WatchAnswer;
 import org.burdocktray.connection.peer.generated.WatchRequest;
 import org.burdocktray.connection.platform.ObjectChanges;
+import org.burdocktray.connection.platform.StoreRevision;
 import org.burdocktray.model.DataCentre;
 import org.burdocktray.model.NetworkAddress;
 import org.burdocktray.process.freshness.RulesFreshness.Timestamp;
+import org.burdocktray.process.restore.StoreEras;
 import org.burdocktray.process.settings.GatewayOptions.WatchOptions;
 import org.junit.jupiter.api.Test;
 
@@ -24,12 +26,14 @@
 
 	private static final Timestamp NOW = new Timestamp(1_000_000_000L, 50_000);
 
+	private static final StoreRevision REVISION = StoreRevision.of(7);
+
 	private final WatchSources sources = new WatchSources(new WatchOptions(1, 32, 2), "vm-0", new DataCentre("dc-0"),
 			new SplittableRandom(1));
 
 	private final FollowerAnswers answers = new FollowerAnswers(
-			new StoreSharing.Kinds(List.of(new WatchedKind(KIND, 1_000, false)), List.of()), this.sources, () -> NOW,
-			(delayMillis, action) -> {
+			new StoreSharing.Kinds(List.of(new WatchedKind(KIND, 1_000, false)), List.of()), this.sources,
+			new StoreEras(() -> NOW), () -> NOW, (delayMillis, action) -> {
 			}, this::countListing, new SilentListener());
 
 	private final List<WatchAnswer.Status> statuses = new ArrayList<>();
@@ -40,7 +44,7 @@
 	void requestWaitsForTheStoreWhileTheLogIsRecent() {
 		this.sources.setVms(List.of(new WatchVm("vm-0", new DataCentre("dc-0"), new NetworkAddress("10.0.0.1", 1), 1)));
 		this.sources.setKeyKnown(true);
-		this.answers.recordChanges(KIND, 7, new ObjectChanges(List.of(), 7), NOW);
+		this.answers.recordChanges(KIND, REVISION, new ObjectChanges(List.of(), REVISION), NOW);
 		this.sources.recordFailure(WatchSource.STORE, NOW.monotonicNanos());
 		ask(1_000, false);
 		assertThat(this.statuses).isEmpty();
@@ -61,8 +65,8 @@
 		this.answers.recordFailure(KIND);
 		ask(1_000, false);
 		assertThat(this.listings).isZero();
-		this.answers.recordChanges(KIND, 7, new ObjectChanges(List.of(), 7), NOW);
-		this.answers.recordChanges(KIND, 7, new ObjectChanges(List.of(), 7), NOW);
+		this.answers.recordChanges(KIND, REVISION, new ObjectChanges(List.of(), REVISION), NOW);
+		this.answers.recordChanges(KIND, REVISION, new ObjectChanges(List.of(), REVISION), NOW);
 		assertThat(this.listings).isEqualTo(1);
 		assertThat(this.statuses).isEmpty();
 	}
--- a/router/src/test/java/org/burdocktray/process/watch/RepeatingFeedTests.java
+++ b/router/src/test/java/org/burdocktray/process/watch/RepeatingFeedTests.java
@@ -11,6 +11,7 @@
 import org.burdocktray.connection.platform.ObjectChanges;
 import org.burdocktray.connection.platform.ObjectListing;
 import org.burdocktray.connection.platform.StoreError;
+import org.burdocktray.connection.platform.StoreRevision;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -23,7 +24,7 @@
  */
 class RepeatingFeedTests {
 
-	private static final ObjectChanges NO_CHANGES = new ObjectChanges(List.of(), 8);
+	private static final ObjectChanges NO_CHANGES = new ObjectChanges(List.of(), StoreRevision.of(8));
 
 	private final FakeFeed feed = new FakeFeed();
 
@@ -55,7 +56,7 @@
 	}
 
 	private Either<StoreError, ObjectChanges> watch() {
-		return this.repeating.awaitChanges("servers", 7, 900).blockingGet();
+		return this.repeating.awaitChanges("servers", StoreRevision.of(7), 900).blockingGet();
 	}
 
 	private static final class FakeFeed implements ChangeFeed {
@@ -70,7 +71,7 @@
 		}
 
 		@Override
-		public Single<Either<StoreError, ObjectChanges>> awaitChanges(String kind, long afterRevision,
+		public Single<Either<StoreError, ObjectChanges>> awaitChanges(String kind, StoreRevision afterRevision,
 				long waitMillis) {
 			this.calls.add(kind + " after " + afterRevision + " wait " + waitMillis);
 			return Single.just(this.results.remove());
--- a/router/src/test/java/org/burdocktray/process/watch/WatchCodecTests.java
+++ b/router/src/test/java/org/burdocktray/process/watch/WatchCodecTests.java
@@ -22,7 +22,7 @@
 	void changesSurviveTheWay() {
 		List<ObjectChange> changes = List.of(new ObjectChange(new StoredObject("a", 3, "{\"x\":1}"), false),
 				new ObjectChange(new StoredObject("b", 2, ""), true));
-		assertThat(WatchCodec.encode(changes).flatMap(WatchCodec::decode)).contains(changes);
+		assertThat(WatchCodec.encode(changes).flatMap((content) -> WatchCodec.decode(content, 0))).contains(changes);
 		assertThat(WatchCodec.encode(List.of())).contains(ByteString.EMPTY);
 	}
 
@@ -35,12 +35,12 @@
 			WatchedObjects.newBuilder().addObjects(WatchedObject.newBuilder().setValue(value)).build().writeTo(output);
 		}
 		assertThat(compressed.size()).isLessThan(WatchCodec.MAX_ANSWER_BYTES);
-		assertThat(WatchCodec.decode(compressed.toByteString())).isEmpty();
+		assertThat(WatchCodec.decode(compressed.toByteString(), 0)).isEmpty();
 	}
 
 	@Test
 	void contentOfAnotherFormatIsNotRead() {
-		assertThat(WatchCodec.decode(ByteString.copyFromUtf8("{\"items\":[]}"))).isEmpty();
+		assertThat(WatchCodec.decode(ByteString.copyFromUtf8("{\"items\":[]}"), 0)).isEmpty();
 	}
 
 }
--- a/standins/src/main/java/org/burdocktray/standins/gateway/ObjectApiStandIn.java
+++ b/standins/src/main/java/org/burdocktray/standins/gateway/ObjectApiStandIn.java
@@ -17,12 +17,15 @@
 /**
  * A stand-in for the platform's metadata store: objects by kind and name with a common
  * revision counter, conditional writes and long-polling watches. A write that does not
- * change the object creates no new revision. Thread safety: see {@link HttpStandIn}.
+ * change the object creates no new revision. It may return from a copy, which begins an
+ * era; all answers tell the era. Thread safety: see {@link HttpStandIn}.
  */
 public final class ObjectApiStandIn extends HttpStandIn {
 
 	private static final int POLL_INTERVAL_MILLIS = 10;
 
+	private static final String ERA_AT_START = "eraAtStart";
+
 	private static final int NOT_FOUND = 404;
 
 	private static final int CONFLICT = 409;
@@ -37,6 +40,12 @@
 
 	private long revision = 1;
 
+	private long era = 1;
+
+	private Copy copy = new Copy(Map.of(), 1);
+
+	private volatile boolean silent;
+
 	private long discardedUpToRevision;
 
 	private volatile boolean unavailable;
@@ -72,6 +81,32 @@
 		});
 	}
 
+	/** Keeps a copy of the present state. */
+	public void keepCopy() {
+		runOnEventLoop(() -> {
+			Map<String, NavigableMap<String, JsonObject>> objects = new TreeMap<>();
+			this.objectsByKind.forEach((kind, stored) -> objects.put(kind, new TreeMap<>(stored)));
+			this.copy = new Copy(objects, this.revision);
+		});
+	}
+
+	/** Falls silent: no call gets an answer, also those in progress. */
+	public void leave() {
+		this.silent = true;
+	}
+
+	/** Answers again from the copy that was kept, in the next era. */
+	public void returnFromCopy() {
+		runOnEventLoop(() -> {
+			this.objectsByKind.clear();
+			this.copy.objects().forEach((kind, stored) -> this.objectsByKind.put(kind, new TreeMap<>(stored)));
+			this.history.removeIf((event) -> event.getLong("at") > this.copy.revision());
+			this.revision = this.copy.revision();
+			this.era++;
+			this.silent = false;
+		});
+	}
+
 	/**
 	 * Sets whether all calls are rejected.
 	 * @param isUnavailable whether calls get a {@code 503} response
@@ -109,6 +144,11 @@
 	@Override
 	protected void addRoutes(Router router) {
 		router.route().handler((context) -> {
+			context.put(ERA_AT_START, this.era);
+			context.response().putHeader("Store-Era", Long.toString(this.era));
+			if (isSilentFor(context)) {
+				return;
+			}
 			if (this.unavailable) {
 				respondEmpty(context, SERVICE_UNAVAILABLE);
 				return;
@@ -121,6 +161,10 @@
 		router.put("/objects/:kind/:name").handler(this::replace);
 	}
 
+	private boolean isSilentFor(RoutingContext context) {
+		return this.silent || !Long.valueOf(this.era).equals(context.get(ERA_AT_START));
+	}
+
 	private void listOrWatch(RoutingContext context) {
 		String watch = context.request().getParam("watch");
 		if (watch == null) {
@@ -141,11 +185,14 @@
 	}
 
 	private void watch(RoutingContext context, String kind, long afterRevision, long waitMillis) {
+		if (isSilentFor(context)) {
+			return;
+		}
 		if (this.unavailable) {
 			closeConnection(context);
 			return;
 		}
-		if (afterRevision < this.discardedUpToRevision) {
+		if (afterRevision > this.revision || afterRevision < this.discardedUpToRevision) {
 			respondJson(context, GONE, new JsonObject().put("currentRev", this.revision));
 			return;
 		}
@@ -228,7 +275,10 @@
 			.put("event", new JsonObject().put("tombstone", isRemoval).put("object", object));
 	}
 
-	private static void respondJson(RoutingContext context, int statusCode, JsonObject body) {
+	private void respondJson(RoutingContext context, int statusCode, JsonObject body) {
+		if (isSilentFor(context)) {
+			return;
+		}
 		if (!context.response().ended() && !context.response().closed()) {
 			context.response()
 				.setStatusCode(statusCode)
@@ -237,4 +287,14 @@
 		}
 	}
 
+	/**
+	 * A state of the store.
+	 *
+	 * @param objects the objects by kind and name
+	 * @param revision the revision
+	 */
+	private record Copy(Map<String, NavigableMap<String, JsonObject>> objects, long revision) {
+
+	}
+
 }
