Use no replica that a copy of the store brings back

What callers would see: after the store has returned from a copy, requests go to a replica that had reported that it drains, or whose entry had been removed, in the seconds that were lost, until it has written again. A replica that the copy lacks is taken for gone.

Cause: the directory takes the latest listing for the state of the replicas.

Evidence: found by reading; ReplicaDirectoryTests have a case for each of the three, which need the new call.

Change: when the store returns, replicas known to drain count as leaving for good, those removed in the last 60 s are not used until the return has settled, and entries that are missing get the grace period of an outage.

--- a/router/src/main/java/org/burdocktray/process/directory/ReplicaDirectory.java
+++ b/router/src/main/java/org/burdocktray/process/directory/ReplicaDirectory.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 
 import org.burdocktray.model.NetworkAddress;
@@ -19,17 +20,23 @@
  * is unavailable, even if their replicas are running. An entry that is missing when the
  * store is available again is therefore kept for a grace period, unless its replica is
  * draining. A replica that says that it leaves counts as draining until its address is
- * that of another instance, whatever its entry states. Invariants: a draining or removed
- * replica is not usable; of two entries with the same address, the replica with the
- * latest start time is used. The snapshot of the usable replicas is made anew once for a
- * group of changes, and not for entries that change nothing, since it takes as long as
- * there are replicas. Thread safety: modified by one thread; readers of the usable
- * replicas see an immutable snapshot.
+ * that of another instance, whatever its entry states. When the store returns from a
+ * copy, its entries may show draining replicas as ready and list removed ones again;
+ * draining replicas stay so, and those that were removed lately are not used until the
+ * replicas have written again. Invariants: a draining or removed replica is not usable;
+ * of two entries with the same address, the replica with the latest start time is used.
+ * The snapshot of the usable replicas is made anew once for a group of changes, and not
+ * for entries that change nothing, since it takes as long as there are replicas. Thread
+ * safety: modified by one thread; readers of the usable replicas see an immutable
+ * snapshot.
  */
 public final class ReplicaDirectory {
 
 	/** Instances that are gone are not removed otherwise. */
-	private static final int MAX_LEAVING = 4_096;
+	private static final int MAX_INSTANCES = 4_096;
+
+	/** Longer than a store may go back when it returns from a copy. */
+	private static final long REMEMBERED_REMOVAL_NANOS = TimeUnit.SECONDS.toNanos(60);
 
 	private final long gracePeriodNanos;
 
@@ -40,6 +47,14 @@
 
 	private final Map<String, Long> missingSinceNanos = new HashMap<>();
 
+	/** When instances were removed, the latest last. */
+	private final Map<Instance, Long> removedNanos = new LinkedHashMap<>();
+
+	/** Instances that a copy of the store may list although they were removed. */
+	private final Set<Instance> withheld = new HashSet<>();
+
+	private long withheldUntilNanos;
+
 	private final AtomicReference<Map<String, List<Replica>>> usable = new AtomicReference<>(Map.of());
 
 	private boolean storeUnavailable;
@@ -82,6 +97,20 @@
 		this.storeUnavailable = true;
 	}
 
+	/**
+	 * Handles that the store has returned from a copy, before its entries are listed.
+	 * @param settleNanos how long the replicas may take to write again
+	 * @param nowNanos the current time of the monotonic clock
+	 */
+	public void onStoreRestored(long settleNanos, long nowNanos) {
+		this.graceEndNanos = nowNanos + this.gracePeriodNanos;
+		this.entries.values().stream().filter(Replica::draining).map(Instance::of).forEach(this::addLeaving);
+		this.removedNanos.values().removeIf((removed) -> nowNanos - removed > REMEMBERED_REMOVAL_NANOS);
+		this.withheld.addAll(this.removedNanos.keySet());
+		this.withheldUntilNanos = nowNanos + settleNanos;
+		publish();
+	}
+
 	/**
 	 * Replaces all entries.
 	 * @param listed all valid entries, including those of draining replicas
@@ -143,13 +172,20 @@
 	 * @return whether this was not known yet
 	 */
 	public boolean markLeaving(String id, long startedAtMillis) {
-		if (!this.leaving.add(new Instance(id, startedAtMillis))) {
+		if (!addLeaving(new Instance(id, startedAtMillis))) {
+			return false;
+		}
+		publish();
+		return true;
+	}
+
+	private boolean addLeaving(Instance instance) {
+		if (!this.leaving.add(instance)) {
 			return false;
 		}
-		if (this.leaving.size() > MAX_LEAVING) {
+		if (this.leaving.size() > MAX_INSTANCES) {
 			this.leaving.remove(this.leaving.iterator().next());
 		}
-		publish();
 		return true;
 	}
 
@@ -158,10 +194,14 @@
 	 * @param nowNanos the current time of the monotonic clock
 	 */
 	public void tick(long nowNanos) {
+		if (!this.withheld.isEmpty() && nowNanos - this.withheldUntilNanos >= 0) {
+			this.withheld.clear();
+			publish();
+		}
 		if (this.storeUnavailable || this.missingSinceNanos.isEmpty() || nowNanos - this.graceEndNanos < 0) {
 			return;
 		}
-		this.missingSinceNanos.keySet().forEach(this.entries::remove);
+		this.missingSinceNanos.keySet().forEach((id) -> dropEntry(id, nowNanos));
 		this.missingSinceNanos.clear();
 		publish();
 	}
@@ -198,7 +238,7 @@
 	 */
 	public boolean isUsable(Replica replica) {
 		Replica entry = this.entries.get(replica.id());
-		return entry != null && !isDraining(entry) && entry.isSameInstance(replica);
+		return entry != null && mayReceive(entry) && entry.isSameInstance(replica);
 	}
 
 	/**
@@ -250,11 +290,28 @@
 			return;
 		}
 		this.missingSinceNanos.remove(id);
-		this.entries.remove(id);
+		dropEntry(id, nowNanos);
+	}
+
+	private void dropEntry(String id, long nowNanos) {
+		Replica dropped = this.entries.remove(id);
+		if (dropped == null) {
+			return;
+		}
+		Instance instance = Instance.of(dropped);
+		this.removedNanos.remove(instance);
+		this.removedNanos.put(instance, nowNanos);
+		if (this.removedNanos.size() > MAX_INSTANCES) {
+			this.removedNanos.remove(this.removedNanos.keySet().iterator().next());
+		}
 	}
 
 	private boolean isDraining(Replica entry) {
-		return entry.draining() || this.leaving.contains(new Instance(entry.id(), entry.startedAtMillis()));
+		return entry.draining() || this.leaving.contains(Instance.of(entry));
+	}
+
+	private boolean mayReceive(Replica entry) {
+		return !isDraining(entry) && !this.withheld.contains(Instance.of(entry));
 	}
 
 	private void publish() {
@@ -269,7 +326,7 @@
 		}
 		Map<String, List<Replica>> next = new HashMap<>();
 		for (Replica replica : byAddress.values()) {
-			if (!isDraining(replica)) {
+			if (mayReceive(replica)) {
 				next.computeIfAbsent(replica.service(), (service) -> new ArrayList<>()).add(replica);
 			}
 		}
@@ -285,6 +342,10 @@
 	 */
 	private record Instance(String id, long startedAtMillis) {
 
+		private static Instance of(Replica replica) {
+			return new Instance(replica.id(), replica.startedAtMillis());
+		}
+
 	}
 
 }
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayServer.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayServer.java
@@ -371,7 +371,10 @@
 		demand.ifPresent((exchange) -> exchangeDemand(exchange, pressure, datagrams));
 		overload.ifPresent((control) -> this.vertx.setPeriodic(OVERLOAD_UPDATE_MILLIS, (timer) -> runTick("overload",
 				() -> this.rules.current().ifPresent((current) -> control.update(current, System.nanoTime())))));
-		this.storeEras.addListener(() -> this.metrics.setStoreEra(this.storeEras.current()));
+		this.storeEras.addListener(() -> {
+			this.metrics.setStoreEra(this.storeEras.current());
+			this.directory.onStoreRestored(TimeUnit.MILLISECONDS.toNanos(StoreEras.SETTLE_MILLIS), System.nanoTime());
+		});
 		startWatchers();
 		fleetRegistry.start();
 		this.relayKey.start();
--- a/router/src/test/java/org/burdocktray/process/directory/ReplicaDirectoryTests.java
+++ b/router/src/test/java/org/burdocktray/process/directory/ReplicaDirectoryTests.java
@@ -14,6 +14,8 @@
 
 	private static final long GRACE_NANOS = 2_000;
 
+	private static final long SETTLE_NANOS = 3_000;
+
 	private final ReplicaDirectory directory = new ReplicaDirectory(GRACE_NANOS);
 
 	private final Replica first = TestReplicas.replica("first", 1);
@@ -65,6 +67,43 @@
 		assertThat(this.directory.usable("s")).containsExactly(this.first);
 	}
 
+	/** Guards against a copy of the store that shows a draining replica as ready. */
+	@Test
+	void drainingReplicaStaysSoWhenTheStoreReturnsFromACopy() {
+		this.directory.replaceAll(List.of(draining(this.first), this.second), 0);
+		this.directory.onStoreRestored(SETTLE_NANOS, 10);
+		this.directory.replaceAll(List.of(this.first, this.second), 20);
+		this.directory.tick(20 + SETTLE_NANOS);
+		assertThat(this.directory.usable("s")).containsExactly(this.second);
+	}
+
+	/**
+	 * Guards against a copy of the store that lists a replica which was removed. If it is
+	 * listed still when the replicas have written again, it is in service.
+	 */
+	@Test
+	void removedReplicaIsNotUsedUntilTheReturnHasSettled() {
+		this.directory.replaceAll(List.of(this.first, this.second), 0);
+		this.directory.remove("first", 5);
+		this.directory.onStoreRestored(SETTLE_NANOS, 10);
+		this.directory.replaceAll(List.of(this.first, this.second), 20);
+		assertThat(this.directory.usable("s")).containsExactly(this.second);
+		assertThat(this.directory.isUsable(this.first)).isFalse();
+		this.directory.tick(10 + SETTLE_NANOS);
+		assertThat(this.directory.usable("s")).containsExactlyInAnyOrder(this.first, this.second);
+	}
+
+	/** Guards against replicas that the copy lacks and that are taken for gone. */
+	@Test
+	void replicaThatTheCopyLacksIsKeptForTheGracePeriod() {
+		this.directory.replaceAll(List.of(this.first, this.second), 0);
+		this.directory.onStoreRestored(SETTLE_NANOS, 10);
+		this.directory.replaceAll(List.of(this.second), 20);
+		assertThat(this.directory.usable("s")).containsExactlyInAnyOrder(this.first, this.second);
+		this.directory.tick(10 + GRACE_NANOS);
+		assertThat(this.directory.usable("s")).containsExactly(this.second);
+	}
+
 	@Test
 	void invalidEntryIsRemovedEvenWithinTheGracePeriod() {
 		this.directory.replaceAll(List.of(this.first), 0);
