Give the lease to one VM when the store returns from a copy

What could happen: the copy shows an earlier holder, or no lease at all, while a VM still holds the one that the store has lost; the other one writes at once, and two VMs order engines. Engines that check fencing numbers refuse all orders until the revisions have passed the old ones.

Cause: a VM that reads its own name renews at once, and one that reads nothing creates the lease; the fencing number was the revision.

Change: after a return only a VM whose lease has not run out renews it at once. All others wait as for a foreign lease, from when they saw the era; a VM that starts in a later era does so too. From the second era on the era is part of the number; in the first it is what older builds send.

--- a/router/src/main/java/org/burdocktray/process/order/LeaseKeeper.java
+++ b/router/src/main/java/org/burdocktray/process/order/LeaseKeeper.java
@@ -14,8 +14,10 @@
  * only after it has observed the same version of the lease for the time to live plus the
  * order timeout, measured by its own monotonic clock, so the clocks of two VMs are never
  * compared. A write whose response is lost is read back; if it was applied, the lease is
- * valid from when the first unresolved write was sent. Thread safety: confined to one
- * thread at a time.
+ * valid from when the first unresolved write was sent. A store that returns from a copy
+ * may have lost the write of another holder; so after that only the VM that holds the
+ * lease renews it without waiting for this time, and a write whose condition was read
+ * before the return gives no lease. Thread safety: confined to one thread at a time.
  */
 final class LeaseKeeper {
 
@@ -29,6 +31,12 @@
 
 	private long observedSinceNanos;
 
+	/**
+	 * Whether the store has returned from a copy and any VM may hold the lease, whatever
+	 * the store says.
+	 */
+	private boolean holderUnknown;
+
 	private boolean callInFlight;
 
 	private boolean mustRead = true;
@@ -90,19 +98,38 @@
 			this.observed = current;
 			this.observedSinceNanos = nowNanos;
 		}
-		if (current.isEmpty()) {
-			return;
-		}
-		if (isOwn(current.get())) {
-			onOwnLeaseRead(current.get());
+		boolean mayBelongToAnother = this.holderUnknown && !isHeld(nowNanos);
+		if (current.isEmpty() || isOwn(current.get())) {
+			current.ifPresent(this::onOwnLeaseRead);
+			if (mayBelongToAnother) {
+				awaitExpiry(this.settings.ttlMillis(), nowNanos);
+			}
 			return;
 		}
 		this.heldFencingNumber = OptionalLong.empty();
-		if (nowNanos - this.observedSinceNanos < takeoverDelayNanos(current.get())) {
+		awaitExpiry(current.get().ttlMillis(), nowNanos);
+	}
+
+	private void awaitExpiry(long ttlMillis, long nowNanos) {
+		if (nowNanos - this.observedSinceNanos < takeoverDelayNanos(ttlMillis)) {
 			scheduleRead(this.polling.nextNanos(nowNanos));
 		}
 	}
 
+	/**
+	 * Handles that the store has returned from a copy.
+	 * @param nowNanos the time
+	 */
+	void onNewEra(long nowNanos) {
+		this.holderUnknown = true;
+		this.observed = Optional.empty();
+		this.observedSinceNanos = nowNanos;
+		// What a write of an earlier era has done is gone, or it was another VM's turn
+		// since.
+		this.unresolvedSinceNanos = OptionalLong.empty();
+		scheduleRead(nowNanos);
+	}
+
 	void onReadFailed(long nowNanos) {
 		this.callInFlight = false;
 		scheduleRead(this.polling.nextNanos(nowNanos));
@@ -112,19 +139,22 @@
 		this.callInFlight = false;
 		this.observed = Optional.of(OrderLease.of(object, this.settings.ttlMillis()));
 		this.observedSinceNanos = nowNanos;
+		this.holderUnknown = false;
 		// An earlier unresolved write expected an older version and can no longer be
 		// applied.
 		this.unresolvedSinceNanos = OptionalLong.empty();
-		markHeld(object.version().number(), this.writeSentNanos);
+		markHeld(this.observed.get(), this.writeSentNanos);
 		this.nextCallNanos = this.writeSentNanos + nanos(this.settings.renewMillis());
 	}
 
 	void onWriteFailed(StoreError error, long nowNanos) {
 		this.callInFlight = false;
-		if (error == StoreError.UNRESOLVED && this.unresolvedSinceNanos.isEmpty()) {
+		boolean mayBeApplied = error == StoreError.UNRESOLVED && !this.holderUnknown;
+		if (mayBeApplied && this.unresolvedSinceNanos.isEmpty()) {
 			this.unresolvedSinceNanos = OptionalLong.of(this.writeSentNanos);
 		}
-		boolean retryImmediately = error == StoreError.UNRESOLVED || error == StoreError.CONFLICT;
+		boolean retryImmediately = error == StoreError.UNRESOLVED || error == StoreError.CONFLICT
+				|| error == StoreError.ERA_CHANGED;
 		scheduleRead(retryImmediately ? nowNanos : this.polling.nextNanos(nowNanos));
 	}
 
@@ -167,16 +197,20 @@
 		boolean alreadyHeld = this.heldFencingNumber.isPresent()
 				&& this.heldFencingNumber.getAsLong() == lease.fencingNumber();
 		if (!alreadyHeld && this.unresolvedSinceNanos.isPresent()) {
-			markHeld(lease.fencingNumber(), this.unresolvedSinceNanos.getAsLong());
+			markHeld(lease, this.unresolvedSinceNanos.getAsLong());
 			this.unresolvedSinceNanos = OptionalLong.empty();
 		}
 	}
 
-	private void markHeld(long number, long sentNanos) {
+	private boolean isHeld(long nowNanos) {
+		return this.heldFencingNumber.isPresent() && nowNanos <= this.heldUntilNanos;
+	}
+
+	private void markHeld(OrderLease lease, long sentNanos) {
 		if (this.heldFencingNumber.isEmpty()) {
 			this.tenure++;
 		}
-		this.heldFencingNumber = OptionalLong.of(number);
+		this.heldFencingNumber = OptionalLong.of(lease.fencingNumber());
 		this.heldUntilNanos = sentNanos + nanos(this.settings.ttlMillis());
 	}
 
@@ -190,8 +224,8 @@
 	}
 
 	// Uses the time to live stored by the holder, not the one configured on this VM.
-	private long takeoverDelayNanos(OrderLease lease) {
-		return nanos(lease.ttlMillis() + this.settings.orderTimeoutMillis());
+	private long takeoverDelayNanos(long ttlMillis) {
+		return nanos(ttlMillis + this.settings.orderTimeoutMillis());
 	}
 
 	private static long nanos(long millis) {
--- a/router/src/main/java/org/burdocktray/process/order/LeaseLoop.java
+++ b/router/src/main/java/org/burdocktray/process/order/LeaseLoop.java
@@ -42,6 +42,15 @@
 		this.keeper.setPolling(schedule);
 	}
 
+	/**
+	 * Handles that the store has returned from a copy, or may have before this VM
+	 * started.
+	 * @param nowNanos the time
+	 */
+	public void onNewEra(long nowNanos) {
+		this.keeper.onNewEra(nowNanos);
+	}
+
 	/**
 	 * Performs the store call that is due, if any.
 	 * @param nowNanos the time
--- a/router/src/main/java/org/burdocktray/process/order/OrderLease.java
+++ b/router/src/main/java/org/burdocktray/process/order/OrderLease.java
@@ -11,9 +11,10 @@
 
 /**
  * Lease that permits its holder to send orders to one replica group. Invariant: the
- * fencing number is the version of the stored lease, which increases with each write and
- * across the leases of all groups, so an engine that moves to another group accepts the
- * orders of its new holder. Thread safety: immutable.
+ * fencing number follows the version of the stored lease, which increases with each write
+ * and across the leases of all groups, so an engine that moves to another group accepts
+ * the orders of its new holder; it increases as well when the store returns from a copy
+ * and gives out revision numbers again. Thread safety: immutable.
  *
  * @param holder the id of the holding process, unique across restarts
  * @param version the version of the stored lease
@@ -24,6 +25,12 @@
 	/** Prefix of the keys of the leases. */
 	static final String KEY_PREFIX = "leases/orders/";
 
+	/** The era of which fencing numbers are plain revision numbers. */
+	private static final long FIRST_ERA = 1;
+
+	/** More revisions than a store gives out in one era. */
+	private static final int REVISION_BITS = 40;
+
 	private static final ObjectMapper MAPPER = new ObjectMapper();
 
 	/**
@@ -38,8 +45,12 @@
 				root.path("ttlMillis").asLong(defaultTtlMillis));
 	}
 
+	/**
+	 * Returns the number that an order under this lease carries.
+	 * @return the number, higher than that of each earlier lease
+	 */
 	long fencingNumber() {
-		return this.version.number();
+		return (Math.max(0, this.version.era() - FIRST_ERA) << REVISION_BITS) + this.version.number();
 	}
 
 	/**
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayServer.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayServer.java
@@ -288,7 +288,8 @@
 		PlacementLease placementLease = new PlacementLease(this.adapter.store(), this.settings.vmName(),
 				new LeasePolling(this.options.watch()
 					.map((watch) -> OptionalInt.of(watch.minVmCount()))
-					.orElseGet(OptionalInt::empty)));
+					.orElseGet(OptionalInt::empty)),
+				this.storeEras);
 		PlacementLoop placementLoop = new PlacementLoop(this.rules, this.directory, engineControl, placementLease,
 				(service) -> routes.filter((fleetRoutes) -> fleetRoutes.isActive(service)).isPresent(), this.metrics);
 		RelayReceiver relayReceiver = new RelayReceiver(this.relayKey, relayLimit, reach, datagrams, requestHandler,
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/PlacementLease.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/PlacementLease.java
@@ -8,6 +8,7 @@
 import org.burdocktray.process.order.LeaseLoop;
 import org.burdocktray.process.order.LeasePolling;
 import org.burdocktray.process.order.OrderSettings;
+import org.burdocktray.process.restore.StoreEras;
 
 /**
  * The lease under which a VM sends orders to engines. A few VMs poll it often. All others
@@ -25,12 +26,20 @@
 
 	private final LeasePolling polling;
 
+	private final StoreEras eras;
+
 	private Optional<LeaseLoop> loop = Optional.empty();
 
-	PlacementLease(PlatformStore store, String vmName, LeasePolling polling) {
+	PlacementLease(PlatformStore store, String vmName, LeasePolling polling, StoreEras eras) {
 		this.store = store;
 		this.vmName = vmName;
 		this.polling = polling;
+		this.eras = eras;
+		eras.addListener(this::onNewEra);
+	}
+
+	private void onNewEra() {
+		this.loop.ifPresent((running) -> running.onNewEra(System.nanoTime()));
 	}
 
 	/**
@@ -45,6 +54,10 @@
 		LeasePolling.Schedule schedule = this.polling.schedule(this.vmName, names);
 		if (this.loop.isEmpty()) {
 			this.loop = Optional.of(start(schedule.intervalMillis()));
+			if (this.eras.hasReturned()) {
+				// The store may have lost the lease of a VM that still holds it.
+				onNewEra();
+			}
 		}
 		this.loop.get().setPolling(schedule);
 	}
