Write again what a copy of the store lacks

What could happen: registrations, the key of the VMs and entries of the quarantine that were written in the lost seconds are gone. VMs count too few others and share the retry budget too widely, a VM that starts draws another key, and a request crashes further replicas.

Cause: each of these is written once.

Evidence: FleetRegistryTests.vmRegistersAgainWhenTheStoreReturnsFromACopy and QuarantineStoreTests.entryThatTheCopyOfTheStoreLacksIsWrittenAgain, which need the new calls; found by reading.

Change: on a new era each VM looks for its registration within a second, spread by its name, and registers again if it is gone; VMs that were known count for 60 s more. The key is looked for and written again, and entries that this VM has written in the last 60 s are written once more.

--- a/router/src/main/java/org/burdocktray/process/quarantine/QuarantineStore.java
+++ b/router/src/main/java/org/burdocktray/process/quarantine/QuarantineStore.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import java.util.function.UnaryOperator;
 
@@ -35,7 +36,10 @@
 
 	private static final int MAX_ENTRIES_PER_SAVE = 8;
 
-	private static final int MAX_VERSIONS = 4_096;
+	private static final int MAX_REMEMBERED = 4_096;
+
+	/** Longer than a store may go back when it returns from a copy. */
+	private static final long REMEMBERED_WRITE_NANOS = TimeUnit.SECONDS.toNanos(60);
 
 	/** The largest value that is kept in memory; those that VMs write are far smaller. */
 	private static final int MAX_VALUE_CHARACTERS = 16_384;
@@ -54,12 +58,10 @@
 	 * The versions of stored objects whose content the quarantine knows, by key, so that
 	 * a change of one takes a single call.
 	 */
-	private final Map<String, StoreRevision> knownVersions = Collections.synchronizedMap(new LinkedHashMap<>() {
-		@Override
-		protected boolean removeEldestEntry(Map.Entry<String, StoreRevision> eldest) {
-			return size() > MAX_VERSIONS;
-		}
-	});
+	private final Map<String, StoreRevision> knownVersions = boundedMap();
+
+	/** When this VM has written entries. */
+	private final Map<Fingerprint, Long> writtenNanos = boundedMap();
 
 	/**
 	 * Creates the adapter.
@@ -130,6 +132,19 @@
 		this.quarantine.returnEntryToStore(QuarantineCodec.fingerprint(entry), this.nanoClock.getAsLong());
 	}
 
+	/**
+	 * Handles that the store has returned from a copy: what this VM has written lately
+	 * may be gone, so it is taken and written once more.
+	 */
+	public void onStoreRestored() {
+		long nowNanos = this.nanoClock.getAsLong();
+		synchronized (this.writtenNanos) {
+			this.writtenNanos.values().removeIf((written) -> nowNanos - written > REMEMBERED_WRITE_NANOS);
+			this.writtenNanos.keySet()
+				.forEach((fingerprint) -> this.quarantine.returnEntryToStore(fingerprint, nowNanos));
+		}
+	}
+
 	/**
 	 * Merges entries that were read from the store.
 	 * @param objects the stored objects
@@ -150,9 +165,8 @@
 		StoreRevision knownVersion = this.knownVersions.get(key);
 		Single<Either<StoreError, StoredObject>> firstWrite = (knownVersion != null) ? replace(key, entry, knownVersion)
 				: this.store.create(key, encode(entry));
-		return firstWrite
-			.flatMap((result) -> result.fold((error) -> mergeAndReplace(key, entry, error),
-					(written) -> Single.just(recordWritten(written))))
+		return firstWrite.flatMap((result) -> result.fold((error) -> mergeAndReplace(key, entry, error),
+				(written) -> Single.just(recordWritten(entry, written))))
 			.doOnSuccess((written) -> {
 				if (!written) {
 					LOGGER.warnf("Quarantine entry not written: key=%s", key);
@@ -176,7 +190,7 @@
 				return Single.just(false);
 			}
 			return replace(key, entry, current.get().version())
-				.map((replaced) -> replaced.fold((fault) -> false, this::recordWritten));
+				.map((replaced) -> replaced.fold((fault) -> false, (written) -> recordWritten(entry, written)));
 		});
 	}
 
@@ -186,11 +200,21 @@
 			.orElseGet(() -> Single.just(Either.left(StoreError.NOT_FOUND)));
 	}
 
-	private boolean recordWritten(StoredObject written) {
+	private boolean recordWritten(QuarantineEntry entry, StoredObject written) {
+		this.writtenNanos.put(QuarantineCodec.fingerprint(entry), this.nanoClock.getAsLong());
 		this.knownVersions.put(written.key(), written.version());
 		return true;
 	}
 
+	private static <K, V> Map<K, V> boundedMap() {
+		return Collections.synchronizedMap(new LinkedHashMap<>() {
+			@Override
+			protected boolean removeEldestEntry(Map.Entry<K, V> eldest) {
+				return size() > MAX_REMEMBERED;
+			}
+		});
+	}
+
 	private String encode(QuarantineEntry entry) {
 		long expiresAtMillis = this.wallClockMillis.getAsLong() + entry.getExpiresInMillis();
 		return this.format.encoder()
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/FleetRegistry.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/FleetRegistry.java
@@ -1,7 +1,10 @@
 package org.burdocktray.process.serve.gateway;
 
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
 import io.reactivex.rxjava3.core.Single;
@@ -20,8 +23,10 @@
 
 /**
  * Registers this VM in the platform's store and lists the registered VMs. VMs that have
- * stopped stay listed, so that the number of VMs is never underestimated. Thread safety:
- * none, confined to one event loop.
+ * stopped stay listed, so that the number of VMs is never underestimated. When the store
+ * returns from a copy, this VM registers again if its entry is gone, and the VMs that it
+ * knew count until the others have done so. Thread safety: none, confined to one event
+ * loop.
  */
 final class FleetRegistry {
 
@@ -47,6 +52,12 @@
 
 	private static final long MAX_INTERVAL_MILLIS = 16_000;
 
+	/** How long the VMs take together to look for their entries after a return. */
+	private static final int RESTORE_SPREAD_MILLIS = 1_000;
+
+	/** How long VMs may take to register again after a return. */
+	private static final long RESTORE_NANOS = TimeUnit.SECONDS.toNanos(60);
+
 	private final Vertx vertx;
 
 	private final PlatformStore store;
@@ -61,6 +72,11 @@
 
 	private long intervalMillis = INITIAL_INTERVAL_MILLIS;
 
+	private Map<String, RegisteredVm> known = Map.of();
+
+	/** Until when known VMs count although they are not listed. */
+	private Optional<Long> restoredUntilNanos = Optional.empty();
+
 	/**
 	 * Creates a registry.
 	 * @param vertx runs its timers
@@ -83,17 +99,12 @@
 	}
 
 	void start() {
-		String value = new JsonObject().put(DATA_CENTRE, this.ownVm.dataCentre().name())
-			.put(ADDRESS, this.ownVm.address().map(NetworkAddress::toString).orElse(""))
-			.put(CORES, this.ownVm.cores())
-			.put(LINK, this.ownVm.linkBitsPerSecond())
-			.encode();
-		String key = KEY_PREFIX + this.ownVm.name();
+		String key = ownKey();
+		String value = ownValue();
 		this.store.create(key, value)
 			.flatMap((created) -> isConflict(created) ? replace(key, value) : Single.just(created))
 			.subscribe((result) -> {
-				result.peek((registered) -> refresh())
-					.peekLeft((error) -> LOGGER.warnf("VM registration failed, retrying: vm=%s error=%s", key, error));
+				result.peek((registered) -> refresh()).peekLeft(this::logFailure);
 				this.vertx.setTimer(INITIAL_INTERVAL_MILLIS, (timer) -> {
 					if (result.isRight()) {
 						list();
@@ -105,6 +116,45 @@
 			});
 	}
 
+	/** Handles that the store has returned from a copy. */
+	void onStoreRestored() {
+		this.restoredUntilNanos = Optional.of(System.nanoTime() + RESTORE_NANOS);
+		// All VMs learn of the return at about the same time.
+		int delayMillis = 1 + Math.floorMod(this.ownVm.name().hashCode(), RESTORE_SPREAD_MILLIS);
+		this.vertx.setTimer(delayMillis, (timer) -> registerAgain());
+	}
+
+	private void registerAgain() {
+		String key = ownKey();
+		String value = ownValue();
+		replace(key, value)
+			.flatMap((replaced) -> isMissing(replaced) ? this.store.create(key, value) : Single.just(replaced))
+			.subscribe((result) -> result.peekLeft((error) -> {
+				logFailure(error);
+				this.vertx.setTimer(INITIAL_INTERVAL_MILLIS, (timer) -> registerAgain());
+			}));
+	}
+
+	private String ownKey() {
+		return KEY_PREFIX + this.ownVm.name();
+	}
+
+	private String ownValue() {
+		return new JsonObject().put(DATA_CENTRE, this.ownVm.dataCentre().name())
+			.put(ADDRESS, this.ownVm.address().map(NetworkAddress::toString).orElse(""))
+			.put(CORES, this.ownVm.cores())
+			.put(LINK, this.ownVm.linkBitsPerSecond())
+			.encode();
+	}
+
+	private void logFailure(StoreError error) {
+		LOGGER.warnf("VM registration failed, retrying: vm=%s error=%s", ownKey(), error);
+	}
+
+	private static boolean isMissing(Either<StoreError, StoredObject> result) {
+		return result.isLeft() && result.getLeft() == StoreError.NOT_FOUND;
+	}
+
 	private static boolean isConflict(Either<StoreError, StoredObject> result) {
 		return result.isLeft() && result.getLeft() == StoreError.CONFLICT;
 	}
@@ -131,11 +181,20 @@
 		this.listings.listObjects(KIND).subscribe((listed) -> accept(listed, this.addressListener));
 	}
 
-	private static void accept(Either<StoreError, ObjectListing> listed, Consumer<List<RegisteredVm>> receiver) {
-		listed.peek((listing) -> receiver.accept(listing.objects().stream().map(FleetRegistry::decode).toList()))
+	private void accept(Either<StoreError, ObjectListing> listed, Consumer<List<RegisteredVm>> receiver) {
+		listed.peek(
+				(listing) -> receiver.accept(remember(listing.objects().stream().map(FleetRegistry::decode).toList())))
 			.peekLeft((error) -> LOGGER.infof("Registered VMs cannot be listed: error=%s", error));
 	}
 
+	private List<RegisteredVm> remember(List<RegisteredVm> listed) {
+		boolean isRestored = this.restoredUntilNanos.filter((until) -> System.nanoTime() - until < 0).isPresent();
+		Map<String, RegisteredVm> next = isRestored ? new LinkedHashMap<>(this.known) : new LinkedHashMap<>();
+		listed.forEach((vm) -> next.put(vm.name(), vm));
+		this.known = next;
+		return List.copyOf(next.values());
+	}
+
 	private void list() {
 		this.listings.listObjects(KIND).subscribe((listed) -> {
 			accept(listed, this.addressListener.andThen(this.listener));
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayServer.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayServer.java
@@ -375,6 +375,8 @@
 		this.storeEras.addListener(() -> {
 			this.metrics.setStoreEra(this.storeEras.current());
 			this.directory.onStoreRestored(TimeUnit.MILLISECONDS.toNanos(StoreEras.SETTLE_MILLIS), System.nanoTime());
+			fleetRegistry.onStoreRestored();
+			this.relayKey.onStoreRestored();
 		});
 		startWatchers();
 		fleetRegistry.start();
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/QuarantineSync.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/QuarantineSync.java
@@ -69,6 +69,7 @@
 		this.watcher = new StoreWatcher(vertx, adapter.hintFeed(), adapter.hintFeed(), KIND, () -> WATCH_WAIT_MILLIS,
 				WATCH_BATCH_MILLIS, StoreWatcher.Listener.ofObjects(this.store::merge, (sentAt) -> {
 				}), outage, adapter.eras(), StoreWatcher.OutageRole.WAITS);
+		adapter.eras().addListener(this.store::onStoreRestored);
 	}
 
 	void start() {
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/RelayKey.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/RelayKey.java
@@ -17,9 +17,9 @@
 
 /**
  * The key by which VMs know each other's requests: the first VM of a fleet draws it and
- * writes it to the platform's store, the others read it there. Invariant: without a key,
- * no request is accepted and none is relayed. Thread safety: none, confined to one event
- * loop.
+ * writes it to the platform's store, the others read it there. A store that returns from
+ * a copy without the key gets it back. Invariant: without a key, no request is accepted
+ * and none is relayed. Thread safety: none, confined to one event loop.
  */
 final class RelayKey {
 
@@ -46,7 +46,7 @@
 
 	/** Creates or reads the key, and tries again until it is known. */
 	void start() {
-		String drawn = draw();
+		String drawn = this.value.orElseGet(RelayKey::draw);
 		this.store.create(OBJECT, new JsonObject().put(FIELD, drawn).encode()).subscribe((created) -> {
 			if (created.isRight()) {
 				this.value = Optional.of(drawn);
@@ -60,12 +60,26 @@
 		});
 	}
 
+	/** Handles that the store has returned from a copy, which may lack the key. */
+	void onStoreRestored() {
+		this.store.read(OBJECT).subscribe((found) -> {
+			Optional<String> stored = found.getOrElse(Optional.empty()).flatMap(RelayKey::decode);
+			if (stored.isEmpty()) {
+				retry(describe(found));
+				return;
+			}
+			this.value = stored;
+		});
+	}
+
 	private void read() {
 		this.store.read(OBJECT).subscribe((found) -> {
-			this.value = found.fold((error) -> Optional.empty(), (object) -> object.flatMap(RelayKey::decode));
-			if (this.value.isEmpty()) {
+			Optional<String> stored = found.getOrElse(Optional.empty()).flatMap(RelayKey::decode);
+			if (stored.isEmpty()) {
 				retry(describe(found));
+				return;
 			}
+			this.value = stored;
 		});
 	}
 
--- a/router/src/test/java/org/burdocktray/process/quarantine/QuarantineStoreTests.java
+++ b/router/src/test/java/org/burdocktray/process/quarantine/QuarantineStoreTests.java
@@ -40,6 +40,19 @@
 		assertThat(loadAndCheck()).isInstanceOf(QuarantineDecision.Refuse.class);
 	}
 
+	/** Guards against requests that crash further replicas, since a copy lacks them. */
+	@Test
+	void entryThatTheCopyOfTheStoreLacksIsWrittenAgain() {
+		QuarantineStore writer = saveQuarantined();
+		this.store.objects.clear();
+		writer.onStoreRestored();
+		List<QuarantineEntry> entries = writer.takeEntries();
+		assertThat(entries).hasSize(1);
+		assertThat(writer.save(entries).blockingGet()).isFalse();
+		assertThat(writer.save(writer.takeEntries()).blockingGet()).isTrue();
+		assertThat(loadAndCheck()).isInstanceOf(QuarantineDecision.Refuse.class);
+	}
+
 	@Test
 	void expiredEntryIsNotLoaded() {
 		saveQuarantined();
@@ -196,7 +209,7 @@
 		}
 	}
 
-	private void saveQuarantined() {
+	private QuarantineStore saveQuarantined() {
 		Quarantine quarantine = new Quarantine(QuarantineSettings.defaults(), "vm-1");
 		for (String upstream : List.of("engine-1", "engine-2")) {
 			String run = quarantine.recordStart(CRASHING_REQUEST, Set.of(upstream), 0);
@@ -205,6 +218,7 @@
 		}
 		QuarantineStore quarantineStore = quarantineStore(quarantine);
 		quarantineStore.save(quarantineStore.takeEntries()).blockingGet();
+		return quarantineStore;
 	}
 
 	private QuarantineDecision loadAndCheck() {
--- a/router/src/test/java/org/burdocktray/process/serve/gateway/FleetRegistryTests.java
+++ b/router/src/test/java/org/burdocktray/process/serve/gateway/FleetRegistryTests.java
@@ -1,11 +1,13 @@
 package org.burdocktray.process.serve.gateway;
 
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Queue;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 
 import io.reactivex.rxjava3.core.Flowable;
 import io.reactivex.rxjava3.core.Single;
@@ -37,6 +39,8 @@
 
 	private static final NetworkAddress ADDRESS = new NetworkAddress("10.0.0.1", 7340);
 
+	private static final RegisteredVm SELF = new RegisteredVm("vm-0", new DataCentre("ghent"), Optional.of(ADDRESS));
+
 	private final Vertx vertx = Vertx.vertx();
 
 	private final List<String> calls = new CopyOnWriteArrayList<>();
@@ -77,6 +81,42 @@
 		assertThat(store.updates).as("an entry that is right is not written").isEqualTo(1);
 	}
 
+	/**
+	 * Guards against VMs that share limits with too few others, since the copy from which
+	 * the store has returned lacks registrations.
+	 */
+	@Test
+	void vmRegistersAgainWhenTheStoreReturnsFromACopy() throws Exception {
+		FakeStore store = new FakeStore("{}");
+		Queue<List<RegisteredVm>> lists = new ConcurrentLinkedQueue<>();
+		FleetRegistry registry = new FleetRegistry(this.vertx, store, store, SELF, lists::add, (vms) -> {
+		});
+		this.vertx.getOrCreateContext().runOnContext((now) -> registry.start());
+		await(() -> !lists.isEmpty());
+		CompletableFuture<Void> restored = new CompletableFuture<>();
+		this.vertx.getOrCreateContext().runOnContext((now) -> {
+			store.objects.clear();
+			lists.clear();
+			registry.onStoreRestored();
+			registry.refresh();
+			restored.complete(null);
+		});
+		restored.get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+		await(() -> store.objects.stream().anyMatch((object) -> object.key().endsWith("/vm-0")));
+		await(() -> !lists.isEmpty());
+		assertThat(lists.peek()).as("known VMs count until they have registered again")
+			.extracting(RegisteredVm::name)
+			.containsExactlyInAnyOrder("foreign", "vm-0");
+	}
+
+	private static void await(BooleanSupplier condition) throws InterruptedException {
+		long endNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(TIMEOUT_SECONDS);
+		while (!condition.getAsBoolean() && System.nanoTime() - endNanos < 0) {
+			TimeUnit.MILLISECONDS.sleep(20);
+		}
+		assertThat(condition.getAsBoolean()).isTrue();
+	}
+
 	/**
 	 * Guards against VMs that passed over the questions of a VM that was cut off, since
 	 * they read the addresses of others only a second after their registration.
@@ -93,8 +133,7 @@
 
 	private List<RegisteredVm> listWith(FakeStore store) throws Exception {
 		CompletableFuture<List<RegisteredVm>> listed = new CompletableFuture<>();
-		RegisteredVm self = new RegisteredVm("vm-0", new DataCentre("ghent"), Optional.of(ADDRESS));
-		FleetRegistry registry = new FleetRegistry(this.vertx, store, store, self, (vms) -> this.calls.add("addresses"),
+		FleetRegistry registry = new FleetRegistry(this.vertx, store, store, SELF, (vms) -> this.calls.add("addresses"),
 				(vms) -> {
 					this.calls.add("vms");
 					listed.complete(vms);
@@ -105,7 +144,7 @@
 
 	private static final class FakeStore implements PlatformStore, ChangeFeed {
 
-		private final List<StoredObject> objects = new ArrayList<>();
+		private final List<StoredObject> objects = new CopyOnWriteArrayList<>();
 
 		private int updates;
 
