Tell other VMs since when an era of the store is known

Cause: each VM counted the two seconds in which a return settles from when it had learned of it; a VM that learns of it from another one is later, and passes over the confirmation that the watcher got at the end of its own two seconds.

Change: VMs tell each other for how long they know the era, in new fields, and count from the earliest time.

StoreErasTests.eraOfAnotherVmSettlesFromWhenThatKnewIt needs the new call.

--- a/router/src/main/java/org/burdocktray/process/restore/StoreEras.java
+++ b/router/src/main/java/org/burdocktray/process/restore/StoreEras.java
@@ -14,9 +14,10 @@
  * The eras of the platform's store, as far as its answers have shown them. A store that
  * returns from a copy begins an era; what its operator and the replicas wrote since the
  * copy was made, they write again. Until that has settled, the store may lack changes
- * that it has acknowledged. Invariants: the era never decreases; an answer of an earlier
- * era changes nothing; listeners are told before the answer that shows the era is used.
- * Thread safety: none, confined to one event loop.
+ * that it has acknowledged. An era has begun by the time at which the first VM has seen
+ * it, so the VMs tell each other since when they know it. Invariants: the era never
+ * decreases; an answer of an earlier era changes nothing; listeners are told before the
+ * answer that shows the era is used. Thread safety: none, confined to one event loop.
  */
 public final class StoreEras {
 
@@ -59,11 +60,30 @@
 	}
 
 	/**
-	 * Records the era of an answer.
+	 * Records the era of an answer of the store.
 	 * @param era the era
 	 * @return whether the answer may be used; false if it is of an earlier era
 	 */
 	public boolean record(long era) {
+		return record(era, 0);
+	}
+
+	/**
+	 * Records the era that another VM knows.
+	 * @param era the era
+	 * @param ageMillis how long it is known already, not counting the way of the message
+	 * @return whether what the VM sends may be used; false if it is of an earlier era
+	 */
+	public boolean record(long era, long ageMillis) {
+		boolean isUsable = advance(era);
+		if (isUsable && ageMillis > 0) {
+			Timestamp knownSince = this.clock.get().minusMillis(ageMillis);
+			this.begunAt = this.begunAt.map((begun) -> begun.isAfter(knownSince) ? knownSince : begun);
+		}
+		return isUsable;
+	}
+
+	private boolean advance(long era) {
 		if (this.current.isPresent() && era <= this.current.getAsLong()) {
 			return era == this.current.getAsLong();
 		}
@@ -105,6 +125,17 @@
 		return current() > FIRST_ERA;
 	}
 
+	/**
+	 * Returns how long the present era has been known, to this VM or to one that has told
+	 * it.
+	 * @return milliseconds, 0 for the first era
+	 */
+	public long ageMillis() {
+		Timestamp now = this.clock.get();
+		return this.begunAt.map((begun) -> TimeUnit.NANOSECONDS.toMillis(now.monotonicNanos() - begun.monotonicNanos()))
+			.orElse(0L);
+	}
+
 	/**
 	 * Returns the era of a message that does not tell it. Builds that don't know eras
 	 * send such messages; they don't notice a return of the store.
--- a/router/src/main/java/org/burdocktray/process/watch/FollowerAnswers.java
+++ b/router/src/main/java/org/burdocktray/process/watch/FollowerAnswers.java
@@ -94,7 +94,7 @@
 	 */
 	public void handle(WatchRequest request, Consumer<WatchAnswer> response) {
 		if (request.hasAfterEra()) {
-			this.eras.record(request.getAfterEra());
+			this.eras.record(request.getAfterEra(), request.getAfterEraAgeMillis());
 		}
 		ChangeLog log = this.logs.get(request.getKind());
 		if (log == null || !this.sources.isActive() || this.waiting.size() >= MAX_WAITING) {
@@ -181,7 +181,7 @@
 	private void respond(WatchRequest request, Consumer<WatchAnswer> response, Status status) {
 		WatchAnswer.Builder answer = WatchAnswer.newBuilder().setRequestId(request.getRequestId());
 		if (this.eras.isKnown()) {
-			answer.setEra(this.eras.current());
+			answer.setEra(this.eras.current()).setEraAgeMillis(this.eras.ageMillis());
 		}
 		Status sent = (status == Status.STATUS_OK) ? addContent(answer, request) : status;
 		this.listener.onAnswer(this.logs.containsKey(request.getKind()) ? request.getKind() : "", label(sent));
--- a/router/src/main/java/org/burdocktray/process/watch/SharedFeed.java
+++ b/router/src/main/java/org/burdocktray/process/watch/SharedFeed.java
@@ -205,6 +205,8 @@
 		request.setListing(call.isListing()).setAfterRevision(minRevision.number());
 		if (this.eras.isKnown()) {
 			request.setAfterEra(minRevision.era());
+			boolean isPresentEra = minRevision.era() == this.eras.current();
+			request.setAfterEraAgeMillis(isPresentEra ? this.eras.ageMillis() : 0);
 		}
 		WatchRequest sent = request.build();
 		Timestamp sentAt = this.clock.get();
@@ -215,7 +217,8 @@
 	private <T> void handleAnswer(Call<T> call, WatchSource source, WatchRequest request, Timestamp sentAt,
 			Optional<WatchAnswer> received) {
 		Optional<WatchAnswer> answer = received.filter((found) -> found.getRequestId() == request.getRequestId());
-		answer.filter(WatchAnswer::hasEra).ifPresent((found) -> this.eras.record(found.getEra()));
+		answer.filter(WatchAnswer::hasEra)
+			.ifPresent((found) -> this.eras.record(found.getEra(), found.getEraAgeMillis()));
 		WatchAnswer.Status status = answer.map(WatchAnswer::getStatus).orElse(WatchAnswer.Status.STATUS_UNKNOWN);
 		switch (status) {
 			case STATUS_OK -> handleContent(call, source, request.getAtOnce(), sentAt, answer.get());
--- a/router/src/test/java/org/burdocktray/process/restore/StoreErasTests.java
+++ b/router/src/test/java/org/burdocktray/process/restore/StoreErasTests.java
@@ -55,6 +55,19 @@
 		assertThat(this.eras.isSettledAt(now())).isFalse();
 	}
 
+	/**
+	 * Guards against VMs that refuse keys for longer than the return takes to settle,
+	 * since they have learned of it from one that knew it before.
+	 */
+	@Test
+	void eraOfAnotherVmSettlesFromWhenThatKnewIt() {
+		this.eras.record(1);
+		this.eras.record(2, 1_500);
+		this.nowMillis += StoreEras.SETTLE_MILLIS - 1_500;
+		assertThat(this.eras.isSettledAt(now())).isTrue();
+		assertThat(this.eras.ageMillis()).isEqualTo(StoreEras.SETTLE_MILLIS);
+	}
+
 	@Test
 	void messagesOfOlderBuildsCountAsOfTheFirstEra() {
 		assertThat(this.eras.eraOfOlderBuilds()).isZero();
