--- a/router/src/test/java/org/burdocktray/process/watch/RepeatingFeedTests.java
+++ b/router/src/test/java/org/burdocktray/process/watch/RepeatingFeedTests.java
@@ -73,7 +73,7 @@
 		@Override
 		public Single<Either<StoreError, ObjectChanges>> awaitChanges(String kind, StoreRevision afterRevision,
 				long waitMillis) {
-			this.calls.add(kind + " after " + afterRevision + " wait " + waitMillis);
+			this.calls.add(kind + " after " + afterRevision.number() + " wait " + waitMillis);
 			return Single.just(this.results.remove());
 		}
 
