Tell followers early that a watcher's call to the store is overdue

Cause: the times of shared watches fit bounds of 3,000 ms, not 2,000 ms, and configApplyMs entered none of them. A watcher said that it had no store after its wait, 700 ms, and one repeated call of 700 ms; only then its followers looked elsewhere. And a follower that had failed at the store before kept that backoff, of up to 30 s, when its watchers lost the store later.

Change: the bound of a kind gives the times (FollowerBounds): a watcher's call is overdue some time after its wait, and those that wait at it are told so, while the call goes on; a watcher that does not answer is abandoned sooner, and the calls of all VMs to the store are spread over less time, where the bound is short. When watchers lose the store, a follower may call it once whatever its own calls did before.

Not done: VMs that are gone still count in what decides who watches.

--- a/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayServer.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/GatewayServer.java
@@ -52,6 +52,7 @@
 import org.burdocktray.process.serve.watch.WatchEndpoint;
 import org.burdocktray.process.settings.GatewayOptions;
 import org.burdocktray.process.settings.GatewayOptions.WatchOptions;
+import org.burdocktray.process.watch.FollowerBounds;
 import org.burdocktray.process.watch.RepeatingFeed;
 import org.burdocktray.process.watch.StoreSharing;
 import org.burdocktray.process.watch.WatchVm;
@@ -418,12 +419,14 @@
 	}
 
 	private StoreSharing shareStore(WatchOptions watch, GatewayAdapter direct) {
-		StoreSharing.Kinds kinds = new StoreSharing.Kinds(List.of(
-				new WatchedKind(direct.objects().rulesKind(),
-						Math.min(this.watchWaits.maxMillis(), this.freshness.sharedWaitMillis()), true),
-				new WatchedKind(direct.objects().replicasKind(), this.watchWaits.sharedReplicasMillis(), false)),
-				List.of(new WatchedKind(QuarantineSync.KIND, QuarantineSync.WATCH_WAIT_MILLIS, false),
-						new WatchedKind(FleetRegistry.KIND, VM_LISTING_WAIT_MILLIS, false)));
+		StoreSharing.Kinds kinds = new StoreSharing.Kinds(
+				List.of(new WatchedKind(direct.objects().rulesKind(),
+						Math.min(this.watchWaits.maxMillis(), this.freshness.sharedWaitMillis()), true,
+						new FollowerBounds(this.settings.bounds().rulesMillis())),
+						new WatchedKind(direct.objects().replicasKind(), this.watchWaits.sharedReplicasMillis(), false,
+								new FollowerBounds(this.settings.bounds().drainMillis()))),
+				List.of(WatchedKind.hint(QuarantineSync.KIND, QuarantineSync.WATCH_WAIT_MILLIS),
+						WatchedKind.hint(FleetRegistry.KIND, VM_LISTING_WAIT_MILLIS)));
 		StoreSharing.Platform platform = new StoreSharing.Platform(direct.feed(), direct.hintFeed(), direct.eras(),
 				new WatchClient(this.vertx, this.relayKey::value), Timestamp::now,
 				(delayMillis, action) -> this.vertx.setTimer(delayMillis, (timer) -> action.run()),
--- a/router/src/main/java/org/burdocktray/process/serve/gateway/GatewaySettings.java
+++ b/router/src/main/java/org/burdocktray/process/serve/gateway/GatewaySettings.java
@@ -73,9 +73,28 @@
 	 * @param retryExtra the retries that the fleet may send per window in addition to the
 	 * ratio
 	 * @param stallMillis how long an engine waits for another engine of a path
+	 * @param rulesMillis the time after which new rules must be in force
 	 */
 	public record Bounds(long revocationMillis, long drainMillis, long graceMillis, long contactMillis,
-			double retryRatio, long retryWindowMillis, int retryExtra, long stallMillis) {
+			double retryRatio, long retryWindowMillis, int retryExtra, long stallMillis, long rulesMillis) {
+
+		/**
+		 * Creates bounds where new rules must be in force as soon as a drain.
+		 * @param revocationMillis the time after which a removed key must not be accepted
+		 * @param drainMillis the time after which a draining replica must get no requests
+		 * @param graceMillis how long a process may take to stop
+		 * @param contactMillis how long a VM counts as disturbed after a disturbance
+		 * @param retryRatio the number of retries per request
+		 * @param retryWindowMillis the time window in which retries are counted
+		 * @param retryExtra the retries that the fleet may send per window in addition to
+		 * the ratio
+		 * @param stallMillis how long an engine waits for another engine of a path
+		 */
+		public Bounds(long revocationMillis, long drainMillis, long graceMillis, long contactMillis, double retryRatio,
+				long retryWindowMillis, int retryExtra, long stallMillis) {
+			this(revocationMillis, drainMillis, graceMillis, contactMillis, retryRatio, retryWindowMillis, retryExtra,
+					stallMillis, drainMillis);
+		}
 
 	}
 
--- a/router/src/main/java/org/burdocktray/process/watch/ChangeLog.java
+++ b/router/src/main/java/org/burdocktray/process/watch/ChangeLog.java
@@ -53,6 +53,11 @@
 
 	private boolean storeLost;
 
+	/** Counts the calls to the store, of which the last one may be in progress. */
+	private long calls;
+
+	private boolean callOverdue;
+
 	private int keptChanges;
 
 	private long keptCharacters;
@@ -74,6 +79,7 @@
 	 * @param confirmedTime the time whose state it shows at least
 	 */
 	void recordListing(ObjectListing listing, Timestamp confirmedTime) {
+		endCall();
 		this.storeLost = false;
 		Map<String, StoredObject> listed = new HashMap<>();
 		listing.objects().forEach((object) -> listed.put(object.key(), object));
@@ -139,6 +145,7 @@
 	 * @param confirmedTime the time whose state they show at least
 	 */
 	void recordChanges(StoreRevision afterRevision, ObjectChanges changes, Timestamp confirmedTime) {
+		endCall();
 		this.storeLost = false;
 		if (isKnown() && changes.revision().isBefore(this.revision)) {
 			return;
@@ -215,8 +222,32 @@
 		}
 	}
 
+	/**
+	 * Records that the store is called.
+	 * @return the number of the call
+	 */
+	long recordCall() {
+		return ++this.calls;
+	}
+
+	/**
+	 * Records that a call has had no answer for so long that the store may be lost.
+	 * @param call the number of the call
+	 * @return false if it has ended, or another one has begun since
+	 */
+	boolean markOverdue(long call) {
+		this.callOverdue = call == this.calls;
+		return this.callOverdue;
+	}
+
+	private void endCall() {
+		this.calls++;
+		this.callOverdue = false;
+	}
+
 	/** Records that a call to the store has failed. */
 	void recordFailure() {
+		endCall();
 		this.storeLost = true;
 	}
 
@@ -230,6 +261,7 @@
 		this.complete = false;
 		this.confirmedAt = Optional.empty();
 		this.storeLost = false;
+		endCall();
 	}
 
 	boolean isKnown() {
@@ -241,7 +273,7 @@
 	}
 
 	boolean isStoreLost() {
-		return this.storeLost;
+		return this.storeLost || this.callOverdue;
 	}
 
 	StoreRevision revision() {
--- a/router/src/main/java/org/burdocktray/process/watch/FollowerAnswers.java
+++ b/router/src/main/java/org/burdocktray/process/watch/FollowerAnswers.java
@@ -220,6 +220,22 @@
 		return WatchCodec.encode(log.objects().stream().map((object) -> new ObjectChange(object, false)).toList());
 	}
 
+	/**
+	 * Records that the store is called. If the call is overdue, those that wait are told
+	 * that the store is lost, before the call is given up.
+	 * @param kind the kind
+	 * @param overdueMillis how long the call may take
+	 */
+	void recordCall(String kind, long overdueMillis) {
+		ChangeLog log = this.logs.get(kind);
+		long call = log.recordCall();
+		this.timers.schedule(overdueMillis, () -> {
+			if (log.markOverdue(call)) {
+				resolve(kind);
+			}
+		});
+	}
+
 	/**
 	 * Records a listing of the store.
 	 * @param kind the kind
--- a/router/src/main/java/org/burdocktray/process/watch/SharedFeed.java
+++ b/router/src/main/java/org/burdocktray/process/watch/SharedFeed.java
@@ -39,12 +39,6 @@
 
 	private static final Logger LOGGER = Logger.getLogger(SharedFeed.class);
 
-	/**
-	 * How long after its wait a call to a VM is abandoned; an answer comes at the end of
-	 * the wait whatever the store does.
-	 */
-	private static final long TIMEOUT_MARGIN_MILLIS = 400;
-
 	/**
 	 * The time of a watcher's call to the store beyond its wait. A request that ended
 	 * before would get the confirmation of the call before.
@@ -210,7 +204,7 @@
 		}
 		WatchRequest sent = request.build();
 		Timestamp sentAt = this.clock.get();
-		this.calls.ask(source.watcher().orElseThrow().address(), sent, waitMillis + TIMEOUT_MARGIN_MILLIS,
+		this.calls.ask(source.watcher().orElseThrow().address(), sent, waitMillis + kind.bounds().probeMillis(),
 				(answer) -> handleAnswer(call, source, sent, sentAt, answer));
 	}
 
@@ -477,6 +471,10 @@
 			boolean isShared = SharedFeed.this.sources.isActive();
 			long currentWaitMillis = isShared
 					? Math.min(this.waitMillis, SharedFeed.this.kinds.get(kind()).waitMillis()) : this.waitMillis;
+			if (isShared) {
+				FollowerBounds bounds = SharedFeed.this.kinds.get(kind()).bounds();
+				SharedFeed.this.answers.recordCall(kind(), currentWaitMillis + bounds.overdueMillis(currentWaitMillis));
+			}
 			SharedFeed.this.store.awaitChanges(kind(), this.afterRevision, currentWaitMillis)
 				.subscribe((result) -> handleStoreResult(result, (changes) -> {
 					recordRevision(changes.revision());
--- a/router/src/main/java/org/burdocktray/process/watch/StoreSharing.java
+++ b/router/src/main/java/org/burdocktray/process/watch/StoreSharing.java
@@ -1,6 +1,7 @@
 package org.burdocktray.process.watch;
 
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.List;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
@@ -54,7 +55,8 @@
 		this.clock = platform.clock();
 		this.listener = listener;
 		this.hintStore = platform.hintStore();
-		this.sources = new WatchSources(options, own.name(), own.dataCentre(), platform.random());
+		this.sources = new WatchSources(options, own.name(), own.dataCentre(), kinds.strictestBounds(),
+				platform.random());
 		this.answers = new FollowerAnswers(kinds, this.sources, platform.eras(), platform.clock(), platform.timers(),
 				this::listForOthers, listener);
 		this.feed = new SharedFeed(platform.store(), kinds.confirmed(), own.dataCentre(), this.sources, this.answers,
@@ -159,6 +161,13 @@
 	 */
 	public record Kinds(List<WatchedKind> confirmed, List<WatchedKind> hints) {
 
+		private FollowerBounds strictestBounds() {
+			return this.confirmed.stream()
+				.map(WatchedKind::bounds)
+				.min(Comparator.comparingLong(FollowerBounds::boundMillis))
+				.orElseThrow();
+		}
+
 	}
 
 	/**
--- a/router/src/main/java/org/burdocktray/process/watch/WatchSources.java
+++ b/router/src/main/java/org/burdocktray/process/watch/WatchSources.java
@@ -68,13 +68,6 @@
 	 */
 	private static final long OUTAGE_MILLIS_PER_VM = 50;
 
-	/**
-	 * The maximum spread of the first call in an outage. A store that rejects all
-	 * watchers of a data centre may serve others; they find out within the time in which
-	 * changes must take effect.
-	 */
-	private static final long MAX_OUTAGE_SPREAD_MILLIS = 1_000;
-
 	/** Leaves most of the bound on the age of the rules. */
 	private static final long MAX_SPREAD_MILLIS = 300;
 
@@ -86,6 +79,13 @@
 
 	private final RandomGenerator random;
 
+	/**
+	 * The maximum spread of the first call in an outage. A store that rejects all
+	 * watchers of a data centre may serve others; they find out within the time in which
+	 * changes must take effect.
+	 */
+	private final long maxOutageSpreadMillis;
+
 	private final Map<String, Failures> watcherFailures = new HashMap<>();
 
 	private final Map<String, Long> demotedUntilNanos = new HashMap<>();
@@ -129,9 +129,12 @@
 	 * @param options how many VMs watch
 	 * @param ownName the name of this VM
 	 * @param localDataCentre the data centre of this VM
+	 * @param bounds how soon changes must be known
 	 * @param random spreads calls in time
 	 */
-	public WatchSources(WatchOptions options, String ownName, DataCentre localDataCentre, RandomGenerator random) {
+	public WatchSources(WatchOptions options, String ownName, DataCentre localDataCentre, FollowerBounds bounds,
+			RandomGenerator random) {
+		this.maxOutageSpreadMillis = bounds.maxSpreadMillis();
 		this.options = options;
 		this.ownName = ownName;
 		this.localDataCentre = localDataCentre;
@@ -441,9 +444,13 @@
 		this.storeLostForOthers = true;
 		boolean isStoreKnown = this.watcherSearches.hasFailed() && this.storeFailures.isOver(nowNanos);
 		if (this.storeLostCallNanos.isEmpty() && !isStoreKnown && !isWatcher(nowNanos)) {
-			long spreadMillis = Math.min(MAX_OUTAGE_SPREAD_MILLIS, OUTAGE_MILLIS_PER_VM * this.vmCount);
+			long spreadMillis = Math.min(this.maxOutageSpreadMillis, OUTAGE_MILLIS_PER_VM * this.vmCount);
 			long delayMillis = this.random.nextLong(spreadMillis + 1);
-			this.storeLostCallNanos = Optional.of(nowNanos + TimeUnit.MILLISECONDS.toNanos(delayMillis));
+			long dueNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(delayMillis);
+			this.storeLostCallNanos = Optional.of(dueNanos);
+			// An earlier failure of this VM's own calls says little since watchers have
+			// answered.
+			this.storeFailures.endBy(dueNanos);
 		}
 	}
 
@@ -541,6 +548,12 @@
 			this.untilNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(delayMillis);
 		}
 
+		private void endBy(long latestNanos) {
+			if (this.untilNanos - latestNanos > 0) {
+				this.untilNanos = latestNanos;
+			}
+		}
+
 		private void shorten(long nowNanos, RandomGenerator random) {
 			if (this.count > 1) {
 				this.count = 1;
--- a/router/src/test/java/org/burdocktray/process/serve/gateway/WatchFleet.java
+++ b/router/src/test/java/org/burdocktray/process/serve/gateway/WatchFleet.java
@@ -29,6 +29,7 @@
 import org.burdocktray.process.freshness.RulesFreshness.Timestamp;
 import org.burdocktray.process.restore.StoreEras;
 import org.burdocktray.process.settings.GatewayOptions.WatchOptions;
+import org.burdocktray.process.watch.FollowerBounds;
 import org.burdocktray.process.watch.StoreSharing;
 import org.burdocktray.process.watch.WatchListener;
 import org.burdocktray.process.watch.WatchVm;
@@ -50,7 +51,7 @@
 
 	private static final long REVOCATION_MILLIS = 5_000;
 
-	private static final long CHANGE_MILLIS = 3_000;
+	static final long CHANGE_MILLIS = 3_000;
 
 	private static final long MAX_AGE_MILLIS = 4_400;
 
@@ -75,6 +76,9 @@
 
 	private final WatchOptions options;
 
+	/** Within which time changes must be known. */
+	private final long changeMillis;
+
 	private final SplittableRandom random;
 
 	private final Map<String, Long> changedMillis = new HashMap<>();
@@ -97,7 +101,12 @@
 	private long withdrawnMillis = Long.MAX_VALUE;
 
 	WatchFleet(int vmCount, WatchOptions options, long seed) {
+		this(vmCount, options, seed, CHANGE_MILLIS);
+	}
+
+	WatchFleet(int vmCount, WatchOptions options, long seed, long changeMillis) {
 		this.options = options;
+		this.changeMillis = changeMillis;
 		this.random = new SplittableRandom(seed);
 		this.store.put(RULES, "main", "0");
 		this.store.put(REPLICAS, "r", "0");
@@ -157,7 +166,7 @@
 			return;
 		}
 		this.changedMillis.forEach((kind, changed) -> {
-			if (now - changed > CHANGE_MILLIS && vm.known.getOrDefault(kind, -1L) < current(kind)) {
+			if (now - changed > this.changeMillis && vm.known.getOrDefault(kind, -1L) < current(kind)) {
 				this.violations.add("late change: " + vm.name + " " + kind + " " + (now - changed) + " at " + now);
 			}
 		});
@@ -283,10 +292,11 @@
 			this.freshness = new RulesFreshness(MAX_AGE_MILLIS);
 			this.disturbedUntilMillis = WatchFleet.this.time.millis() + CHANGE_MILLIS;
 			this.watching = true;
-			List<WatchedKind> confirmed = List.of(new WatchedKind(RULES, this.freshness.sharedWaitMillis(), true),
-					new WatchedKind(REPLICAS, 1_000, false));
-			List<WatchedKind> hints = List.of(new WatchedKind(QUARANTINE, 10_000, false),
-					new WatchedKind(VMS, 7_000, false));
+			FollowerBounds bounds = new FollowerBounds(WatchFleet.this.changeMillis);
+			List<WatchedKind> confirmed = List.of(
+					new WatchedKind(RULES, this.freshness.sharedWaitMillis(), true, bounds),
+					new WatchedKind(REPLICAS, WatchFleet.this.changeMillis / 3, false, bounds));
+			List<WatchedKind> hints = List.of(WatchedKind.hint(QUARANTINE, 10_000), WatchedKind.hint(VMS, 7_000));
 			this.sharing = new StoreSharing(WatchFleet.this.options, new StoreSharing.Own(this.name, this.dataCentre),
 					new StoreSharing.Kinds(confirmed, hints), new StoreSharing.Platform(directFeed(), directFeed(),
 							this.eras, this::ask, this::clock, this::schedule, WatchFleet.this.random.split()),
--- a/router/src/test/java/org/burdocktray/process/watch/FollowerAnswersTests.java
+++ b/router/src/test/java/org/burdocktray/process/watch/FollowerAnswersTests.java
@@ -26,13 +26,15 @@
 
 	private static final Timestamp NOW = new Timestamp(1_000_000_000L, 50_000);
 
+	private static final FollowerBounds BOUNDS = new FollowerBounds(3_000);
+
 	private static final StoreRevision REVISION = StoreRevision.of(7);
 
 	private final WatchSources sources = new WatchSources(new WatchOptions(1, 32, 2), "vm-0", new DataCentre("dc-0"),
-			new SplittableRandom(1));
+			BOUNDS, new SplittableRandom(1));
 
 	private final FollowerAnswers answers = new FollowerAnswers(
-			new StoreSharing.Kinds(List.of(new WatchedKind(KIND, 1_000, false)), List.of()), this.sources,
+			new StoreSharing.Kinds(List.of(new WatchedKind(KIND, 1_000, false, BOUNDS)), List.of()), this.sources,
 			new StoreEras(() -> NOW), () -> NOW, (delayMillis, action) -> {
 			}, this::countListing, new SilentListener());
 
--- a/router/src/test/java/org/burdocktray/process/watch/WatchSourcesTests.java
+++ b/router/src/test/java/org/burdocktray/process/watch/WatchSourcesTests.java
@@ -151,7 +151,8 @@
 	}
 
 	private static WatchSources sources(List<WatchVm> vms, String ownName, long seed) {
-		WatchSources sources = new WatchSources(OPTIONS, ownName, LOCAL, new SplittableRandom(seed));
+		WatchSources sources = new WatchSources(OPTIONS, ownName, LOCAL, new FollowerBounds(3_000),
+				new SplittableRandom(seed));
 		sources.setVms(vms);
 		sources.setKeyKnown(true);
 		return sources;
