End an old backoff alone when watchers lose the store

WatchFleetTests.outageTakesAFifthOfTheCalls (95 VMs) failed on: in an outage of the whole store, each fresh loss of the watchers ended the backoff that the same outage had built up, and followers called the store too often. Now only a failure of at least 5 s ago is passed over.

--- a/router/src/main/java/org/burdocktray/process/watch/WatchSources.java
+++ b/router/src/main/java/org/burdocktray/process/watch/WatchSources.java
@@ -450,7 +450,7 @@
 			this.storeLostCallNanos = Optional.of(dueNanos);
 			// An earlier failure of this VM's own calls says little since watchers have
 			// answered.
-			this.storeFailures.endBy(dueNanos);
+			this.storeFailures.endBy(dueNanos, nowNanos);
 		}
 	}
 
@@ -525,10 +525,15 @@
 
 		private static final long SHORT_MILLIS = 500;
 
+		/** A failure of that long ago may be that of another outage. */
+		private static final long RECENT_NANOS = TimeUnit.SECONDS.toNanos(5);
+
 		private int count;
 
 		private long untilNanos;
 
+		private long failedNanos;
+
 		private boolean isOver(long nowNanos) {
 			return this.count == 0 || nowNanos - this.untilNanos >= 0;
 		}
@@ -544,12 +549,13 @@
 		private void add(long nowNanos, long minMillis, long maxMillis, RandomGenerator random) {
 			long ceilingMillis = Math.min(maxMillis, minMillis << Math.min(MAX_DOUBLINGS, this.count));
 			this.count++;
+			this.failedNanos = nowNanos;
 			long delayMillis = minMillis / 2 + random.nextLong(ceilingMillis - minMillis / 2 + 1);
 			this.untilNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(delayMillis);
 		}
 
-		private void endBy(long latestNanos) {
-			if (this.untilNanos - latestNanos > 0) {
+		private void endBy(long latestNanos, long nowNanos) {
+			if (nowNanos - this.failedNanos >= RECENT_NANOS && this.untilNanos - latestNanos > 0) {
 				this.untilNanos = latestNanos;
 			}
 		}
